Add the PostgreSQL connector

The proxy needs a Connector that tells statements that did not run from statements whose answer was lost. The connector pipelines a read into one round trip and a write into two over pgconn, keeps the request record in the same transaction, and closes a connection after any incomplete answer.

--- /dev/null
+++ b/internal/database/postgres/connector.go
@@ -0,0 +1,102 @@
+// Package postgres connects to database servers over the PostgreSQL protocol.
+//
+// Statements are pipelined: a read is one round trip; a write is two, the second of which stores the result in the
+// request record and commits. The user and database names are constants, and no caller's key reaches the package.
+//
+// # Usage
+//
+//	var connector postgres.Connector
+//	conn, err := connector.Connect(ctx, driver.Server{Name: "meals-1-a", Address: "127.0.0.1:5432"})
+//	if err != nil {
+//		return err
+//	}
+//	defer conn.Close()
+//
+// # Failures
+//
+// Every error is a *driver.Error. Once bytes were sent and the answer did not arrive whole, the kind is Lost and the
+// connection is closed, so that a late answer cannot reach a later call.
+package postgres
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/rotisserie/eris"
+
+	"tanagercross/internal/database/driver"
+)
+
+const (
+	connectionString = "user=tanagercross database=tanagercross sslmode=disable application_name=tanagercross"
+
+	defaultConnectTimeout = 5 * time.Second
+	laneIdleTimeout       = 6 * time.Second // a server closes a silent lane connection after this
+	maximumResult         = 16 << 10        // bytes of a stored result
+)
+
+// Connector opens connections over TCP. The zero value is ready for use.
+type Connector struct {
+	ConnectTimeout time.Duration // 0 is 5 s; the context can end it earlier
+}
+
+var (
+	_ driver.Connector = Connector{}
+	_ driver.Conn      = (*Conn)(nil)
+)
+
+// Connect opens a connection. It fails with kind Full at the server's connection limit and otherwise with Unreachable.
+func (c Connector) Connect(ctx context.Context, s driver.Server) (driver.Conn, error) {
+	config, err := pgconn.ParseConfig(connectionString)
+	if err != nil {
+		return nil, &driver.Error{Operation: "connect", Kind: driver.Unreachable, Err: eris.Wrap(err, "parse settings")}
+	}
+	host, port, err := net.SplitHostPort(s.Address)
+	if err != nil {
+		return nil, &driver.Error{Operation: "connect", Kind: driver.Unreachable, Err: eris.Wrap(err, "address")}
+	}
+	number, err := net.LookupPort("tcp", port)
+	if err != nil {
+		return nil, &driver.Error{Operation: "connect", Kind: driver.Unreachable, Err: eris.Wrap(err, "port")}
+	}
+	config.Host, config.Port, config.Fallbacks = host, uint16(number), nil
+	config.ConnectTimeout = c.ConnectTimeout
+	if config.ConnectTimeout == 0 {
+		config.ConnectTimeout = defaultConnectTimeout
+	}
+	config.DialFunc = dialOnce()
+	pg, err := pgconn.ConnectConfig(ctx, config)
+	if err != nil {
+		return nil, connectError(s, err)
+	}
+	return &Conn{pg: pg, server: s.Name}, nil
+}
+
+// dialOnce refuses all dials but the first. pgconn would otherwise dial again to cancel a statement, which takes a place
+// at a server whose connections are scarce.
+func dialOnce() pgconn.DialFunc {
+	var dialled atomic.Bool
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if dialled.Swap(true) {
+			return nil, eris.New("no second dial")
+		}
+		var dialer net.Dialer
+		return dialer.DialContext(ctx, network, address)
+	}
+}
+
+func connectError(s driver.Server, err error) error {
+	e := &driver.Error{Operation: "connect", Kind: driver.Unreachable, Err: eris.Wrapf(err, "server %s", s.Name)}
+	var p *pgconn.PgError
+	if errors.As(err, &p) {
+		e.Code = p.Code
+		if p.Code == codeTooManyConnections {
+			e.Kind = driver.Full
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/internal/database/postgres/write.go
@@ -0,0 +1,150 @@
+package postgres
+
+import (
+	"context"
+	"errors"
+
+	"tanagercross/internal/database/driver"
+)
+
+// Write implements driver.Conn. The first round trip ends with the caller's statement, the second stores its result and
+// commits. The table of records is created only when it is missing, to keep DDL out of the log of every write.
+func (c *Conn) Write(ctx context.Context, organisation string, r driver.Record, s driver.Statement) (driver.Result, error) {
+	const operation = "write"
+	if err := check(operation, s); err != nil {
+		return driver.Result{}, err
+	}
+	begin := []driver.Statement{setOrganisation(organisation), statement("BEGIN")}
+	body := []driver.Statement{insert(r, "{}"), s}
+	a, err := c.exchange(ctx, operation, append(begin, body...)...)
+	if err != nil {
+		return driver.Result{}, err
+	}
+	record := len(begin)
+	if a.refused != nil && a.refused.Code == codeNoTable && len(a.results) == record {
+		begin = []driver.Statement{statement("ROLLBACK"), statement("BEGIN"), statement(createRecords)}
+		record = len(begin)
+		if a, err = c.exchange(ctx, operation, append(begin, body...)...); err != nil {
+			return driver.Result{}, begun(err)
+		}
+	}
+	if a.refused != nil {
+		return c.undo(ctx, operation, r, a, len(a.results) == record)
+	}
+	result := c.rows(a.results[record+1])
+	data, err := encode(result)
+	if err != nil {
+		c.Close()
+		return driver.Result{}, &driver.Error{Operation: operation, Kind: driver.Failed, Err: err}
+	}
+	a, err = c.exchange(ctx, operation, statement(updateRecord, r.RequestID, data), statement("COMMIT"))
+	if err != nil {
+		return driver.Result{}, begun(err)
+	}
+	if a.refused != nil {
+		return c.undo(ctx, operation, r, a, false)
+	}
+	result.Position = c.position()
+	return result, committed(operation, a)
+}
+
+// begun converts an error of a later round trip: a write of which something was sent is Lost.
+func begun(err error) error {
+	var e *driver.Error
+	if !errors.As(err, &e) || e.Kind != driver.Unreachable {
+		return err
+	}
+	return &driver.Error{Operation: e.Operation, Kind: driver.Lost, Code: e.Code, Err: e.Err}
+}
+
+// committed checks the tag of COMMIT, because a failed transaction answers it with ROLLBACK and no error.
+func committed(operation string, a answers) error {
+	if tag := a.results[len(a.results)-1].CommandTag.String(); tag != "COMMIT" {
+		return fault(operation, driver.Failed, "transaction ended with %s", tag)
+	}
+	return nil
+}
+
+// undo ends the transaction of a refused write, which then has no effect. A duplicate request id is answered from its
+// record in the same round trip.
+func (c *Conn) undo(ctx context.Context, operation string, r driver.Record, a answers, atRecord bool) (driver.Result, error) {
+	refused := refusal(operation, a.refused)
+	if !atRecord || a.refused.Code != codeUnique {
+		_, err := c.run(ctx, operation, statement("ROLLBACK"))
+		if err != nil {
+			c.Close()
+		}
+		return driver.Result{}, refused
+	}
+	a, err := c.exchange(ctx, operation, statement("ROLLBACK"), statement(selectRecord, r.RequestID))
+	if err != nil {
+		return driver.Result{}, begun(err)
+	}
+	if a.refused != nil {
+		return driver.Result{}, refusal(operation, a.refused)
+	}
+	state, err := c.state(operation, a.results[1])
+	if err != nil {
+		return driver.Result{}, err
+	}
+	return replay(operation, r, state)
+}
+
+// Begin implements driver.Conn. It fails with kind NotPrimary at a server that could not commit.
+func (c *Conn) Begin(ctx context.Context, organisation string) error {
+	const operation = "begin"
+	results, err := c.run(ctx, operation, setOrganisation(organisation), statement("BEGIN"), statement("SHOW group_status"))
+	if err != nil {
+		return err
+	}
+	status, err := statusOf(operation, results[2])
+	if err == nil && status.Role != driver.Primary {
+		err = fault(operation, driver.NotPrimary, "server is %s", status.Role)
+	}
+	if err != nil && c.Rollback(ctx) != nil {
+		c.Close()
+	}
+	return err
+}
+
+// Run implements driver.Conn. After a refused statement only Rollback is useful.
+func (c *Conn) Run(ctx context.Context, s driver.Statement) (driver.Result, error) {
+	const operation = "run"
+	if err := check(operation, s); err != nil {
+		return driver.Result{}, err
+	}
+	if c.pg.TxStatus() == 'I' {
+		return driver.Result{}, fault(operation, driver.Failed, "no transaction is open")
+	}
+	results, err := c.run(ctx, operation, s)
+	if err != nil {
+		return driver.Result{}, err
+	}
+	return c.rows(results[0]), nil
+}
+
+// Commit implements driver.Conn. The record and the commit are one round trip.
+func (c *Conn) Commit(ctx context.Context, r driver.Record) (driver.Result, error) {
+	const operation = "commit"
+	if c.pg.TxStatus() == 'I' {
+		return driver.Result{}, fault(operation, driver.Failed, "no transaction is open")
+	}
+	data, err := encode(driver.Result{})
+	if err != nil {
+		return driver.Result{}, &driver.Error{Operation: operation, Kind: driver.Failed, Err: err}
+	}
+	a, err := c.exchange(ctx, operation, statement(createRecords), insert(r, data), statement("COMMIT"))
+	if err != nil {
+		return driver.Result{}, err
+	}
+	if a.refused != nil {
+		return c.undo(ctx, operation, r, a, len(a.results) == 1)
+	}
+	return driver.Result{Position: c.position()}, committed(operation, a)
+}
+
+// Rollback implements driver.Conn.
+func (c *Conn) Rollback(ctx context.Context) error {
+	_, err := c.run(ctx, "rollback", statement("ROLLBACK"))
+	return err
+}
