Test failures of the stand-in database and the connector

The failure cases of the design's database section need tests before the pool and the watchers build on them.

--- /dev/null
+++ b/internal/database/postgres/conn_test.go
@@ -0,0 +1,218 @@
+package postgres_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/postgres"
+	"tanagercross/internal/standin/database"
+)
+
+const coop = "sertao_coop"
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func serve(t *testing.T, c database.Config) *database.Server {
+	c.Name, c.Address, c.ReplicationAddress = "a", "127.0.0.1:0", "127.0.0.1:0"
+	c.Directory, c.InitialPrimary = t.TempDir(), true
+	s, err := database.Start(context.Background(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Kill)
+	return s
+}
+
+func dial(t *testing.T, s *database.Server) driver.Conn {
+	t.Helper()
+	c, err := postgres.Connector{}.Connect(context.Background(), driver.Server{Name: "a", Address: s.Addr()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+func write(c driver.Conn, id, sql string) (driver.Result, error) {
+	return c.Write(context.Background(), coop, driver.Record{RequestID: id, Fingerprint: sql}, driver.Statement{SQL: sql})
+}
+
+func mustWrite(t *testing.T, c driver.Conn, id, sql string) driver.Result {
+	t.Helper()
+	r, err := write(c, id, sql)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func wantKind(t *testing.T, err error, want driver.Kind) {
+	t.Helper()
+	if err == nil || driver.KindOf(err) != want {
+		t.Fatalf("error %v, want kind %s", err, want)
+	}
+}
+
+func count(t *testing.T, s *database.Server, want string) {
+	t.Helper()
+	rows, err := s.Dump(coop, "SELECT count(*) FROM meal")
+	if err != nil || rows[0][0] != want {
+		t.Fatalf("%v rows, %v; want %s", rows, err, want)
+	}
+}
+
+// Guards against a commit whose answer is lost being reported as failed or run again.
+func TestDroppedCommitAnswer(t *testing.T) {
+	s := serve(t, database.Config{})
+	c := dial(t, s)
+	mustWrite(t, c, "1", "CREATE TABLE meal (name TEXT)")
+	s.DropNextCommitAnswer()
+	const insert = "INSERT INTO meal VALUES ('beans') RETURNING name"
+	_, err := write(c, "2", insert)
+	wantKind(t, err, driver.Lost)
+	if c.Clean() {
+		t.Fatal("connection with a lost answer is clean")
+	}
+	c = dial(t, s)
+	state, err := c.Recorded(context.Background(), coop, "2")
+	if err != nil || !state.Found || state.Fingerprint != insert || state.Position.Index == 0 {
+		t.Fatalf("%+v, %v", state, err)
+	}
+	r := mustWrite(t, c, "2", insert)
+	if !r.Replayed || r.RowsAffected != 1 || *r.Rows[0][0] != "beans" {
+		t.Fatalf("%+v", r)
+	}
+	count(t, s, "1")
+}
+
+// Guards against a request id that runs twice or answers another request.
+func TestDuplicateAndReusedID(t *testing.T) {
+	s := serve(t, database.Config{})
+	c := dial(t, s)
+	ctx := context.Background()
+	if state, err := c.Recorded(ctx, coop, "1"); err != nil || state.Found {
+		t.Fatalf("%+v, %v", state, err)
+	}
+	mustWrite(t, c, "1", "CREATE TABLE meal (name TEXT)")
+	mustWrite(t, c, "2", "INSERT INTO meal VALUES ('beans')")
+	if r := mustWrite(t, c, "2", "INSERT INTO meal VALUES ('beans')"); !r.Replayed {
+		t.Fatalf("%+v", r)
+	}
+	_, err := write(c, "2", "INSERT INTO meal VALUES ('rice')")
+	wantKind(t, err, driver.Reused)
+	if err := c.Begin(ctx, coop); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Run(ctx, driver.Statement{SQL: "INSERT INTO meal VALUES ('rice')"}); err != nil {
+		t.Fatal(err)
+	}
+	_, err = c.Commit(ctx, driver.Record{RequestID: "2", Fingerprint: "other"})
+	wantKind(t, err, driver.Reused)
+	mustWrite(t, c, "3", "INSERT INTO meal SELECT '"+strings.Repeat("x", 20<<10)+"'")
+	large := mustWrite(t, c, "4", "UPDATE meal SET name = name RETURNING name")
+	if large = mustWrite(t, c, "4", "UPDATE meal SET name = name RETURNING name"); !large.Truncated || large.RowsAffected != 2 {
+		t.Fatalf("%+v", large)
+	}
+	if !c.Clean() {
+		t.Fatal("connection not clean")
+	}
+	count(t, s, "2")
+}
+
+// Guards against the wrong kind for errors that have no effect, and against a connection left in a failed transaction.
+func TestRefusals(t *testing.T) {
+	s := serve(t, database.Config{ConnectionLimit: 2, LockTimeout: 50 * time.Millisecond})
+	ctx := context.Background()
+	c, other := dial(t, s), dial(t, s)
+	_, err := postgres.Connector{}.Connect(ctx, driver.Server{Address: s.Addr()})
+	wantKind(t, err, driver.Full)
+	mustWrite(t, c, "1", "CREATE TABLE meal (name TEXT UNIQUE)")
+	mustWrite(t, c, "2", "INSERT INTO meal VALUES ('beans')")
+	_, err = write(c, "3", "INSERT INTO meal VALUES ('beans')")
+	wantKind(t, err, driver.Failed)
+	for _, sql := range []string{"SET organisation = 'x'", "/**/ COMMIT", "SELECT group_fence(9, 'me')", "INSERT INTO absent VALUES (1)"} {
+		_, err = write(c, "4", sql)
+		wantKind(t, err, driver.Failed)
+	}
+	if err := other.Begin(ctx, coop); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := other.Run(ctx, driver.Statement{SQL: "DELETE FROM meal"}); err != nil {
+		t.Fatal(err)
+	}
+	_, err = write(c, "5", "INSERT INTO meal VALUES ('rice')")
+	wantKind(t, err, driver.Busy)
+	r, err := c.Read(ctx, coop, driver.Position{}, driver.Statement{SQL: "SELECT name FROM meal"})
+	if err != nil || len(r.Rows) != 1 || !c.Clean() {
+		t.Fatalf("uncommitted delete is visible: %+v, %v", r, err)
+	}
+	other.Close()
+	mustWrite(t, c, "5", "INSERT INTO meal VALUES ('rice')")
+	count(t, s, "2")
+	canceled, cancel := context.WithCancel(ctx)
+	cancel()
+	_, err = c.Read(canceled, coop, driver.Position{}, driver.Statement{SQL: "SELECT 1"})
+	wantKind(t, err, driver.Unreachable)
+}
+
+// Guards against an answer that arrives after its deadline being taken for the answer to a later call.
+func TestLateAnswer(t *testing.T) {
+	s := serve(t, database.Config{})
+	c := dial(t, s)
+	mustWrite(t, c, "1", "CREATE TABLE meal (name TEXT)")
+	s.SetClientCut(database.Cut{Outbound: true})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := c.Read(ctx, coop, driver.Position{}, driver.Statement{SQL: "SELECT 'late'"})
+	wantKind(t, err, driver.Lost)
+	s.SetClientCut(database.Cut{})
+	_, err = c.Read(context.Background(), coop, driver.Position{}, driver.Statement{SQL: "SELECT 'next'"})
+	wantKind(t, err, driver.Unreachable)
+	var callers sync.WaitGroup
+	for i := range 8 {
+		c := dial(t, s)
+		callers.Go(func() {
+			for j := range 20 {
+				want := fmt.Sprintf("%d-%d", i, j)
+				r, err := c.Read(context.Background(), coop, driver.Position{}, driver.Statement{SQL: "SELECT $1", Arguments: []*string{&want}})
+				if err != nil || len(r.Rows) != 1 || *r.Rows[0][0] != want {
+					t.Errorf("%+v, %v; want %s", r, err, want)
+				}
+			}
+		})
+	}
+	callers.Wait()
+}
+
+// Guards against a lane that stays taken, or a lock that a reset connection keeps.
+func TestLane(t *testing.T) {
+	s := serve(t, database.Config{})
+	ctx := context.Background()
+	c, other := dial(t, s), dial(t, s)
+	for _, step := range []struct {
+		conn driver.Conn
+		want bool
+	}{{c, true}, {other, false}} {
+		if ok, err := step.conn.TryLane(ctx, 1); err != nil || ok != step.want {
+			t.Fatalf("%v, %v; want %v", ok, err, step.want)
+		}
+	}
+	if err := c.Ping(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Reset(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if ok, err := other.TryLane(ctx, 1); err != nil || !ok {
+		t.Fatalf("%v, %v", ok, err)
+	}
+	s.Stop()
+	wantKind(t, c.Ping(ctx), driver.Unreachable)
+}
