Promote the most advanced fenced server in the group tests

TestTornTail failed once in 20 runs of the suite (no such table): the test promoted a fixed server even when the other fenced one alone held the acknowledged entry, which the protocol forbids.

--- a/internal/standin/database/group_test.go
+++ b/internal/standin/database/group_test.go
@@ -122,17 +122,24 @@
 	}
 }
 
-// change fences the servers for a term and promotes the first of them.
-func (g *group) change(term uint64, servers ...int) {
+// change fences the servers for a term and promotes the most advanced of them, as a watcher does. It returns the new
+// primary.
+func (g *group) change(term uint64, servers ...int) int {
 	g.t.Helper()
+	best, last := -1, driver.Position{}
 	for _, i := range servers {
-		if _, err := g.connect(i).Fence(context.Background(), term, "watcher"); err != nil {
+		status, err := g.connect(i).Fence(context.Background(), term, "watcher")
+		if err != nil {
 			g.t.Fatal(err)
 		}
+		if best < 0 || status.Last.Compare(last) > 0 {
+			best, last = i, status.Last
+		}
 	}
-	if _, err := g.connect(servers[0]).Promote(context.Background(), term, "watcher"); err != nil {
+	if _, err := g.connect(best).Promote(context.Background(), term, "watcher"); err != nil {
 		g.t.Fatal(err)
 	}
+	return best
 }
 
 func wantKind(t *testing.T, err error, want driver.Kind) {
@@ -232,12 +239,12 @@
 	lost := g.write(c, "2", "INSERT INTO meal VALUES ('abandoned')")
 	wantKind(t, c.Await(context.Background(), lost, 200*time.Millisecond), driver.NotReplicated)
 	g.until("replicas report the silence", func() bool { return g.servers[1].Status().PrimaryContact > 250*time.Millisecond })
-	g.change(2, 1, 2)
-	d := g.connect(1)
+	d := g.connect(g.change(2, 1, 2))
 	kept := g.write(d, "3", "INSERT INTO meal VALUES ('kept')")
 	g.await(d, kept)
 	g.meals(0, "abandoned")
-	g.servers[0].SetPeerCut("c", database.Cut{}) // only the other replica can tell about the new term
+	// The first fenced server is promoted on a tie, so only the other replica can tell about the new term.
+	g.servers[0].SetPeerCut("c", database.Cut{})
 	g.until("old primary steps down", func() bool { return g.servers[0].Status().Role == driver.Replica })
 	g.servers[0].SetPeerCut("b", database.Cut{})
 	g.until("old primary catches up", func() bool { return g.servers[0].Status().Last == kept })
