--- a/internal/database/postgres/conn.go
+++ b/internal/database/postgres/conn.go
@@ -74,18 +74,20 @@
 	return s, nil
 }
 
-// Read implements driver.Conn.
+const stepStatus = 2 // index of the status in a read's pipeline
+
+// Read implements driver.Conn. The server refuses a write that is sent as a read, because it would run without record.
 func (c *Conn) Read(ctx context.Context, organisation string, atLeast driver.Position, s driver.Statement) (driver.Result, error) {
 	const operation = "read"
 	if err := check(operation, s); err != nil {
 		return driver.Result{}, err
 	}
-	a, err := c.exchange(ctx, operation, setOrganisation(organisation), statement("SHOW group_status"), s)
+	a, err := c.exchange(ctx, operation, setOrganisation(organisation), readOnly, statement("SHOW group_status"), s)
 	if err != nil {
 		return driver.Result{}, err
 	}
-	if len(a.results) > 1 {
-		status, err := statusOf(operation, a.results[1])
+	if len(a.results) > stepStatus {
+		status, err := statusOf(operation, a.results[stepStatus])
 		if err != nil {
 			return driver.Result{}, err
 		}
@@ -94,9 +96,13 @@
 		}
 	}
 	if a.refused != nil {
-		return driver.Result{}, refusal(operation, a.refused)
+		e := refusal(operation, a.refused)
+		if e.Kind == driver.NotPrimary {
+			e.Kind = driver.Failed // a write sent as a read fails at every server
+		}
+		return driver.Result{}, e
 	}
-	return c.rows(a.results[2]), nil
+	return c.rows(a.results[stepStatus+1]), nil
 }
 
 // Recorded implements driver.Conn.
--- a/internal/database/postgres/conn_test.go
+++ b/internal/database/postgres/conn_test.go
@@ -141,6 +141,10 @@
 		_, err = write(c, "4", sql)
 		wantKind(t, err, driver.Failed)
 	}
+	for _, sql := range []string{"DELETE FROM meal", "WITH x AS (SELECT 1) DELETE FROM meal"} {
+		_, err = c.Read(ctx, coop, driver.Position{}, driver.Statement{SQL: sql})
+		wantKind(t, err, driver.Failed)
+	}
 	if err := other.Begin(ctx, coop); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/database/postgres/statement.go
+++ b/internal/database/postgres/statement.go
@@ -33,6 +33,12 @@
 	return s
 }
 
+// Transactions are read-only by default once a connection served a read, so a write names its access.
+var (
+	readOnly   = statement("SET default_transaction_read_only = on")
+	beginWrite = statement("BEGIN READ WRITE")
+)
+
 func number(n uint64) string { return strconv.FormatUint(n, 10) }
 
 // setOrganisation quotes the name, because SET takes no parameters.
--- a/internal/database/postgres/write.go
+++ b/internal/database/postgres/write.go
@@ -14,7 +14,7 @@
 	if err := check(operation, s); err != nil {
 		return driver.Result{}, err
 	}
-	begin := []driver.Statement{setOrganisation(organisation), statement("BEGIN")}
+	begin := []driver.Statement{setOrganisation(organisation), beginWrite}
 	body := []driver.Statement{insert(r, "{}"), s}
 	a, err := c.exchange(ctx, operation, append(begin, body...)...)
 	if err != nil {
@@ -22,7 +22,7 @@
 	}
 	record := len(begin)
 	if a.refused != nil && a.refused.Code == codeNoTable && len(a.results) == record {
-		begin = []driver.Statement{statement("ROLLBACK"), statement("BEGIN"), statement(createRecords)}
+		begin = []driver.Statement{statement("ROLLBACK"), beginWrite, statement(createRecords)}
 		record = len(begin)
 		if a, err = c.exchange(ctx, operation, append(begin, body...)...); err != nil {
 			return driver.Result{}, begun(err)
@@ -93,7 +93,7 @@
 // Begin implements driver.Conn. It fails with kind NotPrimary at a server that could not commit.
 func (c *Conn) Begin(ctx context.Context, organisation string) error {
 	const operation = "begin"
-	results, err := c.run(ctx, operation, setOrganisation(organisation), statement("BEGIN"), statement("SHOW group_status"))
+	results, err := c.run(ctx, operation, setOrganisation(organisation), beginWrite, statement("SHOW group_status"))
 	if err != nil {
 		return err
 	}
--- a/internal/standin/database/execute.go
+++ b/internal/standin/database/execute.go
@@ -10,6 +10,7 @@
 
 var (
 	setPattern       = regexp.MustCompile(`(?i)^set\s+(?:session\s+)?([a-z_]+)\s*(?:=|\bto\b)\s*(.+)$`)
+	accessPattern    = regexp.MustCompile(`(?i)\bread\s+(only|write)\b`)
 	parameterPattern = regexp.MustCompile(`\?([0-9]+)`)
 )
 
@@ -54,6 +55,9 @@
 // data runs a read or a write. The writer place is taken before the slot, so that nobody waits for it inside a slot.
 func (c *session) data(cmd command, arguments []*string) (result, error) {
 	t := c.write
+	if cmd.class == classWrite && (c.open && c.readOnly || !c.open && c.readDefault) {
+		return result{}, failure("execute", codeReadOnly, "cannot execute %s in a read-only transaction", cmd.verb)
+	}
 	if cmd.class == classWrite && t == nil {
 		var err error
 		if t, err = c.server.beginWrite(c.organisation); err != nil {
@@ -159,7 +163,10 @@
 		if c.open {
 			err = failure("begin", codeActiveTransaction, "there is already a transaction in progress")
 		}
-		c.open = true
+		c.open, c.readOnly = true, c.readDefault
+		if m := accessPattern.FindStringSubmatch(cmd.text); m != nil {
+			c.readOnly = strings.EqualFold(m[1], "only")
+		}
 	case "COMMIT":
 		t, failed := c.write, c.failed
 		if failed {
@@ -183,7 +190,7 @@
 	if c.open {
 		return failure("discard", codeActiveTransaction, "DISCARD ALL cannot run inside a transaction block")
 	}
-	c.organisation, c.idle = "", 0
+	c.organisation, c.idle, c.readDefault = "", 0, false
 	c.statements, c.portals = map[string][]command{}, map[string]*portal{"": c.portals[""]}
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
@@ -206,6 +213,8 @@
 			return failure("set", codeNoOrganisation, "invalid organisation name")
 		}
 		c.organisation = value
+	case "default_transaction_read_only":
+		c.readDefault = value == "on"
 	case "idle_session_timeout":
 		if n, err := strconv.Atoi(value); err == nil {
 			c.idle = time.Duration(n) * time.Millisecond
--- a/internal/standin/database/replication.go
+++ b/internal/standin/database/replication.go
@@ -58,7 +58,7 @@
 	for s.ctx.Err() == nil {
 		s.faults.frozen.wait(s.ctx.Done())
 		conn, err := net.DialTimeout("tcp", p.Address, dialTimeout)
-		if err == nil && s.track(conn) {
+		if err == nil && s.track(conn, false) {
 			s.stream(p, conn)
 			s.untrack(conn)
 		}
@@ -150,7 +150,7 @@
 		s.fail(err)
 		return
 	}
-	if !r.Append || s.role != driver.Primary || r.Term != s.promise.Term || r.Promise.Term != r.Term {
+	if !r.Append || s.role != driver.Primary || r.Term != s.promise.Term || r.Promise.Primary != s.config.Name {
 		return
 	}
 	if !r.Equal {
@@ -168,7 +168,7 @@
 		if err != nil {
 			return
 		}
-		if s.track(conn) {
+		if s.track(conn, false) {
 			s.start(func() {
 				s.servePeer(conn)
 				s.untrack(conn)
--- a/internal/standin/database/server.go
+++ b/internal/standin/database/server.go
@@ -44,8 +44,8 @@
 	replicated    uint64
 	changed       chan struct{} // closed and replaced when the role or the replicated index changes
 	locks         map[string]*session
-	connections   int // sessions that count towards the limit
-	sockets       map[net.Conn]struct{}
+	connections   int               // sessions that count towards the limit
+	sockets       map[net.Conn]bool // true for clients
 }
 
 // Start opens the log, rebuilds the SQLite files and serves until Stop, Kill or the end of the context.
@@ -54,7 +54,7 @@
 	s := &Server{
 		config: config, slots: make(chan struct{}, config.Slots), contact: time.Now(),
 		transactions: map[*transaction]struct{}{}, followers: map[string]*follower{}, changed: make(chan struct{}),
-		locks: map[string]*session{}, sockets: map[net.Conn]struct{}{},
+		locks: map[string]*session{}, sockets: map[net.Conn]bool{},
 	}
 	s.serviceTime.Store(int64(config.ServiceTime))
 	s.lag.Store(int64(config.Lag))
@@ -102,14 +102,14 @@
 }
 
 // track registers a socket so that Kill can close it. It returns false if the server is ending.
-func (s *Server) track(conn net.Conn) bool {
+func (s *Server) track(conn net.Conn, client bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ctx.Err() != nil {
 		conn.Close()
 		return false
 	}
-	s.sockets[conn] = struct{}{}
+	s.sockets[conn] = client
 	return true
 }
 
@@ -144,8 +144,10 @@
 	s.stopping.Store(true)
 	s.mu.Lock()
 	s.clients.Close()
-	for conn := range s.sockets {
-		conn.SetReadDeadline(time.Now())
+	for conn, client := range s.sockets {
+		if client {
+			conn.SetReadDeadline(time.Now())
+		}
 	}
 	s.mu.Unlock()
 	deadline := time.Now().Add(stopTimeout)
--- a/internal/standin/database/session.go
+++ b/internal/standin/database/session.go
@@ -27,6 +27,8 @@
 	organisation string
 	idle         time.Duration // idle_session_timeout; 0 is none
 	open         bool          // inside BEGIN
+	readOnly     bool          // of the open transaction
+	readDefault  bool          // default_transaction_read_only
 	failed       bool          // a statement of the open transaction failed
 	write        *transaction  // the open transaction's writes, if any
 	position     driver.Position
@@ -54,7 +56,7 @@
 		if err != nil {
 			return
 		}
-		if s.track(conn) {
+		if s.track(conn, true) {
 			s.start(func() {
 				s.serveClient(conn)
 				s.untrack(conn)
