Add roster and age vector

Cause: lanes, watchers, committees and freshness need one view of the members and a bound on the age of documents. Change: immutable roster with rendezvous hashing, place preference and place spreading; age vector with store mode, majority mode and a deadline for checks before and after use. Ages are merged from answers only, because a request does not say how long it was under way. A roster change adds or removes at most one member. Result: tests of ranks, spreading, both modes and a pause pass.

--- /dev/null
+++ b/internal/fleet/freshness/vector.go
@@ -0,0 +1,138 @@
+// Package freshness decides whether an instance may admit requests.
+//
+// A Vector has one entry per member and one for the store. An entry is the moment as of which the instance has merged
+// all documents that the member, or the store, held.
+//
+// # Usage
+//
+//	v := freshness.New("i-01")
+//	v.Store(beforeRead)                  // after the rows of a read are merged
+//	v.Merge(beforeSending, reply.Ages)   // after the documents of an answer are merged
+//	deadline := v.Deadline(r, now)
+//	if !now.Before(deadline) { ... }     // before use
+//	if !later.Before(deadline) { ... }   // after use: withhold the answer
+//
+// Times are parameters and must carry a monotonic reading. An entry only holds the moment before the exchange started,
+// so a process that is paused between sending and merging gets an entry that is too old, never one that is too young.
+// For the same reason ages are merged only from answers: a request does not say how long it was under way.
+package freshness
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"tanagercross/internal/fleet/roster"
+)
+
+// Bound is F, the age over which neither the store entry nor a majority entry makes an instance fresh.
+const Bound = 4 * time.Second
+
+// StoreName is the name of the store's entry. A member cannot have it, because it contains a space.
+const StoreName = "the store"
+
+// Age is how long ago all that a member knew was merged.
+type Age struct {
+	Member string
+	Age    time.Duration
+}
+
+// Vector is the age vector of one instance.
+type Vector struct {
+	self    string
+	entries map[string]time.Time
+}
+
+// New returns the empty vector of a member, which is not fresh in a roster of more than one member.
+func New(self string) *Vector { return &Vector{self: self, entries: map[string]time.Time{}} }
+
+func (v *Vector) raise(name string, at time.Time) {
+	if old, ok := v.entries[name]; !ok || at.After(old) {
+		v.entries[name] = at
+	}
+}
+
+// Store records that all rows of the store were merged as of the moment before the read.
+func (v *Vector) Store(before time.Time) { v.raise(StoreName, before) }
+
+// Merge takes over the ages of an answer, counted from the moment before the request was sent. All documents that the
+// answer names must have been merged before.
+func (v *Vector) Merge(before time.Time, ages []Age) {
+	for _, a := range ages {
+		if a.Member != v.self && a.Age >= 0 {
+			v.raise(a.Member, before.Add(-a.Age))
+		}
+	}
+}
+
+// at returns the moment of an entry; the instance itself knows all that it knows.
+func (v *Vector) at(name string, now time.Time) (time.Time, bool) {
+	if name == v.self {
+		return now, true
+	}
+	t, ok := v.entries[name]
+	return t, ok
+}
+
+// StoreAge returns the age of the store entry; it is false if there is none.
+func (v *Vector) StoreAge(now time.Time) (time.Duration, bool) {
+	t, ok := v.entries[StoreName]
+	return now.Sub(t), ok
+}
+
+// Ages returns the entries younger than the bound, in name order. With members set to false only the store entry is
+// returned, which is all that others need while the store entry is young.
+func (v *Vector) Ages(now time.Time, members bool) []Age {
+	var ages []Age
+	for _, name := range slices.Sorted(maps.Keys(v.entries)) {
+		if age := now.Sub(v.entries[name]); age < Bound && (members || name == StoreName) {
+			ages = append(ages, Age{Member: name, Age: age})
+		}
+	}
+	if members {
+		ages = append(ages, Age{Member: v.self})
+	}
+	return ages
+}
+
+// Deadline returns the moment from which the instance is no longer fresh with what it has merged by now. An instance
+// outside the roster has no majority mode.
+func (v *Vector) Deadline(r roster.Roster, now time.Time) time.Time {
+	deadline := time.Time{}
+	if t, ok := v.entries[StoreName]; ok {
+		deadline = t.Add(Bound)
+	}
+	if t, ok := v.majority(r, now); ok && t.Add(Bound).After(deadline) {
+		deadline = t.Add(Bound)
+	}
+	return deadline
+}
+
+// majority returns the oldest moment among the youngest entries of a majority of the roster.
+func (v *Vector) majority(r roster.Roster, now time.Time) (time.Time, bool) {
+	if _, ok := r.Index(v.self); !ok {
+		return time.Time{}, false
+	}
+	moments := make([]time.Time, 0, r.Len())
+	for _, m := range r.Members() {
+		if t, ok := v.at(m.Name, now); ok {
+			moments = append(moments, t)
+		}
+	}
+	if len(moments) < r.Majority() {
+		return time.Time{}, false
+	}
+	slices.SortFunc(moments, func(a, b time.Time) int { return b.Compare(a) })
+	return moments[r.Majority()-1], true
+}
+
+// Fresh reports whether the instance may admit requests at this moment.
+func (v *Vector) Fresh(r roster.Roster, now time.Time) bool { return now.Before(v.Deadline(r, now)) }
+
+// Retain drops the entries of members that are not in the roster.
+func (v *Vector) Retain(r roster.Roster) {
+	maps.DeleteFunc(v.entries, func(name string, _ time.Time) bool {
+		_, ok := r.Index(name)
+		return !ok && name != StoreName
+	})
+}
--- /dev/null
+++ b/internal/fleet/freshness/vector_test.go
@@ -0,0 +1,53 @@
+package freshness_test
+
+import (
+	"testing"
+	"time"
+
+	"tanagercross/internal/fleet/freshness"
+	"tanagercross/internal/fleet/roster"
+)
+
+var three = roster.New(1, []roster.Member{{Name: "a"}, {Name: "b"}, {Name: "c"}})
+
+// Guards against an instance that admits requests from state older than the bound, or refuses with a young entry.
+func TestModes(t *testing.T) {
+	start := time.Now()
+	v := freshness.New("a")
+	if v.Fresh(three, start) {
+		t.Error("empty vector is fresh")
+	}
+	v.Store(start)
+	if !v.Fresh(three, start.Add(freshness.Bound-1)) || v.Fresh(three, start.Add(freshness.Bound)) {
+		t.Error("store mode has another bound")
+	}
+	later := start.Add(time.Minute)
+	v.Merge(later, []freshness.Age{{Member: "c", Age: 3 * time.Second}, {Member: "a"}})
+	if !v.Fresh(three, later.Add(time.Second-1)) || v.Fresh(three, later.Add(time.Second)) {
+		t.Error("majority mode has another bound")
+	}
+	v.Merge(later, []freshness.Age{{Member: "c", Age: 4 * time.Second}})
+	if !v.Fresh(three, later) {
+		t.Error("an older age replaced a younger one")
+	}
+	if freshness.New("x").Fresh(three, later) {
+		t.Error("an instance outside the roster is fresh without the store")
+	}
+}
+
+// Guards against a paused process: the deadline taken before use must be over after the pause, and an answer merged
+// after the pause must not count as young.
+func TestPause(t *testing.T) {
+	start := time.Now()
+	v := freshness.New("a")
+	v.Store(start)
+	deadline := v.Deadline(three, start)
+	woken := start.Add(10 * time.Second)
+	if woken.Before(deadline) {
+		t.Error("deadline holds after a pause")
+	}
+	v.Merge(start, []freshness.Age{{Member: freshness.StoreName}})
+	if v.Fresh(three, woken) {
+		t.Error("an answer from before the pause makes the instance fresh")
+	}
+}
--- /dev/null
+++ b/internal/fleet/roster/roster.go
@@ -0,0 +1,210 @@
+// Package roster holds the members of the fleet and ranks them by rendezvous hashing.
+//
+// # Usage
+//
+//	r := roster.New(7, members)
+//	for _, m := range r.Rank("meals-1-a/0", "agreste") {
+//		...
+//	}
+//	watchers := r.Watchers("meals-1", 3)
+//
+// A Roster is immutable. Every member that holds the same version computes the same ranks. Leaving members are left
+// out of Rank and Watchers, because they take no new work. They stay in Committee and Majority: these must not depend
+// on a flag that members learn at different times, or two members could count different majorities.
+package roster
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+)
+
+// Member is an instance of the fleet. The name is kept over restarts.
+type Member struct {
+	Name    string `json:"name"`
+	Address string `json:"address"` // host:port for other instances
+	Place   string `json:"place"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// Roster is an immutable list of members, ordered by name. The zero value is an empty roster of version 0.
+type Roster struct {
+	version uint64
+	members []Member
+}
+
+// New returns a roster. Of members with the same name the first is kept.
+func New(version uint64, members []Member) Roster {
+	sorted := slices.Clone(members)
+	slices.SortStableFunc(sorted, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	sorted = slices.CompactFunc(sorted, func(a, b Member) bool { return a.Name == b.Name })
+	return Roster{version: version, members: sorted}
+}
+
+// Version returns the version of the roster document.
+func (r Roster) Version() uint64 { return r.version }
+
+// Len returns the number of members.
+func (r Roster) Len() int { return len(r.members) }
+
+// Members returns the members in name order. The caller must not change the slice.
+func (r Roster) Members() []Member { return r.members }
+
+// Index returns the place of a member in name order.
+func (r Roster) Index(name string) (int, bool) {
+	return slices.BinarySearchFunc(r.members, name, func(m Member, n string) int { return cmp.Compare(m.Name, n) })
+}
+
+// Member returns a member by name.
+func (r Roster) Member(name string) (Member, bool) {
+	i, ok := r.Index(name)
+	if !ok {
+		return Member{}, false
+	}
+	return r.members[i], true
+}
+
+// Majority returns the smallest number of members that is more than half.
+func (r Roster) Majority() int { return len(r.members)/2 + 1 }
+
+// WithLeaving returns a roster of the same version in which the named members are leaving.
+func (r Roster) WithLeaving(leaving func(name string) bool) Roster {
+	members := slices.Clone(r.members)
+	for i := range members {
+		members[i].Leaving = members[i].Leaving || leaving(members[i].Name)
+	}
+	return Roster{version: r.version, members: members}
+}
+
+type ranked struct {
+	member Member
+	score  uint64
+}
+
+// score hashes key and member separated by a zero byte, which names do not contain.
+func score(key, member string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(member)
+	return d.Sum64()
+}
+
+// rank orders the members that are kept by falling score, and by name if scores are equal.
+func (r Roster) rank(key string, keep func(Member) bool) []Member {
+	scored := make([]ranked, 0, len(r.members))
+	for _, m := range r.members {
+		if keep(m) {
+			scored = append(scored, ranked{member: m, score: score(key, m.Name)})
+		}
+	}
+	slices.SortStableFunc(scored, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+	members := make([]Member, len(scored))
+	for i := range scored {
+		members[i] = scored[i].member
+	}
+	return members
+}
+
+func staying(m Member) bool { return !m.Leaving }
+
+func everyone(Member) bool { return true }
+
+// Rank orders the members that are not leaving for a key: those of the preferred place first, then the others. An
+// empty place means no preference.
+func (r Roster) Rank(key, place string) []Member {
+	members := r.rank(key, staying)
+	if place != "" {
+		slices.SortStableFunc(members, func(a, b Member) int {
+			return cmp.Compare(distance(a, place), distance(b, place))
+		})
+	}
+	return members
+}
+
+func distance(m Member, place string) int {
+	if m.Place == place {
+		return 0
+	}
+	return 1
+}
+
+// Watchers returns up to n members that are not leaving for a group, spread over the places as evenly as possible.
+func (r Roster) Watchers(group string, n int) []Member {
+	return spread(r.rank("watch/"+group, staying), n)
+}
+
+// Committee returns up to n voters for a shard, spread over the places. Leaving members are included.
+func (r Roster) Committee(shard, n int) []Member {
+	return spread(r.rank(fmt.Sprintf("shard/%d", shard), everyone), n)
+}
+
+// Pollers returns up to n members that poll the store, spread over the places.
+func (r Roster) Pollers(n int) []Member { return spread(r.rank("poll", staying), n) }
+
+// spread takes in each round the first member of every place, in rank order, until n are taken.
+func spread(members []Member, n int) []Member {
+	taken := make([]Member, 0, max(0, min(n, len(members))))
+	rest := members
+	for len(taken) < n && len(rest) > 0 {
+		var left []Member
+		round := map[string]bool{}
+		for _, m := range rest {
+			if round[m.Place] || len(taken) == n {
+				left = append(left, m)
+				continue
+			}
+			round[m.Place] = true
+			taken = append(taken, m)
+		}
+		rest = left
+	}
+	return taken
+}
+
+type content struct {
+	Members []Member `json:"members"`
+}
+
+// Encode returns the content of the roster document.
+func (r Roster) Encode() ([]byte, error) {
+	data, err := json.Marshal(content{Members: r.members})
+	return data, eris.Wrap(err, "encode roster")
+}
+
+// Decode reads the content of a roster document of a version.
+func Decode(version uint64, data []byte) (Roster, error) {
+	var c content
+	if err := json.Unmarshal(data, &c); err != nil {
+		return Roster{}, eris.Wrap(err, "decode roster")
+	}
+	return New(version, c.Members), nil
+}
+
+// CheckChange returns an error if more than one member was added or removed. Majorities of rosters that differ by one
+// member always have a common member; freshness in majority mode relies on this while a roster change spreads.
+func CheckChange(before, after Roster) error {
+	changed := 0
+	for _, m := range before.members {
+		if _, ok := after.Index(m.Name); !ok {
+			changed++
+		}
+	}
+	for _, m := range after.members {
+		if _, ok := before.Index(m.Name); !ok {
+			changed++
+		}
+	}
+	if before.Len() > 0 && changed > 1 {
+		return eris.Errorf("a roster change adds or removes at most one member, got %d", changed)
+	}
+	if after.Len() == 0 {
+		return eris.New("a roster has at least one member")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/roster/roster_test.go
@@ -0,0 +1,75 @@
+package roster_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"tanagercross/internal/fleet/roster"
+)
+
+func members(n int) []roster.Member {
+	var list []roster.Member
+	for i := range n {
+		list = append(list, roster.Member{Name: fmt.Sprintf("i-%02d", i), Place: fmt.Sprintf("place-%d", i%3)})
+	}
+	return list
+}
+
+func names(list []roster.Member) []string {
+	var out []string
+	for _, m := range list {
+		out = append(out, m.Name)
+	}
+	return out
+}
+
+// Guards against ranks that move more than the removed member's keys, which would reshuffle lanes and homes.
+func TestRankIsStable(t *testing.T) {
+	all := members(15)
+	before, after := roster.New(1, all), roster.New(2, all[1:])
+	for k := range 200 {
+		key := fmt.Sprint(k)
+		want := names(before.Rank(key, "place-1"))
+		var kept []string
+		for _, n := range want {
+			if n != all[0].Name {
+				kept = append(kept, n)
+			}
+		}
+		if d := cmp.Diff(kept, names(after.Rank(key, "place-1"))); d != "" {
+			t.Fatal(d)
+		}
+		if m := before.Rank(key, "place-1")[0]; m.Place != "place-1" {
+			t.Fatalf("key %s: first is in %s", key, m.Place)
+		}
+	}
+}
+
+// Guards against watchers in one place, leaving watchers, and committees that differ by the leaving flag.
+func TestSpreadAndLeaving(t *testing.T) {
+	r := roster.New(1, members(15))
+	leaving := r.WithLeaving(func(n string) bool { return n < "i-05" })
+	for k := range 100 {
+		places := map[string]bool{}
+		for _, m := range leaving.Watchers(fmt.Sprint(k), 3) {
+			places[m.Place] = true
+			if m.Leaving {
+				t.Fatalf("leaving watcher %s", m.Name)
+			}
+		}
+		if len(places) != 3 {
+			t.Fatalf("group %d: places %v", k, places)
+		}
+		if d := cmp.Diff(names(r.Committee(k, 5)), names(leaving.Committee(k, 5))); d != "" {
+			t.Fatal(d)
+		}
+	}
+	if err := roster.CheckChange(r, roster.New(2, members(17))); err == nil {
+		t.Error("two members added at once")
+	}
+	if got := len(r.Committee(1, 50)); got != 15 || r.Majority() != 8 {
+		t.Errorf("committee %d majority %d", got, r.Majority())
+	}
+}
