Add documents, the change procedure and the exchange state

Cause: documents must reach every instance without going back, and a change must be reported in force only when every fresh instance has it. An instance counts itself in majorities only after it has merged the store or a majority since its start, because a restart forgets documents. New fields in the exchange messages.

--- /dev/null
+++ b/internal/fleet/exchange/merge.go
@@ -0,0 +1,140 @@
+package exchange
+
+import (
+	"slices"
+	"time"
+
+	"tanagercross/internal/fleet/document"
+	"tanagercross/internal/fleet/freshness"
+)
+
+// Request returns the message for a peer, with the documents that the peer is known to lack.
+func (s *State) Request(peer string, now time.Time) Message {
+	m := s.message()
+	if told, ok := s.told[peer]; ok {
+		m.Documents = s.documents.NewerThan(told)
+	}
+	m.Members = s.memberStates(s.members.rumours(now))
+	m.Groups = s.groupStates(s.groups.rumours(now))
+	return m
+}
+
+// Propose returns a request that also carries a proposed change.
+func (s *State) Propose(peer string, c document.Change, now time.Time) Message {
+	m := s.Request(peer, now)
+	m.Proposals = append(m.Proposals, c)
+	return m
+}
+
+func (s *State) message() Message {
+	return Message{
+		From: s.params.Self, Incarnation: s.params.Incarnation, Versions: s.documents.Versions(),
+		MemberDigest: s.members.digest, GroupDigest: s.groups.digest,
+	}
+}
+
+// Answer merges a request and returns the answer to it.
+func (s *State) Answer(request Message, now time.Time) Message {
+	s.merge(request, now)
+	s.told[request.From] = request.Versions
+	m := s.message()
+	m.Documents = s.documents.NewerThan(request.Versions)
+	m.Members = s.memberStates(s.members.missing(request.MemberDigest, now))
+	m.Groups = s.groupStates(s.groups.missing(request.GroupDigest, now))
+	m.Groups = append(m.Groups, s.positions(m.Groups)...)
+	s.addAges(&m, now)
+	for _, c := range request.Proposals {
+		m.Confirmations = append(m.Confirmations, s.documents.Confirm(c, s.params.Check))
+	}
+	return m
+}
+
+// Answered merges an answer to a request that was made at the moment sent. It reports whether the peer lacks
+// documents, which the next request to it carries.
+func (s *State) Answered(sent time.Time, peer string, answer Message, now time.Time) bool {
+	s.merge(answer, now)
+	s.told[peer] = answer.Versions
+	// The ages stand for documents: they count only once all documents that the peer held are merged.
+	if s.documents.Covers(answer.Versions) {
+		s.ages.Merge(sent, s.unpackAges(answer))
+		s.ages.Establish(s.roster)
+	}
+	return len(s.documents.NewerThan(answer.Versions)) > 0
+}
+
+func (s *State) merge(m Message, now time.Time) {
+	for _, d := range m.Documents {
+		s.MergeDocument(d)
+	}
+	for _, member := range m.Members {
+		s.mergeMember(member, now)
+	}
+	for _, g := range m.Groups {
+		s.MergeGroup(g, now)
+	}
+}
+
+func (s *State) memberStates(names []string) []MemberState {
+	states := make([]MemberState, 0, len(names))
+	for _, n := range names {
+		states = append(states, s.members.entries[n].value)
+	}
+	return states
+}
+
+func (s *State) groupStates(names []string) []GroupState {
+	states := make([]GroupState, 0, len(names))
+	for _, n := range names {
+		states = append(states, s.groups.entries[n].value)
+	}
+	return states
+}
+
+// positions returns groups in turn that are not already in the message, up to a number of server positions. Requests
+// carry none: positions flow with answers, as ages do.
+func (s *State) positions(sent []GroupState) []GroupState {
+	var states []GroupState
+	count := 0
+	for range s.groups.names {
+		if count >= positionsPerSend {
+			break
+		}
+		g := s.groups.entries[s.groups.turn(1)[0]].value
+		if slices.ContainsFunc(sent, func(o GroupState) bool { return o.Group == g.Group }) {
+			continue
+		}
+		count += max(1, len(g.Servers))
+		states = append(states, g)
+	}
+	return states
+}
+
+// addAges adds the store's age, and the members' ages if the peer may soon need them for majority mode.
+func (s *State) addAges(m *Message, now time.Time) {
+	m.Ages = s.ages.Ages(now, false)
+	age, known := s.ages.StoreAge(now)
+	if s.roster.Len() > allAgesRoster && known && age < agesAfter {
+		return
+	}
+	m.RosterVersion = s.roster.Version()
+	m.PackedAges = slices.Repeat([]byte{ageUnknown}, s.roster.Len())
+	for _, a := range s.ages.Ages(now, true) {
+		if i, ok := s.roster.Index(a.Member); ok {
+			m.PackedAges[i] = packAge(a.Age)
+		}
+	}
+}
+
+func (s *State) unpackAges(m Message) []freshness.Age {
+	ages := slices.Clone(m.Ages)
+	if m.RosterVersion != s.roster.Version() {
+		return ages
+	}
+	for i, member := range s.roster.Members() {
+		if i < len(m.PackedAges) && m.PackedAges[i] != ageUnknown {
+			age := time.Duration(m.PackedAges[i]) * ageUnit
+			ages = append(ages, freshness.Age{Member: member.Name, Age: age})
+		}
+	}
+	return ages
+}
--- a/internal/fleet/freshness/vector.go
+++ b/internal/fleet/freshness/vector.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	v := freshness.New("i-01")
+//	v := freshness.New("i-01", start)
 //	v.Store(beforeRead)                  // after the rows of a read are merged
 //	v.Merge(beforeSending, reply.Ages)   // after the documents of an answer are merged
 //	deadline := v.Deadline(r, now)
@@ -15,6 +15,10 @@
 // Times are parameters and must carry a monotonic reading. An entry only holds the moment before the exchange started,
 // so a process that is paused between sending and merging gets an entry that is too old, never one that is too young.
 // For the same reason ages are merged only from answers: a request does not say how long it was under way.
+//
+// A restart forgets documents. If a restarted instance counted towards majorities at once, a majority could consist of
+// members of which none still holds a change. An instance therefore counts itself, and tells others its own entry, only
+// after it has merged the store, or a majority without itself, as of its start or later.
 package freshness
 
 import (
@@ -28,8 +32,8 @@
 // Bound is F, the age over which neither the store entry nor a majority entry makes an instance fresh.
 const Bound = 4 * time.Second
 
-// StoreName is the name of the store's entry. A member cannot have it, because it contains a space.
-const StoreName = "the store"
+// StoreName is the name of the store's entry. Names of members are not empty.
+const StoreName = ""
 
 // Age is how long ago all that a member knew was merged.
 type Age struct {
@@ -39,12 +43,16 @@
 
 // Vector is the age vector of one instance.
 type Vector struct {
-	self    string
-	entries map[string]time.Time
+	self        string
+	start       time.Time
+	established bool
+	entries     map[string]time.Time
 }
 
-// New returns the empty vector of a member, which is not fresh in a roster of more than one member.
-func New(self string) *Vector { return &Vector{self: self, entries: map[string]time.Time{}} }
+// New returns the empty vector of a member that started at a moment. It is not fresh.
+func New(self string, start time.Time) *Vector {
+	return &Vector{self: self, start: start, entries: map[string]time.Time{}}
+}
 
 func (v *Vector) raise(name string, at time.Time) {
 	if old, ok := v.entries[name]; !ok || at.After(old) {
@@ -53,7 +61,29 @@
 }
 
 // Store records that all rows of the store were merged as of the moment before the read.
-func (v *Vector) Store(before time.Time) { v.raise(StoreName, before) }
+func (v *Vector) Store(before time.Time) {
+	v.raise(StoreName, before)
+	v.established = v.established || !before.Before(v.start)
+}
+
+// Establish lets the instance count itself once it has merged, as of its start or later, the store or a majority of
+// the roster without itself.
+func (v *Vector) Establish(r roster.Roster) {
+	if v.established {
+		return
+	}
+	if t, ok := v.entries[StoreName]; ok && !t.Before(v.start) {
+		v.established = true
+		return
+	}
+	merged := 0
+	for _, m := range r.Members() {
+		if t, ok := v.entries[m.Name]; ok && m.Name != v.self && !t.Before(v.start) {
+			merged++
+		}
+	}
+	v.established = r.Len() > 0 && merged >= r.Majority()
+}
 
 // Merge takes over the ages of an answer, counted from the moment before the request was sent. All documents that the
 // answer names must have been merged before.
@@ -68,7 +98,7 @@
 // at returns the moment of an entry; the instance itself knows all that it knows.
 func (v *Vector) at(name string, now time.Time) (time.Time, bool) {
 	if name == v.self {
-		return now, true
+		return now, v.established
 	}
 	t, ok := v.entries[name]
 	return t, ok
@@ -89,16 +119,19 @@
 			ages = append(ages, Age{Member: name, Age: age})
 		}
 	}
-	if members {
+	if members && v.established {
 		ages = append(ages, Age{Member: v.self})
 	}
 	return ages
 }
 
 // Deadline returns the moment from which the instance is no longer fresh with what it has merged by now. An instance
-// outside the roster has no majority mode.
+// outside the roster is never fresh, because changes are not confirmed by it.
 func (v *Vector) Deadline(r roster.Roster, now time.Time) time.Time {
 	deadline := time.Time{}
+	if _, ok := r.Index(v.self); !ok {
+		return deadline
+	}
 	if t, ok := v.entries[StoreName]; ok {
 		deadline = t.Add(Bound)
 	}
@@ -110,9 +143,6 @@
 
 // majority returns the oldest moment among the youngest entries of a majority of the roster.
 func (v *Vector) majority(r roster.Roster, now time.Time) (time.Time, bool) {
-	if _, ok := r.Index(v.self); !ok {
-		return time.Time{}, false
-	}
 	moments := make([]time.Time, 0, r.Len())
 	for _, m := range r.Members() {
 		if t, ok := v.at(m.Name, now); ok {
--- a/internal/fleet/freshness/vector_test.go
+++ b/internal/fleet/freshness/vector_test.go
@@ -13,7 +13,7 @@
 // Guards against an instance that admits requests from state older than the bound, or refuses with a young entry.
 func TestModes(t *testing.T) {
 	start := time.Now()
-	v := freshness.New("a")
+	v := freshness.New("a", start)
 	if v.Fresh(three, start) {
 		t.Error("empty vector is fresh")
 	}
@@ -30,7 +30,7 @@
 	if !v.Fresh(three, later) {
 		t.Error("an older age replaced a younger one")
 	}
-	if freshness.New("x").Fresh(three, later) {
+	if freshness.New("x", start).Fresh(three, later) {
 		t.Error("an instance outside the roster is fresh without the store")
 	}
 }
@@ -39,7 +39,7 @@
 // after the pause must not count as young.
 func TestPause(t *testing.T) {
 	start := time.Now()
-	v := freshness.New("a")
+	v := freshness.New("a", start)
 	v.Store(start)
 	deadline := v.Deadline(three, start)
 	woken := start.Add(10 * time.Second)
@@ -51,3 +51,19 @@
 		t.Error("an answer from before the pause makes the instance fresh")
 	}
 }
+
+// Guards against a restarted member that completes a majority although it has forgotten the documents.
+func TestRestartedMemberDoesNotCount(t *testing.T) {
+	start := time.Now()
+	v := freshness.New("a", start)
+	v.Merge(start.Add(time.Second), []freshness.Age{{Member: "c"}, {Member: "b", Age: 2 * time.Second}})
+	v.Establish(three)
+	if len(v.Ages(start.Add(time.Second), true)) != 2 {
+		t.Error("a member that has not merged a majority since its start tells its own entry")
+	}
+	v.Merge(start.Add(2*time.Second), []freshness.Age{{Member: "b"}})
+	v.Establish(three)
+	if len(v.Ages(start.Add(2*time.Second), true)) != 3 {
+		t.Error("a member that has merged a majority since its start does not tell its own entry")
+	}
+}
