Test the exchange and the change procedure under seeded faults

Cause: versions that go back, stale fresh members and two winners show only when faults meet. Change: a simulated network of members and a store with nine kinds of faults, 240 seeds with at least three faults a run. The procedure resends only when the moment under proof moves; before, a proposer's own answer started an endless recursion.

--- a/internal/fleet/document/step.go
+++ b/internal/fleet/document/step.go
@@ -187,8 +187,10 @@
 		h.to = e.Sent
 		p.held[e.Member] = h
 	}
+	majorityAt, everyAt := p.majorityAt, p.everyAt
 	actions := p.settle(now)
-	if p.phase == spreading && (p.majorityAt.Equal(now) || p.everyAt.Equal(now)) {
+	moved := !p.majorityAt.Equal(majorityAt) || !p.everyAt.Equal(everyAt)
+	if p.phase == spreading && moved {
 		// The second round shows that the members held the document at the same moment.
 		p.lastSend = time.Time{}
 		actions = append(actions, p.push(now)...)
--- /dev/null
+++ b/internal/fleet/exchange/faults_test.go
@@ -0,0 +1,115 @@
+package exchange_test
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"tanagercross/internal/fleet/document"
+)
+
+// fault is brought about for a while at a random moment.
+type fault struct {
+	name       string
+	start, end func(*network, *node)
+}
+
+func faults() []fault {
+	none := func(*network, *node) {}
+	return []fault{
+		{"store outage", func(n *network, _ *node) { n.store.down = true }, func(n *network, _ *node) { n.store.down = false }},
+		{"slow store", func(n *network, _ *node) { n.store.slow = time.Second }, func(n *network, _ *node) { n.store.slow = 0 }},
+		{"lost answers", func(n *network, _ *node) { n.store.loseAll = true }, func(n *network, _ *node) { n.store.loseAll = false }},
+		{"pause", func(_ *network, o *node) { o.paused = true }, func(n *network, o *node) { n.wake(o) }},
+		{"cut from store", func(_ *network, o *node) { o.noStore = true }, func(_ *network, o *node) { o.noStore = false }},
+		{"cut from peers", func(_ *network, o *node) { o.noPeers = true }, func(_ *network, o *node) { o.noPeers = false }},
+		{
+			"cut from both", func(_ *network, o *node) { o.noStore, o.noPeers = true, true },
+			func(_ *network, o *node) { o.noStore, o.noPeers = false, false },
+		},
+		{"half restarted", func(n *network, _ *node) {
+			for _, i := range n.random.Perm(len(n.nodes))[:len(n.nodes)/2] {
+				n.restart(n.nodes[i])
+			}
+		}, none},
+		{"three proposers", func(n *network, _ *node) {
+			for _, i := range n.random.Perm(len(n.nodes))[:3] {
+				n.propose(n.nodes[i])
+			}
+		}, none},
+	}
+}
+
+// Guards against versions that go back, two winners of a version, a change reported in force that a fresh member
+// lacks, and a fresh member that is cut off, under at least two faults a run.
+func TestChangesUnderFaults(t *testing.T) {
+	var inForce, conflicts, runs atomic.Int64
+	t.Run("seeds", func(t *testing.T) {
+		for seed := range uint64(240) {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				n := newNetwork(t, seed, 5+int(seed%3))
+				list := faults()
+				n.after(time.Second, func() {
+					for _, i := range n.random.Perm(len(n.nodes))[:3] {
+						n.propose(n.nodes[i])
+					}
+				})
+				for range 3 + n.random.IntN(3) {
+					f, o := list[n.random.IntN(len(list))], n.nodes[n.random.IntN(len(n.nodes))]
+					at := time.Duration(n.random.IntN(12000)) * time.Millisecond
+					n.after(at, func() { f.start(n, o) })
+					n.after(at+time.Duration(1000+n.random.IntN(8000))*time.Millisecond, func() { f.end(n, o) })
+				}
+				for range 3 {
+					o := n.nodes[n.random.IntN(len(n.nodes))]
+					n.after(time.Duration(n.random.IntN(15000))*time.Millisecond, func() { n.propose(o) })
+				}
+				n.run(30 * time.Second)
+				for _, o := range n.nodes {
+					if !o.state.Fresh(n.now) {
+						t.Errorf("%s is not fresh after the faults", o.name)
+					}
+				}
+				inForce.Add(int64(n.count(document.InForce)))
+				conflicts.Add(int64(n.count(document.Conflict)))
+				runs.Add(1)
+			})
+		}
+	})
+	t.Logf("runs %d, changes in force %d, conflicts %d", runs.Load(), inForce.Load(), conflicts.Load())
+	if runs.Load() < 200 || inForce.Load() < runs.Load() || conflicts.Load() < runs.Load()/4 {
+		t.Error("the runs bring about too few changes or conflicts to prove anything")
+	}
+}
+
+// Guards against instances that stop admitting requests during a long store outage.
+func TestFreshThroughOutage(t *testing.T) {
+	n := newNetwork(t, 1, 15)
+	n.run(3 * time.Second)
+	n.store.down = true
+	reads := n.reads
+	for range 600 {
+		n.run(time.Second)
+		for _, o := range n.nodes {
+			if !o.state.Fresh(n.now) {
+				t.Fatalf("%s is not fresh", o.name)
+			}
+		}
+	}
+	if got := n.reads - reads; got > 600*12 {
+		t.Errorf("%d attempts at the store during an outage of ten minutes", got)
+	}
+}
+
+// Guards against a configuration change that takes longer than five seconds without faults.
+func TestChangeWithoutFaults(t *testing.T) {
+	n := newNetwork(t, 1, 21)
+	n.run(2 * time.Second)
+	n.propose(n.nodes[0])
+	n.run(5 * time.Second)
+	if n.count(document.InForce) != 1 {
+		t.Errorf("results %+v", n.results)
+	}
+}
--- a/internal/fleet/exchange/table.go
+++ b/internal/fleet/exchange/table.go
@@ -88,12 +88,12 @@
 
 // missing returns what a peer with another digest may lack: recent changes, and otherwise the next entries in turn.
 func (t *table[T]) missing(peerDigest uint64, now time.Time) []string {
-	if names := t.rumours(now); len(names) > 0 {
-		return names
-	}
 	if peerDigest == t.digest {
 		return nil
 	}
+	if names := t.rumours(now); len(names) > 0 {
+		return names
+	}
 	return t.turn(entriesPerSend)
 }
 
