Test that a restarted holder of a change does not count

Change: a scripted run with a partition, a store outage, a restart and a pause. Result: passes; fails when a restarted member counts itself or tells its own entry at once.

--- a/internal/fleet/exchange/faults_test.go
+++ b/internal/fleet/exchange/faults_test.go
@@ -113,3 +113,30 @@
 		t.Errorf("results %+v", n.results)
 	}
 }
+
+// Guards against a majority of which no member holds a change any more: one holder is paused, the other was restarted
+// during a store outage, and the third comes back from a partition with the old version.
+func TestRestartedHolderDoesNotCount(t *testing.T) {
+	n := newNetwork(t, 1, 3)
+	a, b, c := n.nodes[0], n.nodes[1], n.nodes[2]
+	n.run(2 * time.Second)
+	c.noStore, c.noPeers = true, true
+	n.propose(a)
+	n.run(8 * time.Second)
+	if n.count(document.InForce) != 1 {
+		t.Fatalf("results %+v", n.results)
+	}
+	n.store.down, a.paused = true, true
+	n.restart(b)
+	c.noStore, c.noPeers = false, false
+	b.state.MergeDocument(c.state.Documents().Get(document.Roster))
+	n.run(8 * time.Second)
+	if c.state.Fresh(n.now) {
+		t.Error("fresh without the holders of the change")
+	}
+	n.wake(a)
+	n.run(3 * time.Second)
+	if !c.state.Fresh(n.now) || c.state.Documents().Get(document.Configuration).Version != 2 {
+		t.Error("not fresh with a holder of the change")
+	}
+}
