--- /dev/null
+++ b/internal/fleet/peer/auth_test.go
@@ -0,0 +1,29 @@
+package peer
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a MAC that is valid for another method, another secret or for ever.
+func TestAuthenticator(t *testing.T) {
+	now := time.Now()
+	at := func(secret string, t time.Time) authenticator {
+		return authenticator{secret: []byte(secret), now: func() time.Time { return t }}
+	}
+	header := at("a", now).sign("/vote")
+	for name, err := range map[string]error{
+		"other method": at("a", now).check(header, "/take"),
+		"other secret": at("b", now).check(header, "/vote"),
+		"old":          at("a", now.Add(2*time.Minute)).check(header, "/vote"),
+		"early":        at("a", now.Add(-2*time.Minute)).check(header, "/vote"),
+		"absent":       at("a", now).check("", "/vote"),
+	} {
+		if err == nil {
+			t.Errorf("%s is accepted", name)
+		}
+	}
+	if err := at("a", now.Add(time.Second)).check(header, "/vote"); err != nil {
+		t.Error(err)
+	}
+}
