Add session tokens and transaction ids

Cause: a caller's reads must be at least as new as its last write at any instance, without session state in instances. Change: immutable token, HMAC-SHA256 signer with rotation and separate purposes, size bounds, typed errors. The decode fuzz seeds found that encoding/base64 skips line breaks, so several texts gave one token; such texts are refused.

--- /dev/null
+++ b/internal/session/token/signer.go
@@ -0,0 +1,150 @@
+package token
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"slices"
+	"strings"
+
+	"tanagercross/internal/database/driver"
+	tokenv1 "tanagercross/internal/genproto/token/v1"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+)
+
+// Bounds of encoded tokens. Larger ones are refused in both directions, so no caller receives a token it cannot use.
+const (
+	MaxEncodedBytes = 4 << 10
+	MaxGroups       = 64
+	MinSecretBytes  = 16
+)
+
+type purpose string
+
+const (
+	sessionPurpose     purpose = "tanagercross.session.v1\x00"
+	transactionPurpose purpose = "tanagercross.transaction.v1\x00"
+)
+
+var (
+	encoding  = base64.RawURLEncoding.Strict()
+	marshaler = proto.MarshalOptions{Deterministic: true}
+)
+
+// Signer encodes and verifies tokens. It is immutable and safe for concurrent use.
+type Signer struct {
+	secrets [][]byte
+}
+
+// NewSigner returns a signer. The first secret signs; all of them are accepted, so a secret is rotated by adding the
+// new one at the end everywhere, then moving it to the front, then removing the old one.
+func NewSigner(secrets ...[]byte) (*Signer, error) {
+	if len(secrets) == 0 {
+		return nil, &Error{Operation: "new signer", Kind: NoSecret}
+	}
+	s := &Signer{}
+	for _, secret := range secrets {
+		if len(secret) < MinSecretBytes {
+			return nil, &Error{Operation: "new signer", Kind: NoSecret, Err: eris.Errorf("secret below %d bytes", MinSecretBytes)}
+		}
+		s.secrets = append(s.secrets, slices.Clone(secret))
+	}
+	return s, nil
+}
+
+// Encode returns the text form of a session token.
+func (s *Signer) Encode(t Token) (string, error) {
+	if len(t.positions) > MaxGroups {
+		return "", &Error{Operation: "encode", Kind: TooManyGroups}
+	}
+	m := &tokenv1.SessionToken{Organisation: t.organisation, Session: t.session, ConfigurationVersion: t.configuration}
+	for _, p := range t.positions {
+		m.Positions = append(m.Positions, &tokenv1.GroupPosition{Group: p.Group, Term: p.Position.Term, Index: p.Position.Index})
+	}
+	return s.seal("encode", sessionPurpose, m)
+}
+
+// Decode verifies the text form of a session token.
+func (s *Signer) Decode(text string) (Token, error) {
+	var m tokenv1.SessionToken
+	if err := s.open("decode", sessionPurpose, text, &m); err != nil {
+		return Token{}, err
+	}
+	if len(m.GetPositions()) > MaxGroups {
+		return Token{}, &Error{Operation: "decode", Kind: TooManyGroups}
+	}
+	t := New(m.GetOrganisation(), m.GetSession()).WithConfiguration(m.GetConfigurationVersion())
+	for _, p := range m.GetPositions() {
+		t = t.WithPosition(p.GetGroup(), driver.Position{Term: p.GetTerm(), Index: p.GetIndex()})
+	}
+	return t, nil
+}
+
+// EncodeTransaction returns the text form of a transaction id.
+func (s *Signer) EncodeTransaction(t Transaction) (string, error) {
+	return s.seal("encode transaction", transactionPurpose, &tokenv1.TransactionToken{
+		Organisation: t.Organisation, Session: t.Session, Group: t.Group, Server: t.Server,
+		Holder: t.Holder, LocalId: t.LocalID, Term: t.Term,
+	})
+}
+
+// DecodeTransaction verifies the text form of a transaction id.
+func (s *Signer) DecodeTransaction(text string) (Transaction, error) {
+	var m tokenv1.TransactionToken
+	if err := s.open("decode transaction", transactionPurpose, text, &m); err != nil {
+		return Transaction{}, err
+	}
+	return Transaction{
+		Organisation: m.GetOrganisation(), Session: m.GetSession(), Group: m.GetGroup(), Server: m.GetServer(),
+		Holder: m.GetHolder(), LocalID: m.GetLocalId(), Term: m.GetTerm(),
+	}, nil
+}
+
+func (s *Signer) seal(operation string, p purpose, m proto.Message) (string, error) {
+	if s == nil || len(s.secrets) == 0 {
+		return "", &Error{Operation: operation, Kind: NoSecret}
+	}
+	payload, err := marshaler.Marshal(m)
+	if err != nil {
+		return "", &Error{Operation: operation, Kind: Malformed, Err: eris.Wrap(err, "marshal")}
+	}
+	if encoding.EncodedLen(sha256.Size+len(payload)) > MaxEncodedBytes {
+		return "", &Error{Operation: operation, Kind: TooLarge}
+	}
+	return encoding.EncodeToString(append(tag(s.secrets[0], p, payload), payload...)), nil
+}
+
+func (s *Signer) open(operation string, p purpose, text string, m proto.Message) error {
+	if len(text) > MaxEncodedBytes {
+		return &Error{Operation: operation, Kind: TooLarge}
+	}
+	if strings.ContainsAny(text, "\r\n") { // encoding/base64 skips line breaks, which would give a token several texts
+		return &Error{Operation: operation, Kind: Malformed}
+	}
+	raw, err := encoding.DecodeString(text)
+	if err != nil {
+		return &Error{Operation: operation, Kind: Malformed, Err: eris.Wrap(err, "base64url")}
+	}
+	if len(raw) < sha256.Size {
+		return &Error{Operation: operation, Kind: Malformed}
+	}
+	given, payload := raw[:sha256.Size], raw[sha256.Size:]
+	if s == nil || !slices.ContainsFunc(s.secrets, func(secret []byte) bool {
+		return hmac.Equal(given, tag(secret, p, payload))
+	}) {
+		return &Error{Operation: operation, Kind: BadSignature}
+	}
+	if err := proto.Unmarshal(payload, m); err != nil {
+		return &Error{Operation: operation, Kind: Malformed, Err: eris.Wrap(err, "unmarshal")}
+	}
+	return nil
+}
+
+func tag(secret []byte, p purpose, payload []byte) []byte {
+	h := hmac.New(sha256.New, secret)
+	h.Write([]byte(p))
+	h.Write(payload)
+	return h.Sum(nil)
+}
--- /dev/null
+++ b/internal/session/token/token_test.go
@@ -0,0 +1,125 @@
+package token
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"tanagercross/internal/database/driver"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var (
+	oldSecret = []byte("old secret of the fleet")
+	newSecret = []byte("new secret of the fleet")
+)
+
+func signer(t testing.TB, secrets ...[]byte) *Signer {
+	t.Helper()
+	s, err := NewSigner(secrets...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func kind(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
+
+// Guards against a token that loses a position, goes back, or shares memory with the token it came from.
+func TestTokenMovesForwardOnly(t *testing.T) {
+	base := New("sertao_coop", "s1").WithPosition("b", driver.Position{Term: 2, Index: 9}).WithConfiguration(4)
+	next := base.WithPosition("a", driver.Position{Term: 1, Index: 1}).WithPosition("b", driver.Position{Term: 3, Index: 1}).
+		WithPosition("b", driver.Position{Term: 2, Index: 90}).WithConfiguration(3)
+	if got := base.Position("b"); got != (driver.Position{Term: 2, Index: 9}) {
+		t.Errorf("the older token changed to %v", got)
+	}
+	s := signer(t, newSecret)
+	text, err := s.Encode(next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := s.Decode(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []GroupPosition{{"a", driver.Position{Term: 1, Index: 1}}, {"b", driver.Position{Term: 3, Index: 1}}}
+	if diff := cmp.Diff(want, back.Positions()); diff != "" || back.Configuration() != 4 || back.Organisation() != "sertao_coop" {
+		t.Errorf("decoded %v, difference %s", back, diff)
+	}
+}
+
+// Guards against callers losing their sessions during a rotation, and against a removed secret that still works.
+func TestRotation(t *testing.T) {
+	text, _ := signer(t, oldSecret).Encode(New("o", "s"))
+	if _, err := signer(t, newSecret, oldSecret).Decode(text); err != nil {
+		t.Errorf("an accepted secret was refused: %v", err)
+	}
+	if _, err := signer(t, newSecret).Decode(text); kind(err) != BadSignature {
+		t.Errorf("a removed secret gave %v", err)
+	}
+}
+
+// Guards against a transaction id used as a session token, and against oversized or weak input.
+func TestBoundsAndPurpose(t *testing.T) {
+	s := signer(t, newSecret)
+	want := Transaction{"o", "s", "g", "srv", "i1", "l1", 7}
+	text, _ := s.EncodeTransaction(want)
+	if got, err := s.DecodeTransaction(text); err != nil || got != want {
+		t.Errorf("transaction decoded as %v, %v", got, err)
+	}
+	if _, err := s.Decode(text); kind(err) != BadSignature {
+		t.Errorf("a transaction id as session token gave %v", err)
+	}
+	many := New("o", "s")
+	for i := range MaxGroups + 1 {
+		many = many.WithPosition(fmt.Sprint(i), driver.Position{Term: 1})
+	}
+	if _, err := s.Encode(many); kind(err) != TooManyGroups {
+		t.Errorf("65 groups gave %v", err)
+	}
+	if _, err := s.Encode(New(strings.Repeat("o", MaxEncodedBytes), "s")); kind(err) != TooLarge {
+		t.Errorf("a long organisation gave %v", err)
+	}
+	if _, err := s.Decode(strings.Repeat("A", MaxEncodedBytes+1)); kind(err) != TooLarge {
+		t.Errorf("a long text gave %v", err)
+	}
+	if _, err := NewSigner([]byte("short")); kind(err) != NoSecret {
+		t.Errorf("a short secret gave %v", err)
+	}
+	a, _ := NewSession()
+	if b, _ := NewSession(); a >= b {
+		t.Errorf("session ids are not ordered by time: %s, %s", a, b)
+	}
+}
+
+// Guards against a decoder that panics on foreign input or accepts a text other than the one that was signed.
+func FuzzDecode(f *testing.F) {
+	s := signer(f, newSecret, oldSecret)
+	good, _ := s.Encode(New("o", "s").WithPosition("g", driver.Position{Term: 1, Index: 2}))
+	transaction, _ := s.EncodeTransaction(Transaction{Organisation: "o", LocalID: "l"})
+	for _, seed := range []string{"", "A", "=", good, transaction, good[:len(good)-1], good + "A", "\n" + good, strings.Repeat("A", 43)} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		if token, err := s.Decode(text); err == nil {
+			if again, err := s.Encode(token); err != nil || again != text {
+				t.Errorf("accepted %q, which encodes as %q, %v", text, again, err)
+			}
+		} else if kind(err) == "" {
+			t.Errorf("untyped error %v", err)
+		}
+		if token, err := s.DecodeTransaction(text); err == nil {
+			if again, err := s.EncodeTransaction(token); err != nil || again != text {
+				t.Errorf("accepted %q, which encodes as %q, %v", text, again, err)
+			}
+		}
+	})
+}
