--- a/internal/database/group/group.go
+++ b/internal/database/group/group.go
@@ -169,6 +169,8 @@
 
 func (s *State) newTerm(term uint64, primary string) {
 	if term > s.Term {
+		// A mark of the old term that no majority confirmed may be from after the replacement of that primary.
+		s.marks = s.marks.until(s.confirmedUntil)
 		s.Term, s.Primary = term, primary
 	}
 	if term == s.Term && s.Primary == "" {
@@ -187,14 +189,16 @@
 
 // derive computes the data times and lags.
 func (s *State) derive() {
-	confirmed := s.confirmed()
+	if c := s.confirmed(); c.After(s.confirmedUntil) {
+		s.confirmedUntil = c
+	}
 	for i := range s.Servers {
 		server := &s.Servers[i]
 		if !s.Current(*server) {
 			server.DataTime, server.DataMark, server.Lag = time.Time{}, driver.Position{}, 0
 			continue
 		}
-		if m, ok := s.marks.lastWithin(server.Position, confirmed); ok {
+		if m, ok := s.marks.lastWithin(server.Position, s.confirmedUntil); ok {
 			server.DataTime, server.DataMark = m.at, m.position
 		}
 		server.Lag = s.lag(*server)
--- a/internal/database/group/group_test.go
+++ b/internal/database/group/group_test.go
@@ -65,6 +65,19 @@
 	}
 }
 
+// Guards against a mark taken from a replaced primary that counts once the new term has a majority.
+func TestMarksOfReplacedPrimary(t *testing.T) {
+	tb := table()
+	tb.Observe(status("a", driver.Primary, 2, 2, 10, "a"), at(0), at(1))
+	tb.Observe(status("b", driver.Replica, 2, 2, 10, "a"), at(100), at(101))
+	tb.Observe(status("a", driver.Primary, 2, 2, 11, "a"), at(5000), at(5001))
+	tb.Observe(status("b", driver.Replica, 3, 3, 12, "c"), at(6000), at(6001))
+	tb.Observe(status("c", driver.Primary, 3, 3, 90, "c"), at(6000), at(6001))
+	if b, _ := state(tb).Server("b"); b.DataTime.After(at(100)) {
+		t.Errorf("data time %v comes from the replaced primary", b.DataTime.Sub(at(0)))
+	}
+}
+
 // Guards against a server that is listed as leaving and still gets work, also when only another instance knows it, and
 // against a list that forgets positions.
 func TestLeavingAndList(t *testing.T) {
--- a/internal/database/group/marks.go
+++ b/internal/database/group/marks.go
@@ -60,3 +60,8 @@
 	}
 	return m[i-1], true
 }
+
+// until returns the marks not after a time.
+func (m marks) until(t time.Time) marks {
+	return m[:sort.Search(len(m), func(i int) bool { return m[i].at.After(t) })]
+}
--- a/internal/database/group/view.go
+++ b/internal/database/group/view.go
@@ -52,7 +52,8 @@
 	Promised uint64 // highest term promised by any server
 	Servers  []Server
 
-	marks marks
+	marks          marks
+	confirmedUntil time.Time // a majority is known to have promised no term above Term at this time
 }
 
 // Server returns a server of the group.
