--- /dev/null
+++ b/internal/request/retry/retry.go
@@ -0,0 +1,148 @@
+// Package retry decides whether and when a request that was not run is tried again.
+//
+// # Usage
+//
+//	budget := retry.NewBudget(retry.Policy{}, now)
+//	budget.Request()
+//	attempts := retry.NewAttempts(retry.Policy{}, deadline)
+//	wait, denied := attempts.Again(now, reason, budget, random)
+//	if denied != "" {
+//		return outcome.NotRun(reason)
+//	}
+//
+// Only reasons that prove that the request was not run may be given to Again. Time and randomness are parameters.
+package retry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"tanagercross/internal/session/outcome"
+)
+
+// Defaults of Policy.
+const (
+	DefaultAttempts    = 3
+	DefaultBase        = 20 * time.Millisecond
+	DefaultCeiling     = 500 * time.Millisecond
+	DefaultBudgetShare = 0.1 // retries per request
+	DefaultBudgetRate  = 10  // retries per second
+)
+
+// Policy bounds the attempts of one request and the retries of one instance. Zero fields take the defaults.
+type Policy struct {
+	Attempts    int
+	Base        time.Duration // upper end of the first wait; it doubles with each attempt
+	Ceiling     time.Duration // longest wait
+	BudgetShare float64
+	BudgetRate  float64
+}
+
+// WithDefaults returns a copy with zero fields set.
+func (p Policy) WithDefaults() Policy {
+	if p.Attempts <= 0 {
+		p.Attempts = DefaultAttempts
+	}
+	if p.Base <= 0 {
+		p.Base = DefaultBase
+	}
+	if p.Ceiling <= 0 {
+		p.Ceiling = DefaultCeiling
+	}
+	if p.BudgetShare <= 0 {
+		p.BudgetShare = DefaultBudgetShare
+	}
+	if p.BudgetRate <= 0 {
+		p.BudgetRate = DefaultBudgetRate
+	}
+	return p
+}
+
+// Denial says why there is no further attempt.
+type Denial string
+
+// Denials.
+const (
+	NotRetryable Denial = "not_retryable"
+	NoAttempt    Denial = "no_attempt"
+	NoTime       Denial = "no_time"
+	NoBudget     Denial = "no_budget"
+)
+
+// Attempts counts the attempts of one request. It is not safe for concurrent use.
+type Attempts struct {
+	policy   Policy
+	deadline time.Time
+	made     int
+}
+
+// NewAttempts returns the count of a request whose first attempt is about to be made.
+func NewAttempts(p Policy, deadline time.Time) *Attempts {
+	return &Attempts{policy: p.WithDefaults(), deadline: deadline, made: 1}
+}
+
+// Made returns the number of attempts so far.
+func (a *Attempts) Made() int { return a.made }
+
+// Again returns the wait before the next attempt, or why there is none. It takes one retry from the budget.
+func (a *Attempts) Again(now time.Time, r outcome.Reason, b *Budget, random *rand.Rand) (time.Duration, Denial) {
+	if !r.Retryable() {
+		return 0, NotRetryable
+	}
+	if a.made >= a.policy.Attempts {
+		return 0, NoAttempt
+	}
+	limit := min(a.policy.Ceiling, a.policy.Base<<(a.made-1))
+	wait := time.Duration(random.Int64N(int64(limit) + 1))
+	if !now.Add(wait).Before(a.deadline) {
+		return 0, NoTime
+	}
+	if !b.Take(now) {
+		return 0, NoBudget
+	}
+	a.made++
+	return wait, ""
+}
+
+// Budget bounds the retries of one instance. It is safe for concurrent use.
+type Budget struct {
+	mu      sync.Mutex
+	policy  Policy
+	tokens  float64
+	updated time.Time
+}
+
+// NewBudget returns a budget that starts with the retries of one second.
+func NewBudget(p Policy, now time.Time) *Budget {
+	p = p.WithDefaults()
+	return &Budget{policy: p, tokens: p.BudgetRate, updated: now}
+}
+
+// limit bounds what a quiet time can save up.
+func (b *Budget) limit() float64 { return 10 * b.policy.BudgetRate }
+
+// Request adds the share of one request.
+func (b *Budget) Request() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.limit(), b.tokens+b.policy.BudgetShare)
+}
+
+// Take takes one retry and reports whether there was one.
+func (b *Budget) Take(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if elapsed := now.Sub(b.updated); elapsed > 0 {
+		// Time alone fills the budget only up to the retries of one second; more comes from requests.
+		if refilled := b.tokens + elapsed.Seconds()*b.policy.BudgetRate; b.tokens < b.policy.BudgetRate {
+			b.tokens = min(b.policy.BudgetRate, refilled)
+		}
+		b.updated = now
+	}
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
