Add connection pool for lanes

Cause: statements need a bounded share of a server's connections, exact verdicts and pinned transactions. Change: lanes with a control connection, connections opened on demand, fair queue, transactions with bounds and endings, mapping of driver kinds to verdicts. New reasons server_busy and transaction_limit.

--- /dev/null
+++ b/internal/database/pool/pool.go
@@ -0,0 +1,277 @@
+// Package pool runs operations on database servers through the lanes that this instance holds.
+//
+// A lane is a session-level advisory lock on a server, held by a control connection. It gives the right to a share of
+// the server's connections and to a number of statements in flight. The control connection counts towards the share.
+//
+// # Usage
+//
+//	p := pool.New(connector, pool.Options{})
+//	if err := p.Hold(ctx, server, 0, 15, 2); pool.KindOf(err) == pool.Taken {
+//		return // another instance holds the lane
+//	}
+//	reply := p.Perform(ctx, server.Name, operation.Read{Organisation: "sertao_coop", Statement: s})
+//	p.Drain(ctx)
+//
+// Verdicts are exact: not_run is given only if the statement provably took no effect, by the kinds of driver errors and
+// because a transaction whose commit was never sent cannot take effect. Everything else is unknown.
+//
+// A connection runs one operation at a time and is reset after it. A connection that is not clean, or that fails to
+// reset, is closed.
+package pool
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/operation"
+	"tanagercross/internal/session/outcome"
+)
+
+// Holding names a lane of a server.
+type Holding struct {
+	Server string
+	Lane   int
+}
+
+// Pool holds lanes and implements operation.Performer. It is safe for concurrent use.
+type Pool struct {
+	connector driver.Connector
+	options   Options
+
+	mu           sync.Mutex
+	lanes        map[Holding]*lane
+	taking       map[Holding]bool
+	leaving      map[string]bool
+	transactions map[string]*transaction
+	endings      map[string]ending
+	withdrawn    map[string]time.Time // key hashes, so that a Begin in progress does not survive the withdrawal
+	draining     bool
+}
+
+var _ operation.Performer = (*Pool)(nil)
+
+// New returns a pool without lanes.
+func New(c driver.Connector, o Options) *Pool {
+	return &Pool{
+		connector: c, options: o.withDefaults(),
+		lanes: make(map[Holding]*lane), taking: make(map[Holding]bool), leaving: make(map[string]bool),
+		transactions: make(map[string]*transaction), endings: make(map[string]ending),
+		withdrawn: make(map[string]time.Time),
+	}
+}
+
+// Hold takes a lane of a server with a share of its connections and a number of statements in flight. It fails with
+// kind Taken if the lane is held already, and with kind Invalid if the share leaves no connection for operations.
+func (p *Pool) Hold(ctx context.Context, s driver.Server, number, share, inflight int) error {
+	h := Holding{Server: s.Name, Lane: number}
+	if share < 2 || inflight < 1 {
+		return failure("hold", Invalid, eris.Errorf("share %d, in flight %d", share, inflight))
+	}
+	if err := p.reserve(h); err != nil {
+		return err
+	}
+	control, err := p.lock(ctx, s, number)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.taking, h)
+	if err != nil {
+		return err
+	}
+	if p.draining {
+		control.Close()
+		return failure("hold", Draining, eris.New("pool is draining"))
+	}
+	l := newLane(p, s, number, share, inflight, control)
+	p.lanes[h] = l
+	l.start()
+	return nil
+}
+
+func (p *Pool) reserve(h Holding) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.draining {
+		return failure("hold", Draining, eris.New("pool is draining"))
+	}
+	if p.lanes[h] != nil || p.taking[h] {
+		return failure("hold", Taken, eris.New("lane is held here"))
+	}
+	p.taking[h] = true
+	return nil
+}
+
+func (p *Pool) lock(ctx context.Context, s driver.Server, number int) (driver.Conn, error) {
+	control, err := p.connector.Connect(ctx, s)
+	if err != nil {
+		return nil, failure("hold", Unreachable, err)
+	}
+	free, err := control.TryLane(ctx, number)
+	if err == nil && free {
+		return control, nil
+	}
+	control.Close()
+	if err != nil {
+		return nil, failure("hold", Unreachable, err)
+	}
+	return nil, failure("hold", Taken, eris.New("lane is held elsewhere"))
+}
+
+// Release gives a lane up. Queued work is rejected with lane_unavailable; running statements and open transactions end
+// before the lock is released, or are ended with the context.
+func (p *Pool) Release(ctx context.Context, server string, number int) {
+	p.mu.Lock()
+	l := p.lanes[Holding{Server: server, Lane: number}]
+	p.mu.Unlock()
+	if l == nil {
+		return
+	}
+	l.refuse(outcome.LaneUnavailable)
+	l.waitIdle(ctx)
+	l.close(outcome.LaneUnavailable)
+}
+
+// Drain refuses new work, lets queued and running work and open transactions end until the context ends, and releases
+// all lanes.
+func (p *Pool) Drain(ctx context.Context) {
+	p.mu.Lock()
+	p.draining = true
+	lanes := make([]*lane, 0, len(p.lanes))
+	for _, l := range p.lanes {
+		lanes = append(lanes, l)
+	}
+	p.mu.Unlock()
+	for _, l := range lanes {
+		l.waitIdle(ctx)
+		l.close(outcome.Draining)
+	}
+}
+
+// SetLeaving marks a server as leaving, or as staying again. A leaving server gets no new operations; open transactions
+// finish.
+func (p *Pool) SetLeaving(server string, leaving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving[server] = leaving
+}
+
+// SetWeight sets an organisation's weight on all lanes that are held now.
+func (p *Pool) SetWeight(organisation string, weight int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.lanes {
+		l.scheduler.SetWeight(organisation, weight)
+	}
+}
+
+// Held lists the lanes that are held.
+func (p *Pool) Held() []Holding {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := make([]Holding, 0, len(p.lanes))
+	for h := range p.lanes {
+		held = append(held, h)
+	}
+	return held
+}
+
+// EndByKey ends the transactions and the queued work of a withdrawn key, and returns the number of transactions.
+func (p *Pool) EndByKey(keyHash string) int {
+	p.mu.Lock()
+	p.withdrawn[keyHash] = time.Now()
+	lanes := make([]*lane, 0, len(p.lanes))
+	for _, l := range p.lanes {
+		lanes = append(lanes, l)
+	}
+	p.mu.Unlock()
+	n := p.endWhere(outcome.KeyWithdrawn, func(t *transaction) bool { return t.keyHash == keyHash })
+	for _, l := range lanes {
+		l.scheduler.Remove(outcome.KeyWithdrawn, func(t tag) bool { return t.keyHash != "" && t.keyHash == keyHash })
+	}
+	return n
+}
+
+// Perform implements operation.Performer. The context carries the deadline.
+func (p *Pool) Perform(ctx context.Context, server string, op operation.Operation) operation.Reply {
+	if ctx.Err() != nil {
+		return refused(outcome.DeadlineExceeded)
+	}
+	switch op := op.(type) {
+	case operation.Run:
+		return p.run(ctx, server, op)
+	case operation.Commit:
+		return p.commit(ctx, server, op)
+	case operation.Rollback:
+		return p.rollback(server, op)
+	}
+	l, reason := p.choose(server)
+	if reason != "" {
+		return refused(reason)
+	}
+	defer l.leave()
+	switch op := op.(type) {
+	case operation.Read:
+		return l.read(ctx, op)
+	case operation.Write:
+		return l.write(ctx, op)
+	case operation.Begin:
+		return l.begin(ctx, op)
+	case operation.Lookup:
+		return l.lookup(ctx, op)
+	}
+	return refused(outcome.RequestInvalid)
+}
+
+// choose returns the least loaded lane of a server, entered by one operation.
+func (p *Pool) choose(server string) (*lane, outcome.Reason) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.draining {
+		return nil, outcome.Draining
+	}
+	if p.leaving[server] {
+		return nil, outcome.ServerLeaving
+	}
+	var best *lane
+	load := 0
+	for h, l := range p.lanes {
+		if h.Server != server || !l.usable() {
+			continue
+		}
+		if n := l.scheduler.Load(); best == nil || n < load {
+			best, load = l, n
+		}
+	}
+	if best == nil || !best.enter() {
+		return nil, outcome.LaneUnavailable
+	}
+	return best, ""
+}
+
+func (p *Pool) forget(l *lane) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := Holding{Server: l.server.Name, Lane: l.number}
+	if p.lanes[h] == l {
+		delete(p.lanes, h)
+	}
+}
+
+// sleep waits for a duration and reports false if the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// errClosed is the cause of a use of a lane that is closed.
+var errClosed = errors.New("lane is closed")
--- /dev/null
+++ b/internal/database/pool/pool_test.go
@@ -0,0 +1,292 @@
+package pool
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/operation"
+	"tanagercross/internal/session/outcome"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const server = "meals-1-a"
+
+func hold(t *testing.T, s *fakeServer, o Options, share, inflight int) *Pool {
+	t.Helper()
+	p := New(s, o)
+	if err := p.Hold(t.Context(), driver.Server{Name: server}, 0, share, inflight); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		done, cancel := context.WithCancel(context.Background())
+		cancel()
+		p.Drain(done)
+		if s.open != 0 || s.misuse.Load() != 0 {
+			t.Errorf("%d connections left open, %d calls on busy, unclean or closed connections", s.open, s.misuse.Load())
+		}
+	})
+	return p
+}
+
+func want(t *testing.T, r operation.Reply, v outcome.Verdict) {
+	t.Helper()
+	if r.Verdict.Outcome != v.Outcome || r.Verdict.Reason != v.Reason {
+		t.Errorf("verdict %v, want %v", r.Verdict, v)
+	}
+}
+
+var done = outcome.Verdict{Outcome: outcome.Done}
+
+func begin(t *testing.T, p *Pool, organisation, session, key string) string {
+	t.Helper()
+	r := p.Perform(t.Context(), server, operation.Begin{Organisation: organisation, Session: session, Term: 1, KeyHash: key})
+	want(t, r, done)
+	return r.Transaction
+}
+
+// Guards P9, P10 and P8: no verdict not_run for a write that ran, none done for one that did not, none run twice, and no
+// connection used again while an answer is outstanding. Answers are lost at random points, and the
+// deadline is sometimes shorter than the statement. A call whose answer is lost first may take effect last.
+func TestVerdictsWithLostAnswers(t *testing.T) {
+	kinds := []driver.Kind{driver.Unreachable, driver.Lost, driver.Lost, driver.Busy, driver.Failed, driver.NotPrimary}
+	var counts sync.Map
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		var mu sync.Mutex
+		s := newFakeServer()
+		s.fault = func(ctx context.Context, call string, after bool) error {
+			mu.Lock()
+			dice, kind := random.IntN(100), kinds[random.IntN(len(kinds))]
+			mu.Unlock()
+			switch {
+			case call == "lane" || call == "ping" || dice >= 15:
+				return nil
+			case dice >= 14:
+				<-ctx.Done()
+				return ctx.Err()
+			case after:
+				return lost()
+			}
+			return fail(kind)
+		}
+		p := hold(t, s, Options{AwaitMargin: time.Millisecond}, 6, 2)
+		var group sync.WaitGroup
+		var replies sync.Map
+		for n := range 20 {
+			id := fmt.Sprintf("%d-%d", seed, n)
+			group.Go(func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 15*time.Millisecond)
+				defer cancel()
+				r := attempt(ctx, p, id, n%3 == 0)
+				replies.Store(id, r.Verdict)
+				n, _ := counts.LoadOrStore(r.Verdict.Outcome, new(atomic.Int32))
+				n.(*atomic.Int32).Add(1)
+			})
+		}
+		group.Wait()
+		drained, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		p.Drain(drained)
+		cancel()
+		for _, effect := range s.late {
+			_ = effect()
+		}
+		replies.Range(func(id, verdict any) bool {
+			ran, v := s.executions[id.(string)], verdict.(outcome.Verdict)
+			if ran > 1 || (v.Outcome == outcome.Done && ran != 1) || (v.Outcome == outcome.NotRunOutcome && ran != 0) {
+				t.Errorf("seed %d id %s: %v but executed %d times", seed, id, v, ran)
+			}
+			return true
+		})
+		if s.mostOpen > 6 {
+			t.Fatalf("seed %d: %d connections, share 6", seed, s.mostOpen)
+		}
+	}
+	for _, o := range []outcome.Outcome{outcome.Done, outcome.NotRunOutcome, outcome.Unknown} {
+		n, ok := counts.Load(o)
+		if !ok {
+			t.Fatalf("no run ended as %s", o)
+		}
+		t.Logf("%s: %d", o, n.(*atomic.Int32).Load())
+	}
+}
+
+func attempt(ctx context.Context, p *Pool, id string, interactive bool) operation.Reply {
+	record := driver.Record{RequestID: id}
+	if !interactive {
+		return p.Perform(ctx, server, operation.Write{Organisation: "a", Term: 1, Record: record})
+	}
+	r := p.Perform(ctx, server, operation.Begin{Organisation: id, Session: "s", Term: 1})
+	if r.Verdict.Outcome != outcome.Done {
+		return r
+	}
+	id = r.Transaction
+	if r = p.Perform(ctx, server, operation.Run{Organisation: record.RequestID, Session: "s", Transaction: id}); r.Verdict.Outcome != outcome.Done {
+		return r
+	}
+	return p.Perform(ctx, server, operation.Commit{Organisation: record.RequestID, Session: "s", Transaction: id, Record: record})
+}
+
+// Guards P2: a write at a server whose term is another one must not be sent, and one whose term ends before a majority
+// holds it must not be acknowledged.
+func TestReplacedPrimary(t *testing.T) {
+	s := newFakeServer()
+	s.fault = func(_ context.Context, call string, after bool) error {
+		if call == "write" && after {
+			s.mu.Lock()
+			s.term++
+			s.mu.Unlock()
+		}
+		return nil
+	}
+	p := hold(t, s, Options{}, 4, 2)
+	w := operation.Write{Organisation: "a", Term: 2, Record: driver.Record{RequestID: "1"}}
+	want(t, p.Perform(t.Context(), server, w), outcome.NotRun(outcome.PrimaryReplaced))
+	if s.started.Load() != 0 {
+		t.Error("the statement was sent")
+	}
+	w.Term = 1
+	want(t, p.Perform(t.Context(), server, w), outcome.NotKnown(outcome.NotReplicated))
+	r := p.Perform(t.Context(), server, operation.Lookup{Organisation: "a", Term: 2, RequestID: "1"})
+	want(t, r, done)
+	if !r.Record.Found {
+		t.Error("record not found")
+	}
+}
+
+// block makes one kind of call wait until its context ends or the returned function is called.
+func block(s *fakeServer, name string) (entered chan struct{}, unblock func()) {
+	entered, gate := make(chan struct{}, 100), make(chan struct{})
+	s.fault = func(ctx context.Context, call string, after bool) error {
+		if call != name || after {
+			return nil
+		}
+		entered <- struct{}{}
+		select {
+		case <-gate:
+			return nil
+		case <-ctx.Done():
+			return lost()
+		}
+	}
+	return entered, sync.OnceFunc(func() { close(gate) })
+}
+
+// Guards P6 inside a transaction: a withdrawn key must end the running statement, the queued work and the transaction,
+// and a later commit must not take effect.
+func TestKeyWithdrawn(t *testing.T) {
+	s := newFakeServer()
+	entered, unblock := block(s, "run")
+	defer unblock()
+	p := hold(t, s, Options{}, 10, 1)
+	first, second := begin(t, p, "a", "s", "key"), begin(t, p, "a", "s2", "key")
+	kept := begin(t, p, "b", "s", "other")
+	replies := make(chan operation.Reply, 2)
+	go func() {
+		replies <- p.Perform(t.Context(), server, operation.Run{Organisation: "a", Session: "s", Transaction: first})
+	}()
+	<-entered
+	go func() {
+		replies <- p.Perform(t.Context(), server, operation.Run{Organisation: "a", Session: "s2", Transaction: second})
+	}()
+	for p.lanes[Holding{server, 0}].scheduler.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	if n := p.EndByKey("key"); n != 2 {
+		t.Errorf("%d transactions ended", n)
+	}
+	for range 2 {
+		want(t, <-replies, outcome.NotRun(outcome.KeyWithdrawn))
+	}
+	commit := operation.Commit{Organisation: "a", Session: "s", Transaction: first, Record: driver.Record{RequestID: "1"}}
+	want(t, p.Perform(t.Context(), server, commit), outcome.NotRun(outcome.KeyWithdrawn))
+	b := operation.Begin{Organisation: "a", Session: "s", Term: 1, KeyHash: "key"}
+	want(t, p.Perform(t.Context(), server, b), outcome.NotRun(outcome.KeyWithdrawn))
+	commit = operation.Commit{Organisation: "b", Session: "s", Transaction: kept, Record: driver.Record{RequestID: "2"}}
+	want(t, p.Perform(t.Context(), server, commit), done)
+	if s.executions["1"] != 0 || s.executions["2"] != 1 || s.started.Load() != 1 {
+		t.Errorf("executions %v, statements %d", s.executions, s.started.Load())
+	}
+}
+
+// Guards against a statement that is sent after its caller was told queue_timeout, and against queued work that is not
+// rejected when the control connection is lost.
+func TestQueuedWork(t *testing.T) {
+	s := newFakeServer()
+	entered, unblock := block(s, "read")
+	lostLane, failing := make(chan Holding, 1), atomic.Bool{}
+	blocked := s.fault
+	s.fault = func(ctx context.Context, call string, after bool) error {
+		if call == "ping" && failing.Load() {
+			return lost()
+		}
+		return blocked(ctx, call, after)
+	}
+	p := hold(t, s, Options{Ping: 10 * time.Millisecond, OnLost: func(h Holding) { lostLane <- h }}, 4, 1)
+	replies := make(chan operation.Reply, 2)
+	perform := func() { replies <- p.Perform(t.Context(), server, operation.Read{Organisation: "a"}) }
+	go perform()
+	<-entered
+	short, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	want(t, p.Perform(short, server, operation.Read{Organisation: "a"}), outcome.NotRun(outcome.QueueTimeout))
+	go perform()
+	for p.lanes[Holding{server, 0}].scheduler.Load() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	failing.Store(true)
+	<-lostLane
+	got := map[outcome.Verdict]int{(<-replies).Verdict: 1}
+	got[(<-replies).Verdict]++
+	if got[outcome.NotRun(outcome.LaneUnavailable)] != 1 || got[outcome.NotKnown(outcome.AnswerLost)] != 1 {
+		t.Errorf("verdicts %v", got)
+	}
+	unblock()
+	if s.started.Load() != 1 || s.open != 0 || len(p.Held()) != 0 {
+		t.Errorf("%d statements, %d connections, lanes %v", s.started.Load(), s.open, p.Held())
+	}
+	want(t, p.Perform(t.Context(), server, operation.Read{}), outcome.NotRun(outcome.LaneUnavailable))
+}
+
+// Guards P3, P4 and P11 for transactions: foreign use, idle transactions that take all connections, transactions that
+// outlive their limit, and a leaving or draining server that cuts an open transaction.
+func TestTransactionLimits(t *testing.T) {
+	s := newFakeServer()
+	p := hold(t, s, Options{TransactionIdle: 300 * time.Millisecond, Upkeep: 10 * time.Millisecond}, 9, 2)
+	first := begin(t, p, "a", "s", "")
+	begin(t, p, "a", "s", "")
+	b := operation.Begin{Organisation: "a", Session: "s", Term: 1}
+	want(t, p.Perform(t.Context(), server, b), outcome.NotRun(outcome.TransactionLimit))
+	last := begin(t, p, "b", "s", "")
+	begin(t, p, "c", "s", "")
+	b.Organisation = "d"
+	want(t, p.Perform(t.Context(), server, b), outcome.NotRun(outcome.TransactionLimit))
+	want(t, p.Perform(t.Context(), server, operation.Read{Organisation: "d"}), done)
+	for _, op := range []operation.Operation{
+		operation.Run{Organisation: "b", Session: "s", Transaction: first},
+		operation.Commit{Organisation: "a", Session: "s2", Transaction: first},
+	} {
+		want(t, p.Perform(t.Context(), server, op), outcome.NotRun(outcome.TransactionForeign))
+	}
+	p.SetLeaving(server, true)
+	want(t, p.Perform(t.Context(), server, operation.Read{Organisation: "d"}), outcome.NotRun(outcome.ServerLeaving))
+	want(t, p.Perform(t.Context(), server, operation.Run{Organisation: "a", Session: "s", Transaction: first}), done)
+	drained := make(chan struct{})
+	go func() { p.Drain(t.Context()); close(drained) }()
+	commit := operation.Commit{Organisation: "a", Session: "s", Transaction: first, Record: driver.Record{RequestID: "1"}}
+	want(t, p.Perform(t.Context(), server, commit), done)
+	<-drained
+	commit = operation.Commit{Organisation: "b", Session: "s", Transaction: last, Record: driver.Record{RequestID: "2"}}
+	want(t, p.Perform(t.Context(), server, commit), outcome.NotRun(outcome.TransactionExpired))
+	if s.executions["1"] != 1 || s.executions["2"] != 0 || s.mostOpen > 9 {
+		t.Errorf("executions %v, %d connections", s.executions, s.mostOpen)
+	}
+}
--- a/internal/session/outcome/outcome.go
+++ b/internal/session/outcome/outcome.go
@@ -53,6 +53,8 @@
 	ServerLeaving        Reason = "server_leaving"
 	ServerBehind         Reason = "server_behind"
 	ServerUnreachable    Reason = "server_unreachable"
+	ServerBusy           Reason = "server_busy"
+	TransactionLimit     Reason = "transaction_limit"
 	InstanceNotFresh     Reason = "instance_not_fresh"
 	ConfigurationBehind  Reason = "configuration_behind"
 	Draining             Reason = "draining"
@@ -89,7 +91,7 @@
 // Retryable reports whether another attempt of a request that was not run can succeed without a change by the caller.
 func (r Reason) Retryable() bool {
 	switch r {
-	case NoPrimary, NoServer, PrimaryReplaced, LaneUnavailable, ServerLeaving, ServerBehind, ServerUnreachable:
+	case NoPrimary, NoServer, PrimaryReplaced, LaneUnavailable, ServerLeaving, ServerBehind, ServerUnreachable, ServerBusy:
 		return true
 	}
 	return false
