Add entry path of requests

Cause: every request needs key, freshness, rate, session, route, attempts and an exact outcome. Change: Engine.Execute over small interfaces, with settling of unknown writes by record, waiting for a change of primary, request id and statement checks, fingerprints and transaction ids. Result: over 200 seeds of 30 writes and commits with lost answers, hanging statements, abandoned branches, a lagging view and lapsed freshness: none lost, doubled or wrongly reported as not run.

--- /dev/null
+++ b/internal/request/execution/execution.go
@@ -0,0 +1,300 @@
+// Package execution is the entry path of a request: key, freshness, rate, session, route, attempts and outcome.
+//
+// It works over the small interfaces in ports.go, has no adapter of its own and keeps no state of a request after its
+// reply.
+//
+// # Usage
+//
+//	engine := execution.New(execution.Ports{Keys: keys, Router: router, Performer: performer}, execution.Options{})
+//	reply := engine.Execute(ctx, execution.Statement{
+//		Caller: execution.Caller{KeyHash: hash, Token: token},
+//		Group:  "meals-1", Write: true, Statement: driver.Statement{SQL: "UPDATE ..."},
+//	})
+//
+// # Outcomes
+//
+// A verdict not_run says that this attempt of the caller had no effect. An unknown write is settled inside its deadline
+// by its record at the current primary. A record that is found proves that the write was done. A record that is not
+// found proves that the write was not run only if it was looked up, in state that a majority holds, in a newer term and
+// on another server than the write. In the same term, or on the same server, the write may still be running.
+package execution
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/request/retry"
+	"tanagercross/internal/session/outcome"
+)
+
+// Defaults of Options.
+const (
+	DefaultDeadline    = 10 * time.Second
+	DefaultPrimaryWait = 5 * time.Second // longest wait for a change of primary
+	DefaultShortWait   = time.Second     // wait for a change when the primary may still be alive
+	DefaultPoll        = 10 * time.Millisecond
+	DefaultLookup      = 25 * time.Millisecond  // first interval of lookups
+	DefaultLookupMost  = 400 * time.Millisecond // longest interval of lookups
+)
+
+// Options sets limits. Zero fields take the defaults.
+type Options struct {
+	Retry       retry.Policy
+	Deadline    time.Duration // for callers that give none
+	PrimaryWait time.Duration
+	ShortWait   time.Duration
+	Poll        time.Duration
+	Lookup      time.Duration
+	LookupMost  time.Duration
+	Random      retry.Random // safe for concurrent use
+}
+
+func (o Options) withDefaults() Options {
+	set := func(d *time.Duration, value time.Duration) {
+		if *d <= 0 {
+			*d = value
+		}
+	}
+	set(&o.Deadline, DefaultDeadline)
+	set(&o.PrimaryWait, DefaultPrimaryWait)
+	set(&o.ShortWait, DefaultShortWait)
+	set(&o.Poll, DefaultPoll)
+	set(&o.Lookup, DefaultLookup)
+	set(&o.LookupMost, DefaultLookupMost)
+	if o.Random == nil {
+		o.Random = rand.Int64N
+	}
+	return o
+}
+
+// Engine executes requests. It is safe for concurrent use.
+type Engine struct {
+	ports   Ports
+	options Options
+	budget  *retry.Budget
+}
+
+// New returns an engine over its ports.
+func New(p Ports, o Options) *Engine {
+	o = o.withDefaults()
+	return &Engine{ports: p, options: o, budget: retry.NewBudget(o.Retry, p.Clock.Now())}
+}
+
+// execution is one request in progress.
+type execution struct {
+	*Engine
+	caller       Caller
+	requestID    string
+	organisation string
+	session      Session
+	deadline     time.Time
+}
+
+// Execute runs a request and returns its outcome.
+func (e *Engine) Execute(ctx context.Context, r Request) Reply {
+	now := e.ports.Clock.Now()
+	x := &execution{Engine: e, caller: r.from(), deadline: now.Add(e.options.Deadline)}
+	if d := x.caller.Deadline; !d.IsZero() {
+		x.deadline = d
+	}
+	if d, ok := ctx.Deadline(); ok && d.Before(x.deadline) {
+		x.deadline = d
+	}
+	ctx, cancel := context.WithTimeout(ctx, x.deadline.Sub(now))
+	defer cancel()
+	reply := x.guarded(ctx, now, r)
+	reply.RequestID = x.requestID
+	if reply.Verdict.Outcome != outcome.Done {
+		e.ports.Counter.Refused(reply.Verdict.Outcome, reply.Verdict.Reason)
+	}
+	if reply.Token == "" && x.session.ID != "" {
+		reply.Token = e.ports.Tokens.Issue(x.session)
+	}
+	return reply
+}
+
+// guarded checks freshness and the key before and after the request uses a database. A process that was paused in
+// between must not answer from expired state.
+func (x *execution) guarded(ctx context.Context, now time.Time, r Request) Reply {
+	verdict := x.admit(ctx, now, r)
+	if verdict.Outcome != outcome.Done {
+		return withheldLookup(r, Reply{Verdict: verdict})
+	}
+	before := x.session
+	reply := x.dispatch(ctx, r)
+	if lapsed := x.lapsed(); lapsed != "" {
+		x.session = before
+		reply = x.withhold(ctx, r, reply, lapsed)
+	}
+	return withheldLookup(r, reply)
+}
+
+// lapsed returns why the instance may no longer answer for the caller, or "".
+func (x *execution) lapsed() outcome.Reason {
+	if !x.ports.Freshness.Fresh(x.ports.Clock.Now()) {
+		return outcome.InstanceNotFresh
+	}
+	organisation, reason := x.ports.Keys.Organisation(x.caller.KeyHash)
+	if reason == "" && organisation != x.organisation {
+		return outcome.KeyUnknown
+	}
+	return reason
+}
+
+// withhold replaces an answer that may not be given. What may have taken effect becomes unknown.
+func (x *execution) withhold(ctx context.Context, r Request, reply Reply, lapsed outcome.Reason) Reply {
+	if reply.Verdict.Outcome == outcome.NotRunOutcome {
+		return Reply{Verdict: reply.Verdict}
+	}
+	switch r := r.(type) {
+	case Begin:
+		x.abandon(ctx, reply.Transaction)
+		return Reply{Verdict: outcome.NotRun(lapsed)}
+	case Statement:
+		if !r.Write {
+			return Reply{Verdict: outcome.NotRun(lapsed)}
+		}
+	}
+	return Reply{Verdict: outcome.NotKnown(outcome.LeaseLapsed)}
+}
+
+// withheldLookup keeps a lookup that gave no answer from being read as an answer about the write.
+func withheldLookup(r Request, reply Reply) Reply {
+	if _, ok := r.(Outcome); !ok || reply.Verdict.Outcome != outcome.NotRunOutcome {
+		return reply
+	}
+	switch reply.Verdict.Reason {
+	case outcome.KeyMissing, outcome.KeyUnknown, outcome.KeyWithdrawn, outcome.TokenInvalid, outcome.TokenForeign,
+		outcome.RequestInvalid, outcome.GroupUnknown:
+		return reply
+	}
+	message := "the outcome could not be read: " + string(reply.Verdict.Reason)
+	reply.Verdict = outcome.NotKnown(outcome.OutcomeUnreadable).WithMessage(message)
+	return reply
+}
+
+// admit checks everything that needs no database and takes one rate token.
+func (x *execution) admit(ctx context.Context, now time.Time, r Request) outcome.Verdict {
+	id, reason := identify(x.caller.RequestID, now)
+	x.requestID = id
+	if reason != "" {
+		return outcome.NotRun(reason)
+	}
+	if x.caller.KeyHash == "" {
+		return outcome.NotRun(outcome.KeyMissing)
+	}
+	organisation, reason := x.ports.Keys.Organisation(x.caller.KeyHash)
+	if reason != "" {
+		return outcome.NotRun(reason)
+	}
+	x.organisation = organisation
+	if reason := x.lapsed(); reason != "" {
+		return outcome.NotRun(reason)
+	}
+	if reason := x.open(ctx); reason != "" {
+		return outcome.NotRun(reason)
+	}
+	if v := x.check(r); v.Outcome != outcome.Done {
+		return v
+	}
+	if reason := x.ports.Rates.Take(ctx, organisation); reason != "" {
+		return outcome.NotRun(reason)
+	}
+	x.budget.Request()
+	return outcome.Verdict{Outcome: outcome.Done}
+}
+
+// open verifies the session token, or starts a session.
+func (x *execution) open(ctx context.Context) outcome.Reason {
+	if x.caller.Token == "" {
+		x.session = Session{
+			Organisation: x.organisation, ID: uuid.NewString(), Configuration: x.ports.Configuration.Version(),
+		}
+		return ""
+	}
+	session, err := x.ports.Tokens.Verify(x.caller.Token)
+	if err != nil {
+		return outcome.TokenInvalid
+	}
+	if session.Organisation != x.organisation {
+		return outcome.TokenForeign
+	}
+	if !x.ports.Configuration.Reach(ctx, session.Configuration) {
+		return outcome.ConfigurationBehind
+	}
+	session.Configuration = max(session.Configuration, x.ports.Configuration.Version())
+	x.session = session
+	return ""
+}
+
+func (x *execution) check(r Request) outcome.Verdict {
+	group := ""
+	switch r := r.(type) {
+	case Statement:
+		if reason := checkStatement(r.Statement); reason != "" {
+			return outcome.NotRun(reason)
+		}
+		group = r.Group
+	case Run:
+		if reason := checkStatement(r.Statement); reason != "" {
+			return outcome.NotRun(reason)
+		}
+	case Begin:
+		group = r.Group
+	case Outcome:
+		if _, err := uuid.Parse(r.ID); err != nil {
+			return outcome.NotRun(outcome.RequestInvalid)
+		}
+		group = r.Group
+	}
+	if id := transactionOf(r); id != "" {
+		h, err := parseHandle(id)
+		if err != nil {
+			return outcome.NotRun(outcome.TransactionUnknown)
+		}
+		group = h.Group
+	}
+	if !x.ports.Router.Known(group) {
+		return outcome.NotRun(outcome.GroupUnknown)
+	}
+	return outcome.Verdict{Outcome: outcome.Done}
+}
+
+func (x *execution) dispatch(ctx context.Context, r Request) Reply {
+	switch r := r.(type) {
+	case Statement:
+		if r.Write {
+			return x.write(ctx, r)
+		}
+		return x.read(ctx, r)
+	case Begin:
+		return x.begin(ctx, r)
+	case Run:
+		return x.run(ctx, r)
+	case Commit:
+		return x.commit(ctx, r)
+	case Rollback:
+		return x.rollback(ctx, r)
+	case Outcome:
+		return x.outcome(ctx, r)
+	}
+	return Reply{Verdict: outcome.NotRun(outcome.RequestInvalid)}
+}
+
+// pause waits and reports false if the deadline passes first.
+func (x *execution) pause(ctx context.Context, d time.Duration) bool {
+	if !x.ports.Clock.Now().Add(d).Before(x.deadline) {
+		return false
+	}
+	return x.ports.Clock.Sleep(ctx, d)
+}
+
+// seen moves the session to a position that the caller's answer covers.
+func (x *execution) seen(group, server string, p driver.Position) {
+	x.session = x.session.WithPosition(group, p)
+	x.ports.Router.Observe(group, server, p)
+}
--- /dev/null
+++ b/internal/request/execution/execution_test.go
@@ -0,0 +1,204 @@
+package execution
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/operation"
+	"tanagercross/internal/session/outcome"
+)
+
+var insert = driver.Statement{SQL: "INSERT INTO booking VALUES (1)"}
+
+// Guards P2, P9 and P10: over lost answers, hanging statements, abandoned branches, changes of primary, a lagging view
+// and lapsed freshness, a write that was reported as done is there once, one that was always reported as not run is not
+// there, and none runs twice, also when the caller repeats it.
+func TestWritesOverSeeds(t *testing.T) {
+	counts := make(map[outcome.Outcome]int)
+	for seed := range uint64(200) {
+		w := newWorld(seed)
+		w.faults = 40
+		e := w.engine()
+		verdicts := make(map[string][]outcome.Verdict)
+		for n := range 30 {
+			id := uuid.Must(uuid.NewV7()).String()
+			for attempt := 0; attempt == 0 || (attempt < 3 && verdicts[id][attempt-1].Outcome == outcome.Unknown); attempt++ {
+				w.fresh = true
+				caller := Caller{KeyHash: "k", RequestID: id, Deadline: w.now.Add(2 * time.Second)}
+				r := Request(Statement{Caller: caller, Group: "g", Write: true, Statement: insert})
+				if n%5 == 0 {
+					h := handle{Group: "g", Server: w.view.Server, Term: w.view.Term, Local: "x"}
+					r = Commit{Caller: caller, Transaction: h.encode()}
+				}
+				reply := e.Execute(t.Context(), r)
+				if !w.fresh && reply.Verdict.Outcome == outcome.Done {
+					t.Errorf("seed %d: answered from expired state", seed)
+				}
+				verdicts[id] = append(verdicts[id], reply.Verdict)
+				counts[reply.Verdict.Outcome]++
+			}
+		}
+		w.flush()
+		for id, all := range verdicts {
+			ran, done, notRun := w.runs[id], false, true
+			for _, v := range all {
+				done = done || v.Outcome == outcome.Done
+				notRun = notRun && v.Outcome == outcome.NotRunOutcome
+			}
+			if ran > 1 || (done && ran != 1) || (notRun && ran != 0) {
+				t.Fatalf("seed %d: %v, executed %d times", seed, all, ran)
+			}
+		}
+	}
+	t.Logf("%v", counts)
+	if len(counts) != 3 {
+		t.Errorf("outcomes seen: %v", counts)
+	}
+}
+
+// Guards the conclusion not_run: a record that is not found proves it only in a newer term on another server.
+func TestProofOfNotRun(t *testing.T) {
+	for _, c := range []struct {
+		term   uint64
+		server string
+		want   outcome.Outcome
+	}{
+		{1, "s0", outcome.Unknown},
+		{2, "s0", outcome.Unknown},
+		{2, "s1", outcome.Done}, // proved, then run again in the new term
+	} {
+		w := newWorld(1)
+		w.replies = []operation.Reply{{Verdict: outcome.NotKnown(outcome.AnswerLost)}}
+		w.term, w.primary = c.term, int(c.server[1]-'0')
+		r := w.engine().Execute(t.Context(), Statement{Caller: Caller{KeyHash: "k"}, Group: "g", Write: true, Statement: insert})
+		if r.Verdict.Outcome != c.want || len(w.runs) > 1 {
+			t.Errorf("term %d on %s: %v, runs %v", c.term, c.server, r.Verdict, w.runs)
+		}
+	}
+}
+
+// Guards P4, P6 and the admission rules: nothing may reach a database for a request that is refused.
+func TestAdmission(t *testing.T) {
+	id := func(age time.Duration) string {
+		made := uuid.Must(uuid.NewV7())
+		ms := uint64(time.Now().Add(-age).UnixMilli())
+		for i := range 6 {
+			made[i] = byte(ms >> (40 - 8*i))
+		}
+		return made.String()
+	}
+	w := newWorld(1)
+	foreign := w.Issue(Session{Organisation: "b", ID: "x"})
+	ahead := w.Issue(Session{Organisation: "a", ID: "x", Configuration: 2})
+	for _, c := range []struct {
+		caller Caller
+		group  string
+		sql    string
+		want   outcome.Reason
+	}{
+		{Caller{}, "g", "SELECT 1", outcome.KeyMissing},
+		{Caller{KeyHash: "w"}, "g", "SELECT 1", outcome.KeyWithdrawn},
+		{Caller{KeyHash: "k", Token: foreign}, "g", "SELECT 1", outcome.TokenForeign},
+		{Caller{KeyHash: "k", Token: "?"}, "g", "SELECT 1", outcome.TokenInvalid},
+		{Caller{KeyHash: "k", Token: ahead}, "g", "SELECT 1", outcome.ConfigurationBehind},
+		{Caller{KeyHash: "k", RequestID: uuid.NewString()}, "g", "SELECT 1", outcome.RequestInvalid},
+		{Caller{KeyHash: "k", RequestID: id(23*time.Hour + time.Minute)}, "g", "SELECT 1", outcome.RequestExpired},
+		{Caller{KeyHash: "k", RequestID: id(-6 * time.Minute)}, "g", "SELECT 1", outcome.RequestExpired},
+		{Caller{KeyHash: "k"}, "other", "SELECT 1", outcome.GroupUnknown},
+		{Caller{KeyHash: "k"}, "g", " /* a /* b */ */ -- c\n;SET organisation = 'b'", outcome.RequestInvalid},
+		{Caller{KeyHash: "k"}, "g", "(select set_config('organisation', 'b', false))", outcome.RequestInvalid},
+		{Caller{KeyHash: "k"}, "g", "COMMIT", outcome.RequestInvalid},
+	} {
+		r := w.engine().Execute(t.Context(), Statement{Caller: c.caller, Group: c.group, Statement: driver.Statement{SQL: c.sql}})
+		if r.Verdict.Outcome != outcome.NotRunOutcome || r.Verdict.Reason != c.want {
+			t.Errorf("%+v %q: %v, want %s", c.caller, c.sql, r.Verdict, c.want)
+		}
+	}
+	w.fresh = false
+	r := w.engine().Execute(t.Context(), Statement{Caller: Caller{KeyHash: "k"}, Group: "g", Statement: insert})
+	if r.Verdict.Reason != outcome.InstanceNotFresh || len(w.ops) != 0 {
+		t.Errorf("not fresh: %v, %d operations", r.Verdict, len(w.ops))
+	}
+}
+
+// Guards against reads that go to a server twice, and against an answer that is given after the key was withdrawn.
+func TestReads(t *testing.T) {
+	w := newWorld(1)
+	position := driver.Position{Term: 1, Index: 9}
+	w.replies = []operation.Reply{
+		{Verdict: outcome.NotRun(outcome.ServerBehind)},
+		{Verdict: outcome.NotKnown(outcome.AnswerLost)},
+		{Verdict: outcome.Verdict{Outcome: outcome.Done}, Result: driver.Result{Position: position}},
+	}
+	read := Statement{Caller: Caller{KeyHash: "k"}, Group: "g", Statement: driver.Statement{SQL: "SELECT 1"}}
+	r := w.engine().Execute(t.Context(), read)
+	session, _ := w.Verify(r.Token)
+	if r.Verdict.Outcome != outcome.Done || session.Positions["g"] != position || w.retried != 2 ||
+		w.servers[0] == w.servers[1] || w.servers[1] == w.servers[2] {
+		t.Errorf("%v, token %v, servers %v", r.Verdict, session, w.servers)
+	}
+	read.Token, read.Unresolved = r.Token, []string{"1"}
+	w.engine().Execute(t.Context(), read)
+	if op := w.ops[3].(operation.Read); !op.Durable || op.AtLeast != position {
+		t.Errorf("unresolved read: %+v", op)
+	}
+	withdrawing := &withdrawingKeys{world: w}
+	e := w.engine()
+	e.ports.Keys = withdrawing
+	if r := e.Execute(t.Context(), read); r.Verdict != outcome.NotRun(outcome.KeyWithdrawn) || r.Result.Columns != nil {
+		t.Errorf("read: %v", r.Verdict)
+	}
+	withdrawing.asked, read.Write = 0, true
+	if r := e.Execute(t.Context(), read); r.Verdict != outcome.NotKnown(outcome.LeaseLapsed) {
+		t.Errorf("write: %v", r.Verdict)
+	}
+	withdrawing.asked = 0
+	if r := e.Execute(t.Context(), Begin{Caller: read.Caller, Group: "g"}); r.Verdict != outcome.NotRun(outcome.KeyWithdrawn) {
+		t.Errorf("begin: %v", r.Verdict)
+	}
+	if _, ok := w.ops[len(w.ops)-1].(operation.Rollback); !ok {
+		t.Error("the withheld transaction was not rolled back")
+	}
+}
+
+// withdrawingKeys withdraws the key after admission, which asks twice.
+type withdrawingKeys struct {
+	*world
+	asked int
+}
+
+func (k *withdrawingKeys) Organisation(hash string) (string, outcome.Reason) {
+	if k.asked++; k.asked > 2 {
+		return "", outcome.KeyWithdrawn
+	}
+	return k.world.Organisation(hash)
+}
+
+// Guards against outcome lookups whose failure reads as "the write was not run", and fingerprints that collide.
+func TestOutcomeAndFingerprint(t *testing.T) {
+	w := newWorld(1)
+	ask := Outcome{Caller: Caller{KeyHash: "k"}, Group: "g", ID: uuid.Must(uuid.NewV7()).String()}
+	for _, rate := range []outcome.Reason{"", outcome.RateExceeded} {
+		w.rate = rate
+		if r := w.engine().Execute(t.Context(), ask); r.Verdict.Outcome != outcome.Unknown {
+			t.Errorf("rate %q: %v", rate, r.Verdict)
+		}
+	}
+	w.rate = ""
+	w.store(driver.Record{RequestID: ask.ID})
+	if r := w.engine().Execute(t.Context(), ask); r.Verdict.Outcome != outcome.Done || !r.Result.Replayed {
+		t.Errorf("recorded: %v", r.Verdict)
+	}
+	a, b, empty := "a", "b", ""
+	seen := make(map[string]bool)
+	for _, arguments := range [][]*string{nil, {nil}, {&empty}, {&a, &b}, {&b, &a}, {&a}, {nil, nil}} {
+		seen[fingerprint("o", "g", "q", arguments)] = true
+	}
+	seen[fingerprint("og", "", "q", nil)] = true
+	if len(seen) != 8 {
+		t.Errorf("%d different fingerprints of 8", len(seen))
+	}
+}
--- /dev/null
+++ b/internal/request/execution/identity.go
@@ -0,0 +1,155 @@
+package execution
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"strings"
+	"time"
+	"unicode"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/session/outcome"
+)
+
+// Bounds of a request id's age. Records live 24 h, so that a younger id cannot have lost its record.
+const (
+	RequestIDAge    = 23 * time.Hour
+	RequestIDFuture = 5 * time.Minute
+)
+
+// identify checks a request id, or makes one.
+func identify(id string, now time.Time) (string, outcome.Reason) {
+	if id == "" {
+		made, err := uuid.NewV7()
+		if err != nil {
+			return "", outcome.RequestInvalid
+		}
+		return made.String(), ""
+	}
+	parsed, err := uuid.Parse(id)
+	if err != nil || parsed.Version() != 7 || parsed.Variant() != uuid.RFC4122 {
+		return id, outcome.RequestInvalid
+	}
+	// One form per id, because the record is found by the text.
+	id = parsed.String()
+	if expired(parsed, now) {
+		return id, outcome.RequestExpired
+	}
+	return id, ""
+}
+
+func expired(id uuid.UUID, now time.Time) bool {
+	var milliseconds [8]byte
+	copy(milliseconds[2:], id[:6])
+	made := time.UnixMilli(int64(binary.BigEndian.Uint64(milliseconds[:])))
+	return made.Before(now.Add(-RequestIDAge)) || made.After(now.Add(RequestIDFuture))
+}
+
+// fingerprint hashes what makes two requests the same. Every part is prefixed by its length, and NULL differs from "".
+func fingerprint(organisation, group, text string, arguments []*string) string {
+	h := sha256.New()
+	part := func(present byte, s string) {
+		var prefix [9]byte
+		prefix[0] = present
+		binary.BigEndian.PutUint64(prefix[1:], uint64(len(s)))
+		h.Write(prefix[:])
+		h.Write([]byte(s))
+	}
+	part(1, organisation)
+	part(1, group)
+	part(1, text)
+	for _, a := range arguments {
+		if a == nil {
+			part(0, "")
+			continue
+		}
+		part(1, *a)
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// handle is the content of a caller's transaction id. The holder checks organisation and session against its local id,
+// which is random, so that a changed handle reaches no other transaction.
+type handle struct {
+	Group  string `json:"group"`
+	Server string `json:"server"`
+	Holder string `json:"holder"`
+	Term   uint64 `json:"term"`
+	Local  string `json:"local"`
+}
+
+func (h handle) encode() string {
+	data, err := json.Marshal(h)
+	if err != nil {
+		return ""
+	}
+	return base64.RawURLEncoding.EncodeToString(data)
+}
+
+func parseHandle(id string) (h handle, err error) {
+	data, err := base64.RawURLEncoding.DecodeString(id)
+	if err == nil {
+		err = json.Unmarshal(data, &h)
+	}
+	return h, eris.Wrap(err, "transaction id")
+}
+
+// checkStatement refuses statements that act on the connection instead of the organisation's data. The proxy itself
+// sets the organisation and controls transactions.
+func checkStatement(s driver.Statement) outcome.Reason {
+	switch strings.ToLower(firstWord(s.SQL)) {
+	case "", "begin", "start", "commit", "end", "rollback", "abort", "prepare", "set", "reset", "discard", "listen",
+		"unlisten", "deallocate", "do", "execute":
+		return outcome.RequestInvalid
+	}
+	if strings.Contains(strings.ToLower(s.SQL), "set_config") {
+		return outcome.RequestInvalid
+	}
+	return ""
+}
+
+// firstWord returns the first word of a statement after white space, semicolons, parentheses and comments.
+func firstWord(sql string) string {
+	for {
+		sql = strings.TrimLeftFunc(sql, func(r rune) bool { return unicode.IsSpace(r) || r == ';' || r == '(' })
+		switch {
+		case strings.HasPrefix(sql, "--"):
+			_, sql, _ = strings.Cut(sql, "\n")
+		case strings.HasPrefix(sql, "/*"):
+			sql = afterComment(sql)
+		default:
+			end := strings.IndexFunc(sql, func(r rune) bool { return !unicode.IsLetter(r) })
+			if end < 0 {
+				return sql
+			}
+			return sql[:end]
+		}
+	}
+}
+
+// afterComment skips a block comment; PostgreSQL's comments nest.
+func afterComment(sql string) string {
+	depth := 0
+	for i := 0; i+1 < len(sql); {
+		switch sql[i : i+2] {
+		case "/*":
+			depth++
+			i += 2
+		case "*/":
+			depth--
+			i += 2
+			if depth == 0 {
+				return sql[i:]
+			}
+		default:
+			i++
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/request/execution/request.go
@@ -0,0 +1,87 @@
+package execution
+
+import (
+	"time"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/session/outcome"
+)
+
+// Request is one of Statement, Begin, Run, Commit, Rollback and Outcome.
+type Request interface{ from() Caller }
+
+// Caller is what comes with every request.
+type Caller struct {
+	KeyHash   string // hex SHA-256 of the key
+	Token     string // session token of the last reply, if any
+	RequestID string // UUIDv7; made if empty
+	Deadline  time.Time
+}
+
+func (c Caller) from() Caller { return c }
+
+// Statement runs one statement.
+type Statement struct {
+	Caller
+	Group      string
+	Write      bool
+	Statement  driver.Statement
+	MaxAge     time.Duration // for a read: accept data up to this age; 0 asks for the session mode
+	Primary    bool          // for a read
+	Unresolved []string      // request ids whose replies the caller lost; a read then runs on the primary
+}
+
+// Begin opens an interactive transaction.
+type Begin struct {
+	Caller
+	Group string
+}
+
+// Run runs a statement in a transaction.
+type Run struct {
+	Caller
+	Transaction string
+	Statement   driver.Statement
+}
+
+// Commit commits a transaction.
+type Commit struct {
+	Caller
+	Transaction string
+}
+
+// Rollback ends a transaction without effect.
+type Rollback struct {
+	Caller
+	Transaction string
+}
+
+// Outcome asks for the outcome of an earlier write.
+type Outcome struct {
+	Caller
+	Group string
+	ID    string
+}
+
+// Reply is the answer to a request.
+type Reply struct {
+	Verdict     outcome.Verdict
+	RequestID   string
+	Token       string // "" if the request was refused before its session was known
+	Result      driver.Result
+	ServedBy    driver.Role
+	Transaction string // set by Begin
+	Group       string // set if the outcome is unknown: where to ask for it again
+}
+
+func transactionOf(r Request) string {
+	switch r := r.(type) {
+	case Run:
+		return r.Transaction
+	case Commit:
+		return r.Transaction
+	case Rollback:
+		return r.Transaction
+	}
+	return ""
+}
--- a/internal/request/retry/retry.go
+++ b/internal/request/retry/retry.go
@@ -5,7 +5,7 @@
 //	budget := retry.NewBudget(retry.Policy{}, now)
 //	budget.Request()
 //	attempts := retry.NewAttempts(retry.Policy{}, deadline)
-//	wait, denied := attempts.Again(now, reason, budget, random)
+//	wait, denied := attempts.Again(now, reason, budget, rand.Int64N)
 //	if denied != "" {
 //		return outcome.NotRun(reason)
 //	}
@@ -14,7 +14,6 @@
 package retry
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -70,6 +69,9 @@
 	NoBudget     Denial = "no_budget"
 )
 
+// Random returns a number from 0 up to, but not including, its argument.
+type Random func(int64) int64
+
 // Attempts counts the attempts of one request. It is not safe for concurrent use.
 type Attempts struct {
 	policy   Policy
@@ -86,7 +88,7 @@
 func (a *Attempts) Made() int { return a.made }
 
 // Again returns the wait before the next attempt, or why there is none. It takes one retry from the budget.
-func (a *Attempts) Again(now time.Time, r outcome.Reason, b *Budget, random *rand.Rand) (time.Duration, Denial) {
+func (a *Attempts) Again(now time.Time, r outcome.Reason, b *Budget, random Random) (time.Duration, Denial) {
 	if !r.Retryable() {
 		return 0, NotRetryable
 	}
@@ -94,7 +96,7 @@
 		return 0, NoAttempt
 	}
 	limit := min(a.policy.Ceiling, a.policy.Base<<(a.made-1))
-	wait := time.Duration(random.Int64N(int64(limit) + 1))
+	wait := time.Duration(random(int64(limit) + 1))
 	if !now.Add(wait).Before(a.deadline) {
 		return 0, NoTime
 	}
--- a/internal/request/retry/retry_test.go
+++ b/internal/request/retry/retry_test.go
@@ -12,7 +12,7 @@
 func TestAttempts(t *testing.T) {
 	start := time.Unix(0, 0)
 	for seed := range uint64(200) {
-		random := rand.New(rand.NewPCG(seed, 1))
+		random := rand.New(rand.NewPCG(seed, 1)).Int64N
 		b := NewBudget(Policy{}, start)
 		a := NewAttempts(Policy{}, start.Add(time.Second))
 		for _, r := range []outcome.Reason{outcome.AnswerLost, outcome.NotReplicated, outcome.StatementFailed, ""} {
