--- a/internal/organisation/key/key.go
+++ b/internal/organisation/key/key.go
@@ -21,6 +21,7 @@
 	"encoding/base64"
 	"encoding/hex"
 	"log/slog"
+	"regexp"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -114,3 +115,9 @@
 	copy(h[:], b)
 	return nil
 }
+
+// keyPattern also matches the start of a longer text, so that a key with a typing error is covered as well.
+var keyPattern = regexp.MustCompile(Prefix + `[A-Za-z0-9_-]{16,}`)
+
+// Redact replaces everything in a text that looks like a key. It guards messages that echo a caller's input.
+func Redact(text string) string { return keyPattern.ReplaceAllString(text, Redacted) }
--- a/internal/organisation/key/key_test.go
+++ b/internal/organisation/key/key_test.go
@@ -28,7 +28,7 @@
 	}
 	_, malformed := key.Parse(k.Reveal() + "x")
 	secret := strings.TrimPrefix(k.Reveal(), key.Prefix)
-	shown := log.String() + string(data) + fmt.Sprintf("%v %+v %#v %s %q", k, struct{ K key.Key }{k}, k, k, k) + malformed.Error()
+	shown := log.String() + string(data) + fmt.Sprintf("%v %+v %#v %s %q", k, struct{ K key.Key }{k}, k, k, k) + malformed.Error() + key.Redact("field "+k.Reveal()+" is wrong")
 	if strings.Contains(shown, secret) {
 		t.Errorf("the key is shown in %s", shown)
 	}
