--- a/internal/request/execution/fake_test.go
+++ b/internal/request/execution/fake_test.go
@@ -79,7 +79,7 @@
 func (w *world) Term(string) uint64                          { return w.view.Term }
 func (w *world) Observe(string, string, driver.Position)     {}
 func (w *world) Now() time.Time                              { return w.now }
-func (w *world) Issue(s Session) string { data, _ := json.Marshal(s); return string(data) }
+func (w *world) Issue(s Session) string                      { data, _ := json.Marshal(s); return string(data) }
 
 func (w *world) Verify(token string) (s Session, err error) {
 	err = json.Unmarshal([]byte(token), &s)
