Bound operators' connections and cover more failures of the API

An executor without a verdict gave an untyped answer, and resolving values searched the exceptions on every request. A missing verdict is now unknown, values can be resolved once per document, and the operators' listener has a limit.

--- a/internal/fleet/configuration/configuration_test.go
+++ b/internal/fleet/configuration/configuration_test.go
@@ -40,6 +40,11 @@
 	if diff := cmp.Diff([]int64{200, 300, 500, 64}, got); diff != "" {
 		t.Error(diff)
 	}
+	for _, name := range []string{"x", "sertao_coop"} {
+		if d.Resolve().For(name) != d.For(name) || (configuration.Resolved{}).For(name) != zero.For(name) {
+			t.Errorf("%s: the resolved values differ", name)
+		}
+	}
 	end := time.Date(2026, 8, 1, 0, 0, 0, 0, time.UTC)
 	if d.At(end).For("sertao_coop").RatePerSecond != 300 || d.At(end.Add(-1)).For("sertao_coop").RatePerSecond != 500 {
 		t.Error("the end of the exception is not observed")
--- a/internal/fleet/configuration/document.go
+++ b/internal/fleet/configuration/document.go
@@ -103,6 +103,34 @@
 	return o.values()
 }
 
+// Resolved holds the values of every organisation of a document, for use on the path of requests. It is immutable; the
+// zero value stands for the built-in defaults.
+type Resolved struct {
+	set        bool
+	defaults   Values
+	exceptions map[string]Values
+}
+
+// Resolve computes the values of every organisation; like For, it includes exceptions that have ended, see At.
+func (d Document) Resolve() Resolved {
+	r := Resolved{set: true, defaults: Document{Defaults: d.Defaults}.For(""), exceptions: make(map[string]Values, len(d.Exceptions))}
+	for _, e := range d.Exceptions {
+		r.exceptions[e.Organisation] = d.For(e.Organisation)
+	}
+	return r
+}
+
+// For returns the values of an organisation.
+func (r Resolved) For(organisation string) Values {
+	if !r.set {
+		return Document{}.For("")
+	}
+	if v, ok := r.exceptions[organisation]; ok {
+		return v
+	}
+	return r.defaults
+}
+
 // YAML writes the document.
 func (d Document) YAML() ([]byte, error) {
 	var b bytes.Buffer
--- a/internal/instance/api/api_test.go
+++ b/internal/instance/api/api_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -218,6 +219,10 @@
 	if status, got, _ = f.do(t, "POST", path, read, "x-api-key", "k"); status != 504 || got.AskAgain == "" {
 		t.Errorf("panic: %d %+v", status, got)
 	}
+	e.run, e.reply = nil, api.Reply{}
+	if status, got, _ = f.do(t, "POST", path, read, "x-api-key", "k"); status != 504 || got.Reason != "outcome_unreadable" {
+		t.Errorf("no verdict: %d %+v", status, got)
+	}
 	e.ready = outcome.Draining
 	if status, got, _ = f.do(t, "GET", "/readyz", ""); status != 503 || got.Reason != "draining" {
 		t.Errorf("ready: %d %+v", status, got)
@@ -280,3 +285,55 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a shutdown that reports success although it cut a request at its deadline.
+func TestShutdownReportsCutRequests(t *testing.T) {
+	running, release := make(chan struct{}), make(chan struct{})
+	f := start(t, &fakeExecutor{run: func() { close(running); <-release }}, api.Options{})
+	cut := make(chan error, 1)
+	go func() {
+		r, _ := http.NewRequest("POST", f.url+path, strings.NewReader(read))
+		r.Header.Set("x-api-key", "k")
+		w, err := f.client.Do(r)
+		if err == nil {
+			w.Body.Close()
+		}
+		cut <- err
+	}()
+	<-running
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	var e *api.Error
+	if err := f.server.Shutdown(ctx); !errors.As(err, &e) || e.Kind != api.RequestsCut {
+		t.Errorf("shutdown: %v", err)
+	}
+	if <-cut == nil {
+		t.Error("the request was answered")
+	}
+	close(release)
+}
+
+// Guards against more open connections than the limit.
+func TestConnectionLimit(t *testing.T) {
+	f := start(t, &fakeExecutor{}, api.Options{MaxConnections: 1})
+	first, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request := "GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+	second, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	_, _ = io.WriteString(second, request)
+	_ = second.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if n, _ := second.Read(make([]byte, 64)); n > 0 || f.server.OpenConnections() != 1 {
+		t.Errorf("%d bytes on the second connection, %d open", n, f.server.OpenConnections())
+	}
+	first.Close()
+	_ = second.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if data, err := io.ReadAll(second); err != nil || !strings.HasPrefix(string(data), "HTTP/1.1 204") {
+		t.Errorf("after the first connection ended: %s %v", data, err)
+	}
+}
--- a/internal/instance/api/exchange.go
+++ b/internal/instance/api/exchange.go
@@ -83,6 +83,12 @@
 
 // record keeps what the access log needs and returns the refusal of a reply that is not Done.
 func (x *exchange) record(r Reply) error {
+	switch r.Verdict.Outcome {
+	case outcome.Done, outcome.NotRunOutcome, outcome.Unknown:
+	default:
+		// An executor that gives no verdict may have run the request.
+		r.Verdict = outcome.NotKnown(outcome.OutcomeUnreadable)
+	}
 	x.organisation = r.Organisation
 	x.outcome, x.reason = r.Verdict.Outcome, r.Verdict.Reason
 	if r.SessionToken != "" {
--- a/internal/instance/operator/server.go
+++ b/internal/instance/operator/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
+	"golang.org/x/net/netutil"
 
 	"tanagercross/internal/fleet/configuration"
 	"tanagercross/internal/organisation/key"
@@ -33,6 +34,7 @@
 	idleTimeout     = time.Minute
 	bearer          = "Bearer "
 	organisationMax = 64
+	maxConnections  = 256
 )
 
 // Options of a Server.
@@ -80,7 +82,7 @@
 
 // Serve accepts connections until Shutdown. It returns nil after Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	if err := s.http.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(netutil.LimitListener(l, maxConnections)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return &Error{Operation: "serve", Kind: Unavailable, Err: eris.Wrap(err, "accept")}
 	}
 	return nil
