Add committee lease of shards

Cause: an organisation's bucket must have one home at a time without a store on the path. A release carries an epoch, because a late one took votes back that were given again since.

--- /dev/null
+++ b/internal/fleet/lease/holder.go
@@ -0,0 +1,142 @@
+package lease
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Random returns a number from 0 up to, but not including, its argument.
+type Random func(int64) int64
+
+// Round is one ballot to send to the committees of its shards. Answers to one that is not releasing go to Granted.
+type Round struct {
+	Number uint64
+	Ballot Ballot
+}
+
+// epochBits are the low bits of a ballot's incarnation that count how often a shard's votes were released. A release that
+// arrives late would otherwise take back votes that were given again since.
+const epochBits = 16
+
+type candidacy struct {
+	round  uint64 // the last one; 0 if none is open
+	sent   time.Time
+	voters []string // of the last round
+	next   time.Time
+	since  time.Time
+	until  time.Time
+	wins   bool // the last round had a majority
+}
+
+// Holder asks for the leases of the shards that its instance should hold. A Holder belongs to one incarnation.
+type Holder struct {
+	candidate   string
+	incarnation uint64
+	shards      map[Shard]*candidacy
+	epochs      map[Shard]uint64
+	rounds      uint64
+	released    []Round
+}
+
+// NewHolder returns a holder that wants no shard. The incarnation must differ from those of earlier processes of the
+// candidate in its low 48 bits.
+func NewHolder(candidate string, incarnation uint64) *Holder {
+	return &Holder{
+		candidate: candidate, incarnation: incarnation,
+		shards: make(map[Shard]*candidacy), epochs: make(map[Shard]uint64),
+	}
+}
+
+// Want sets the shards to hold. Those that are not wanted any more are given up at once.
+func (h *Holder) Want(now time.Time, shards []Shard) {
+	for _, s := range shards {
+		if h.shards[s] == nil {
+			h.shards[s] = &candidacy{next: now}
+		}
+	}
+	for s := range h.shards {
+		if !slices.Contains(shards, s) {
+			delete(h.shards, s)
+			h.release(s)
+		}
+	}
+}
+
+// release gives the votes of a shard back and begins a new epoch, in which votes do not count as the same.
+func (h *Holder) release(s Shard) {
+	b := h.ballot(h.epochs[s])
+	b.Release, b.Shards = true, []Shard{s}
+	h.released = append(h.released, Round{Ballot: b})
+	h.epochs[s] = (h.epochs[s] + 1) % (1 << epochBits)
+}
+
+func (h *Holder) ballot(epoch uint64) Ballot {
+	return Ballot{Candidate: h.candidate, Incarnation: h.incarnation<<epochBits | epoch}
+}
+
+// Tick returns the rounds to send now. The caller sets the version of the roster that it chooses the committees from.
+// Votes of a round that was lost are released, so that two candidates cannot split a committee for good.
+func (h *Holder) Tick(now time.Time, random Random) []Round {
+	started := make(map[uint64]*Round)
+	for s, c := range h.shards {
+		if now.Before(c.next) {
+			continue
+		}
+		if c.round != 0 && !c.wins && !now.Before(c.until) {
+			h.release(s)
+			c.round, c.next = 0, now.Add(BackOff+time.Duration(random(int64(Jitter))))
+			continue
+		}
+		epoch := h.epochs[s]
+		r := started[epoch]
+		if r == nil {
+			h.rounds++
+			r = &Round{Number: h.rounds, Ballot: h.ballot(epoch)}
+			started[epoch] = r
+		}
+		r.Ballot.Shards = append(r.Ballot.Shards, s)
+		c.round, c.sent, c.next = r.Number, now, now.Add(Renewal)
+		c.voters, c.wins = c.voters[:0], false
+	}
+	rounds := h.released
+	h.released = nil
+	for _, r := range started {
+		slices.Sort(r.Ballot.Shards)
+		rounds = append(rounds, *r)
+	}
+	slices.SortFunc(rounds, func(a, b Round) int { return cmp.Compare(a.Number, b.Number) })
+	return rounds
+}
+
+// Granted takes a voter's answer to a round. Only members of the committees that the round was sent to may be given.
+// Answers to an earlier round, or to one that was given up, do not count.
+func (h *Holder) Granted(now time.Time, round uint64, voter string, shards []Shard) {
+	for _, s := range shards {
+		c := h.shards[s]
+		if c == nil || c.round != round || slices.Contains(c.voters, voter) {
+			continue
+		}
+		c.voters = append(c.voters, voter)
+		until := c.sent.Add(Valid)
+		if len(c.voters) < Majority || !now.Before(until) {
+			continue
+		}
+		c.wins = true
+		if !now.Before(c.until) {
+			// The lease had ended in between, so that another instance may have held it.
+			c.since = now
+		}
+		c.until = until
+	}
+}
+
+// Held returns since when the shard has been held without a break, and whether it is held now. It must be asked before
+// and after work, because the process may have been paused in between.
+func (h *Holder) Held(now time.Time, s Shard) (time.Time, bool) {
+	c := h.shards[s]
+	if c == nil || !now.Before(c.until) {
+		return time.Time{}, false
+	}
+	return c.since, true
+}
