Wire the daemon and add the daemon and stand-in programs

Cause: the parts exist but nothing runs end to end. Change: internal/instance/daemon with the loops of exchange, store polling, tables, watchers, lanes, leases, roster and operators' changes; cmd/tanagercrossd, cmd/standin; read reasons shared between routing and metrics.

--- a/internal/database/failover/faults_test.go
+++ b/internal/database/failover/faults_test.go
@@ -52,8 +52,10 @@
 	down, primary := w.between(500, 5000), w.currentPrimary()
 	any := w.databases[w.random.IntN(len(w.databases))]
 	watcher := w.watchers[w.random.IntN(len(w.watchers))]
-	kinds := []string{"kill primary", "freeze primary", "kill", "freeze", "one-way cut of servers", "partition", "cut from watchers",
-		"pause before promote", "kill watcher", "freeze watcher", "lag", "drops", "leaving", "isolate primary from replicas"}
+	kinds := []string{
+		"kill primary", "freeze primary", "kill", "freeze", "one-way cut of servers", "partition", "cut from watchers",
+		"pause before promote", "kill watcher", "freeze watcher", "lag", "drops", "leaving", "isolate primary from replicas",
+	}
 	kind := kinds[w.random.IntN(len(kinds))]
 	w.faults = append(w.faults, fmt.Sprint(kind, " at ", w.now.Sub(time.Unix(1000, 0)), " for ", down))
 	switch kind {
--- a/internal/database/postgres/connector.go
+++ b/internal/database/postgres/connector.go
@@ -42,6 +42,8 @@
 // Connector opens connections over TCP. The zero value is ready for use.
 type Connector struct {
 	ConnectTimeout time.Duration // 0 is 5 s; the context can end it earlier
+	// Dial opens the TCP connection; nil is a plain dial.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 var (
@@ -68,7 +70,7 @@
 	if config.ConnectTimeout == 0 {
 		config.ConnectTimeout = defaultConnectTimeout
 	}
-	config.DialFunc = dialOnce()
+	config.DialFunc = dialOnce(c.Dial)
 	pg, err := pgconn.ConnectConfig(ctx, config)
 	if err != nil {
 		return nil, connectError(s, err)
@@ -78,14 +80,16 @@
 
 // dialOnce refuses all dials but the first. pgconn would otherwise dial again to cancel a statement, which takes a place
 // at a server whose connections are scarce.
-func dialOnce() pgconn.DialFunc {
+func dialOnce(dial pgconn.DialFunc) pgconn.DialFunc {
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
 	var dialled atomic.Bool
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		if dialled.Swap(true) {
 			return nil, eris.New("no second dial")
 		}
-		var dialer net.Dialer
-		return dialer.DialContext(ctx, network, address)
+		return dial(ctx, network, address)
 	}
 }
 
--- a/internal/fleet/document/document.go
+++ b/internal/fleet/document/document.go
@@ -29,10 +29,11 @@
 	Roster        = "roster"
 	Configuration = "configuration"
 	Keys          = "keys"
+	Groups        = "groups"
 )
 
 // Names returns the names of all documents in order.
-func Names() []string { return []string{Configuration, Keys, Roster} }
+func Names() []string { return []string{Configuration, Groups, Keys, Roster} }
 
 // maximumOrigins is the number of changes that a document remembers, so that a lost answer can be settled although
 // other changes have followed.
--- a/internal/fleet/exchange/poll.go
+++ b/internal/fleet/exchange/poll.go
@@ -85,3 +85,6 @@
 
 // Pollers returns the members that poll the store all the time.
 func Pollers(r roster.Roster) []roster.Member { return r.Pollers(pollers) }
+
+// StoreAge returns the age of the store entry; it is false if there is none.
+func (s *State) StoreAge(now time.Time) (time.Duration, bool) { return s.ages.StoreAge(now) }
--- a/internal/fleet/lease/holder.go
+++ b/internal/fleet/lease/holder.go
@@ -37,6 +37,7 @@
 	epochs      map[Shard]uint64
 	rounds      uint64
 	released    []Round
+	majority    int
 }
 
 // NewHolder returns a holder that wants no shard. The incarnation must differ from those of earlier processes of the
@@ -44,10 +45,14 @@
 func NewHolder(candidate string, incarnation uint64) *Holder {
 	return &Holder{
 		candidate: candidate, incarnation: incarnation,
-		shards: make(map[Shard]*candidacy), epochs: make(map[Shard]uint64),
+		shards: make(map[Shard]*candidacy), epochs: make(map[Shard]uint64), majority: Majority,
 	}
 }
 
+// SetVoters sets the number of voters of each committee, for rosters with fewer members than Committee. Voters that are
+// new under a roster abstain, so that the number may change with the roster.
+func (h *Holder) SetVoters(n int) { h.majority = min(max(n, 1), Committee)/2 + 1 }
+
 // Want sets the shards to hold. Those that are not wanted any more are given up at once.
 func (h *Holder) Want(now time.Time, shards []Shard) {
 	for _, s := range shards {
@@ -119,7 +124,7 @@
 		}
 		c.voters = append(c.voters, voter)
 		until := c.sent.Add(Valid)
-		if len(c.voters) < Majority || !now.Before(until) {
+		if len(c.voters) < h.majority || !now.Before(until) {
 			continue
 		}
 		c.wins = true
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -62,10 +62,13 @@
 	peers map[string]peerv1connect.PeerServiceClient
 }
 
-// NewClient returns a client that authenticates its calls with the fleet secret.
-func NewClient(secret []byte) *Client {
+// Dial opens a connection to an instance.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewClient returns a client that authenticates its calls with the fleet secret. A nil dial is plain TCP.
+func NewClient(secret []byte, dial Dial) *Client {
 	return &Client{
-		http: &http.Client{Transport: newTransport()}, auth: authenticator{secret: secret, now: time.Now},
+		http: &http.Client{Transport: newTransport(dial)}, auth: authenticator{secret: secret, now: time.Now},
 		peers: map[string]peerv1connect.PeerServiceClient{},
 	}
 }
--- a/internal/fleet/peer/exchange_bench_test.go
+++ b/internal/fleet/peer/exchange_bench_test.go
@@ -224,7 +224,7 @@
 	server := NewServer(NewHandler([]byte("secret"), emptyServices{}))
 	go func() { _ = server.Serve(l) }()
 	defer server.Close()
-	c := NewClient([]byte("secret"))
+	c := NewClient([]byte("secret"), nil)
 	defer c.Close()
 	ctx := context.Background()
 	must(c.Exchange(ctx, l.Addr().String(), exchange.Message{}))
--- a/internal/fleet/peer/peer.go
+++ b/internal/fleet/peer/peer.go
@@ -5,7 +5,7 @@
 //	server := peer.NewServer(peer.NewHandler(secret, services))
 //	go server.Serve(listener)
 //
-//	client := peer.NewClient(secret)
+//	client := peer.NewClient(secret, nil)
 //	defer client.Close()
 //	answer, err := client.Exchange(ctx, "10.0.0.7:7400", request)
 //	reply := client.Perform(ctx, "10.0.0.7:7400", "meals-1-a", op)
@@ -89,11 +89,14 @@
 	}
 }
 
-func newTransport() *http.Transport {
+func newTransport(dial Dial) *http.Transport {
+	if dial == nil {
+		dial = dialer.DialContext
+	}
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
-		Protocols: &protocols, IdleConnTimeout: idleTimeout, DialContext: dialer.DialContext,
+		Protocols: &protocols, IdleConnTimeout: idleTimeout, DialContext: dial,
 		HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 }
--- a/internal/fleet/peer/peer_test.go
+++ b/internal/fleet/peer/peer_test.go
@@ -74,7 +74,7 @@
 	}
 	server := peer.NewServer(peer.NewHandler([]byte("secret"), s))
 	go func() { _ = server.Serve(l) }()
-	c := peer.NewClient([]byte("secret"))
+	c := peer.NewClient([]byte("secret"), nil)
 	t.Cleanup(func() {
 		c.Close()
 		server.Close()
@@ -162,7 +162,7 @@
 		t.Fatal(err)
 	}
 	l.Close()
-	stranger := peer.NewClient([]byte("other"))
+	stranger := peer.NewClient([]byte("other"), nil)
 	t.Cleanup(stranger.Close)
 	abort := func(context.Context) operation.Reply { panic(http.ErrAbortHandler) }
 	hang := func(ctx context.Context) operation.Reply { <-ctx.Done(); return operation.Reply{} }
--- /dev/null
+++ b/internal/instance/daemon/fleet.go
@@ -0,0 +1,121 @@
+package daemon
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"tanagercross/internal/fleet/configuration"
+	"tanagercross/internal/fleet/document"
+	"tanagercross/internal/fleet/exchange"
+	"tanagercross/internal/fleet/roster"
+	"tanagercross/internal/organisation/key"
+	"tanagercross/internal/platform/store"
+)
+
+// snapshot is what requests and loops read of the fleet's state without a lock. It is immutable.
+type snapshot struct {
+	deadline    time.Time // the instance is fresh before this moment
+	roster      roster.Roster
+	rosterSince time.Time // when this version of the roster was taken over
+	members     []exchange.MemberState
+
+	configuration        configuration.Document
+	configurationVersion uint64
+	keys                 key.Table
+	keysVersion          uint64
+	groups               []store.Group
+	groupsVersion        uint64
+}
+
+// fleet guards the exchange state and publishes snapshots of it.
+type fleet struct {
+	mu        sync.Mutex
+	state     *exchange.State
+	now       func() time.Time
+	published atomic.Pointer[snapshot]
+	// onChange is called with the lock held after each change of a document.
+	onChange func(before, after *snapshot)
+	onFault  func(err error)
+}
+
+func newFleet(p exchange.Params, now func() time.Time) *fleet {
+	f := &fleet{state: exchange.New(p, now()), now: now, onChange: func(_, _ *snapshot) {}, onFault: func(error) {}}
+	f.published.Store(&snapshot{})
+	return f
+}
+
+// view returns the last snapshot.
+func (f *fleet) view() *snapshot { return f.published.Load() }
+
+// update changes the state and publishes the result.
+func (f *fleet) update(change func(s *exchange.State, now time.Time)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	change(f.state, now)
+	f.publish(now)
+}
+
+// read looks at the state without changing it.
+func (f *fleet) read(look func(s *exchange.State)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	look(f.state)
+}
+
+func (f *fleet) publish(now time.Time) {
+	before := f.published.Load()
+	after := *before
+	after.deadline = f.state.Deadline(now)
+	after.roster = f.state.Roster()
+	after.members = f.state.Members()
+	if after.roster.Version() != before.roster.Version() {
+		after.rosterSince = now
+	}
+	changed := f.decode(&after)
+	f.published.Store(&after)
+	if changed || after.roster.Version() != before.roster.Version() {
+		f.onChange(before, &after)
+	}
+}
+
+// decode reads the documents whose versions changed. A document that cannot be read leaves the last one in use; the
+// fault is reported.
+func (f *fleet) decode(s *snapshot) bool {
+	changed := false
+	take := func(name string, held *uint64, read func(content []byte) error) {
+		d := f.state.Documents().Get(name)
+		if d.Version <= *held {
+			return
+		}
+		if err := read(d.Content); err != nil {
+			f.onFault(err)
+			return
+		}
+		*held, changed = d.Version, true
+	}
+	take(document.Configuration, &s.configurationVersion, func(content []byte) (err error) {
+		s.configuration, err = configuration.Parse(content)
+		return err
+	})
+	take(document.Keys, &s.keysVersion, func(content []byte) (err error) {
+		s.keys, err = key.ParseTable(content)
+		return err
+	})
+	take(document.Groups, &s.groupsVersion, func(content []byte) (err error) {
+		s.groups, err = decodeGroups(content)
+		return err
+	})
+	return changed
+}
+
+// Fresh implements execution.Freshness.
+func (f *fleet) Fresh(now time.Time) bool { return now.Before(f.view().deadline) }
+
+// document returns the newest version held of a document.
+func (f *fleet) document(name string) document.Document {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Documents().Get(name)
+}
--- /dev/null
+++ b/internal/instance/daemon/lanes.go
@@ -0,0 +1,194 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/lane"
+	"tanagercross/internal/database/pool"
+	"tanagercross/internal/fleet/exchange"
+	"tanagercross/internal/fleet/roster"
+)
+
+const (
+	laneTick    = 100 * time.Millisecond
+	laneTimeout = 2 * time.Second
+	// statementsAhead is how many statements a lane sends beyond the slots that it stands for, so that a slot does not
+	// wait for a round trip.
+	statementsAhead = 1
+)
+
+type laneEvent interface{ laneEvent() }
+
+type laneTried struct {
+	lane lane.Lane
+	kind pool.Kind // "" if the lane was taken
+}
+
+type laneLost struct{ lane lane.Lane }
+
+type laneReleased struct{ lane lane.Lane }
+
+func (laneTried) laneEvent()    {}
+func (laneLost) laneEvent()     {}
+func (laneReleased) laneEvent() {}
+
+// runLanes owns the planner of lanes until the context ends.
+func (d *Daemon) runLanes(ctx context.Context) {
+	self := lane.Candidate{Instance: d.settings.Name, Place: d.settings.Place}
+	planner := lane.NewPlanner(self, laneWeight, rand.Float64)
+	ticks, cancel := d.clock.Subscribe(laneTick)
+	defer cancel()
+	d.spawn(func() {
+		for range ticks {
+			d.laneEvents.Put(nil)
+		}
+	})
+	for {
+		events := d.laneEvents.Take(ctx)
+		if events == nil {
+			return
+		}
+		now := d.clock.Now()
+		changed := false
+		for _, e := range events {
+			changed = d.handleLane(planner, e, now) || changed
+		}
+		if changed {
+			d.shareOwn()
+			d.broadcast(ctx)
+		}
+		d.planLanes(ctx, planner, now)
+	}
+}
+
+func laneWeight(instance string, l lane.Lane) uint64 {
+	return xxhash.Sum64String(instance + "/" + l.Server + "/" + strconv.Itoa(l.Number))
+}
+
+func (d *Daemon) handleLane(p *lane.Planner, e laneEvent, now time.Time) (changed bool) {
+	switch e := e.(type) {
+	case laneTried:
+		switch e.kind {
+		case "":
+			p.Acquired(e.lane)
+			return true
+		case pool.Taken:
+			p.Busy(e.lane, now)
+		default:
+			p.Failed(e.lane, now)
+		}
+	case laneLost:
+		p.Lost(e.lane, now)
+		return true
+	case laneReleased:
+		p.Released(e.lane, now)
+		return true
+	}
+	return false
+}
+
+func (d *Daemon) planLanes(ctx context.Context, p *lane.Planner, now time.Time) {
+	view := d.fleet.view()
+	var servers []driver.Server
+	for _, g := range view.groups {
+		servers = append(servers, g.Servers...)
+	}
+	p.SetServers(servers, now)
+	p.SetCandidates(d.candidates(view.roster))
+	if d.draining.Load() {
+		p.Drain()
+	}
+	taken := d.takenLanes(view)
+	for _, s := range servers {
+		_, lanes := lane.Share(s.ConnectionLimit, lane.Reserve, s.Slots)
+		for n := range lanes {
+			l := lane.Lane{Server: s.Name, Number: n}
+			p.SetTaken(l, taken[l], now)
+		}
+	}
+	for _, a := range p.Tick(now) {
+		d.performLane(ctx, a, servers)
+	}
+}
+
+// candidates returns the members that are not leaving and that answered lately.
+func (d *Daemon) candidates(r roster.Roster) []lane.Candidate {
+	var candidates []lane.Candidate
+	for _, m := range r.Members() {
+		if !m.Leaving && (m.Name == d.settings.Name || d.liveness.alive(m.Name)) {
+			candidates = append(candidates, lane.Candidate{Instance: m.Name, Place: m.Place})
+		}
+	}
+	return candidates
+}
+
+// takenLanes returns the lanes that other live members tell that they hold.
+func (d *Daemon) takenLanes(view *snapshot) map[lane.Lane]bool {
+	taken := map[lane.Lane]bool{}
+	for _, m := range view.members {
+		if m.Member == d.settings.Name || !d.liveness.alive(m.Member) {
+			continue
+		}
+		for _, l := range m.Lanes {
+			taken[lane.Lane{Server: l.Server, Number: l.Lane}] = true
+		}
+	}
+	return taken
+}
+
+func (d *Daemon) performLane(ctx context.Context, a lane.Action, servers []driver.Server) {
+	switch a := a.(type) {
+	case lane.Try:
+		for _, s := range servers {
+			if s.Name == a.Lane.Server {
+				d.spawn(func() { d.tryLane(ctx, s, a.Lane) })
+			}
+		}
+	case lane.Release:
+		d.log.Info("releasing lane", "server", a.Lane.Server, "lane", a.Lane.Number, "reason", string(a.Reason))
+		d.spawn(func() {
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.settings.DrainDeadline)
+			defer cancel()
+			d.pool.Release(ctx, a.Lane.Server, a.Lane.Number)
+			d.laneEvents.Put(laneReleased{lane: a.Lane})
+		})
+	}
+}
+
+func (d *Daemon) tryLane(ctx context.Context, s driver.Server, l lane.Lane) {
+	ctx, cancel := context.WithTimeout(ctx, laneTimeout)
+	defer cancel()
+	share, lanes := lane.Share(s.ConnectionLimit, lane.Reserve, s.Slots)
+	inflight := max(1, s.Slots/max(1, lanes)) + statementsAhead
+	err := d.pool.Hold(ctx, s, l.Number, share, inflight)
+	kind := pool.Kind("")
+	if err != nil {
+		kind = pool.KindOf(err)
+		if kind == "" {
+			kind = pool.Unreachable
+		}
+	} else {
+		d.log.Info("lane taken", "server", s.Name, "lane", l.Number, "connections", share)
+	}
+	d.laneEvents.Put(laneTried{lane: l, kind: kind})
+}
+
+// shareOwn publishes this instance's small state to the exchange.
+func (d *Daemon) shareOwn() {
+	state := exchange.MemberState{Leaving: d.draining.Load(), Evidence: d.evidence.list()}
+	held := map[exchange.Lane]bool{}
+	for _, h := range d.pool.Held() {
+		held[exchange.Lane{Server: h.Server, Lane: h.Lane}] = true
+	}
+	for l := range maps.Keys(held) {
+		state.Lanes = append(state.Lanes, l)
+	}
+	d.fleet.update(func(s *exchange.State, now time.Time) { s.SetOwn(state, now) })
+}
--- a/internal/instance/metric/metric.go
+++ b/internal/instance/metric/metric.go
@@ -4,7 +4,7 @@
 //
 //	r := metric.New()
 //	r.Refused(outcome.QueueFull)
-//	r.ReadServed(driver.Primary, metric.ReplicaBehind)
+//	r.ReadServed(driver.Primary, route.PrimaryReplicaBehind)
 //	r.Request("statements.run", outcome.Done, 3*time.Millisecond)
 //	unregister := r.Gauge(metric.QueueLength, func() float64 { return float64(queue.Len()) }, metric.Label{Name: "server", Value: "meals-1-a"})
 //	mux.Handle("GET /metrics", r.Handler())
@@ -25,6 +25,7 @@
 
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/session/outcome"
+	"tanagercross/internal/session/route"
 )
 
 // Names of the counters and histograms.
@@ -54,22 +55,6 @@
 	RetryBudgetTokens GaugeName = "tanagercross_retry_budget_tokens"
 )
 
-// ReadReason says why a read was served where it was.
-type ReadReason string
-
-// Reasons of reads. Every read that no replica served has one of the reasons after ReplicaOther.
-const (
-	ReplicaNear     ReadReason = "replica_near"     // eligible replica in the same place
-	ReplicaOther    ReadReason = "replica_other"    // eligible replica elsewhere
-	ReplicaWaited   ReadReason = "replica_waited"   // replica that caught up within the wait
-	ReplicaAged     ReadReason = "replica_aged"     // replica within max_age_ms
-	PrimaryAsked    ReadReason = "primary_asked"    // the caller asked for the primary
-	ReplicaBehind   ReadReason = "replica_behind"   // no replica was at the position
-	ReplicaUnknown  ReadReason = "replica_unknown"  // no replica's position was known
-	ReplicaMissing  ReadReason = "replica_missing"  // no replica was reachable
-	WritesUnsettled ReadReason = "writes_unsettled" // the request named unresolved writes
-)
-
 // VersionName is the name of a versioned document.
 type VersionName string
 
@@ -125,14 +110,14 @@
 }
 
 // ReadServed counts a read by the role of the server that served it.
-func (r *Registry) ReadServed(role driver.Role, reason ReadReason) {
+func (r *Registry) ReadServed(role driver.Role, reason route.Reason) {
 	r.count(Reads, Label{"role", string(role)}, Label{"reason", string(reason)})
 }
 
 // Request records the duration of a request by route and outcome.
-func (r *Registry) Request(route string, o outcome.Outcome, d time.Duration) {
-	name := series(RequestDuration, Label{"route", route}, Label{"outcome", string(o)})
-	r.set.GetOrCreatePrometheusHistogramExt(name, latencyBounds).Update(d.Seconds())
+func (r *Registry) Request(name string, o outcome.Outcome, d time.Duration) {
+	full := series(RequestDuration, Label{"route", name}, Label{"outcome", string(o)})
+	r.set.GetOrCreatePrometheusHistogramExt(full, latencyBounds).Update(d.Seconds())
 }
 
 // Version sets the version of a document that is in force.
--- a/internal/instance/metric/metric_test.go
+++ b/internal/instance/metric/metric_test.go
@@ -11,6 +11,7 @@
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/instance/metric"
 	"tanagercross/internal/session/outcome"
+	"tanagercross/internal/session/route"
 )
 
 func scrape(r *metric.Registry) string {
@@ -25,7 +26,7 @@
 	r.Refused(outcome.QueueFull)
 	r.OutcomeUnknown(outcome.AnswerLost)
 	r.Retried(outcome.NoPrimary)
-	r.ReadServed(driver.Primary, metric.ReplicaBehind)
+	r.ReadServed(driver.Primary, route.PrimaryReplicaBehind)
 	r.Request("statements.run", outcome.Done, 3*time.Millisecond)
 	r.Version(metric.KeysVersion, 7)
 	remove := r.Gauge(metric.QueueLength, func() float64 { return 5 }, metric.Label{Name: "server", Value: `a"b`})
@@ -35,7 +36,7 @@
 		`tanagercross_refusals_total{reason="rate_exceeded"} 0`,
 		`tanagercross_unknown_outcomes_total{reason="answer_lost"} 1`,
 		`tanagercross_retries_total{reason="no_primary"} 1`,
-		`tanagercross_reads_total{role="primary",reason="replica_behind"} 1`,
+		`tanagercross_reads_total{role="primary",reason="primary_replica_behind"} 1`,
 		`tanagercross_request_duration_seconds_bucket{route="statements.run",outcome="done",le="0.002"} 0`,
 		`tanagercross_request_duration_seconds_bucket{route="statements.run",outcome="done",le="0.005"} 1`,
 		`tanagercross_version_in_force{document="keys"} 7`,
--- a/internal/instance/metric/reason.go
+++ b/internal/instance/metric/reason.go
@@ -13,7 +13,7 @@
 		outcome.QueueFull, outcome.QueueTimeout, outcome.DeadlineExceeded, outcome.NoPrimary, outcome.NoServer,
 		outcome.PrimaryReplaced, outcome.LaneUnavailable, outcome.ServerLeaving, outcome.ServerBehind,
 		outcome.ServerUnreachable, outcome.InstanceNotFresh, outcome.ConfigurationBehind, outcome.Draining,
-		outcome.RetryBudgetExhausted,
+		outcome.RetryBudgetExhausted, outcome.ServerBusy, outcome.TransactionLimit,
 	}
 }
 
--- a/internal/platform/rest/rest.go
+++ b/internal/platform/rest/rest.go
@@ -123,7 +123,7 @@
 	}
 	groups := make([]store.Group, 0, len(answer.Groups))
 	for _, g := range answer.Groups {
-		groups = append(groups, g.group())
+		groups = append(groups, g.Group())
 	}
 	return groups, nil
 }
--- a/internal/platform/rest/wire.go
+++ b/internal/platform/rest/wire.go
@@ -107,7 +107,8 @@
 	return out
 }
 
-func (g Group) group() store.Group {
+// Group returns the group that the wire form describes.
+func (g Group) Group() store.Group {
 	out := store.Group{Name: g.Name}
 	for _, s := range g.Servers {
 		out.Servers = append(out.Servers, driver.Server{
--- a/internal/request/execution/fake_test.go
+++ b/internal/request/execution/fake_test.go
@@ -11,6 +11,7 @@
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/operation"
 	"tanagercross/internal/session/outcome"
+	"tanagercross/internal/session/route"
 )
 
 // world is a group of three servers with a lagging view, in one thread of execution. A reign lasts while the same server
@@ -109,17 +110,19 @@
 
 func (c counter) Refused(outcome.Outcome, outcome.Reason) {}
 func (c counter) Retried(outcome.Reason)                  { c.retried++ }
-func (c counter) Read(driver.Role, string)                {}
+func (c counter) Read(driver.Role, route.Reason)          {}
 
 type router struct{ *world }
 
 func (r router) Read(q Query) (Choice, outcome.Reason) {
 	for n := range 3 {
-		if !slices.Contains(q.Excluded, r.name(n)) && !q.Primary {
-			return Choice{Server: r.name(n), Role: driver.Replica}, ""
+		if !slices.Contains(q.Excluded, r.name(n)) && (q.Mode == route.Session || q.Mode == route.MaxAge) {
+			return Choice{Server: r.name(n), Role: driver.Replica, AtLeast: q.AtLeast}, ""
 		}
 	}
-	return r.view, ""
+	view := r.view
+	view.AtLeast = q.AtLeast
+	return view, ""
 }
 
 func (w *world) store(r driver.Record) bool {
--- a/internal/request/execution/ports.go
+++ b/internal/request/execution/ports.go
@@ -8,6 +8,7 @@
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/operation"
 	"tanagercross/internal/session/outcome"
+	"tanagercross/internal/session/route"
 )
 
 // Ports are what the entry path needs from the rest of the instance. All are safe for concurrent use.
@@ -82,20 +83,21 @@
 // Query asks for a server for a read.
 type Query struct {
 	Group    string
+	Mode     route.Mode
 	AtLeast  driver.Position
-	MaxAge   time.Duration // 0 asks for the session mode
-	Primary  bool
-	Excluded []string // servers that were tried for this request
-	Waited   bool     // the bounded wait for a replica has been used
+	MaxAge   time.Duration // for mode MaxAge
+	Excluded []string      // servers that were tried for this request
+	Waited   bool          // the bounded wait for a replica has been used
 }
 
 // Choice is a server for one attempt.
 type Choice struct {
-	Server string
-	Role   driver.Role
-	Term   uint64        // term of the primary; 0 for a replica
-	Wait   time.Duration // if positive, ask again after this time; a replica is about to catch up
-	Cause  string        // why a read is not served by a replica; "" otherwise
+	Server  string
+	Role    driver.Role
+	Term    uint64          // term of the group
+	AtLeast driver.Position // for a read: to check on the connection
+	Wait    time.Duration   // if positive, ask again after this time; a replica is about to catch up
+	Cause   route.Reason
 }
 
 // Router chooses servers from what the instance knows of the groups.
@@ -131,6 +133,6 @@
 type Counter interface {
 	Refused(o outcome.Outcome, r outcome.Reason)
 	Retried(r outcome.Reason)
-	// Read counts a read by the role of its server and, if that is the primary, by cause.
-	Read(role driver.Role, cause string)
+	// Read counts a read by the role of its server and the reason of the choice.
+	Read(role driver.Role, cause route.Reason)
 }
--- a/internal/request/execution/read.go
+++ b/internal/request/execution/read.go
@@ -11,16 +11,13 @@
 
 // read tries servers until one answers. A read has no effect, so an attempt whose answer was lost may be repeated.
 func (x *execution) read(ctx context.Context, r Statement) Reply {
-	query := Query{Group: r.Group, MaxAge: r.MaxAge, Primary: r.Primary || len(r.Unresolved) > 0}
-	if r.MaxAge <= 0 || query.Primary {
-		query.AtLeast = x.session.Positions[r.Group]
-	}
+	query := Query{Group: r.Group, Mode: r.mode(), MaxAge: r.MaxAge, AtLeast: x.session.Positions[r.Group]}
 	attempts := retry.NewAttempts(x.options.Retry, x.deadline)
 	for {
 		choice, reason := x.chooseRead(ctx, &query)
 		verdict := outcome.NotRun(reason)
 		if reason == "" {
-			reply := x.readAt(ctx, r, query, choice)
+			reply := x.readAt(ctx, r, choice)
 			if verdict = reply.Verdict; verdict.Outcome == outcome.Done {
 				return reply
 			}
@@ -48,9 +45,9 @@
 	return choice, reason
 }
 
-func (x *execution) readAt(ctx context.Context, r Statement, q Query, c Choice) Reply {
+func (x *execution) readAt(ctx context.Context, r Statement, c Choice) Reply {
 	op := operation.Read{
-		Organisation: x.organisation, AtLeast: q.AtLeast, Statement: r.Statement, Durable: c.Role == driver.Primary,
+		Organisation: x.organisation, AtLeast: c.AtLeast, Statement: r.Statement, Durable: c.Role == driver.Primary,
 	}
 	reply, _ := x.ports.Performer.Perform(ctx, c.Server, op)
 	if reply.Verdict.Outcome != outcome.Done {
--- a/internal/request/execution/request.go
+++ b/internal/request/execution/request.go
@@ -5,6 +5,7 @@
 
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/session/outcome"
+	"tanagercross/internal/session/route"
 )
 
 // Request is one of Statement, Begin, Run, Commit, Rollback and Outcome.
@@ -31,6 +32,19 @@
 	Unresolved []string      // request ids whose replies the caller lost; a read then runs on the primary
 }
 
+// mode returns how a read is routed. All modes see the session's own writes.
+func (s Statement) mode() route.Mode {
+	switch {
+	case s.Primary:
+		return route.Primary
+	case len(s.Unresolved) > 0:
+		return route.Unresolved
+	case s.MaxAge > 0:
+		return route.MaxAge
+	}
+	return route.Session
+}
+
 // Begin opens an interactive transaction.
 type Begin struct {
 	Caller
