Keep the ranked view and read ages in roster order

Cause: at 200 members half of the exchange's time went into ranking all members at each tick and sorting ages. Change: the view of the roster is kept until the roster or a member's state changes; ages are read in roster order.

--- a/internal/fleet/exchange/merge.go
+++ b/internal/fleet/exchange/merge.go
@@ -111,22 +111,25 @@
 
 // addAges adds the store's age, and the members' ages if the peer may soon need them for majority mode.
 func (s *State) addAges(m *Message, now time.Time) {
-	m.Ages = s.ages.Ages(now, false)
-	age, known := s.ages.StoreAge(now)
+	age, known := s.ages.Age(freshness.StoreName, now)
+	if known {
+		m.Ages = []freshness.Age{{Member: freshness.StoreName, Age: age}}
+	}
 	if s.roster.Len() > allAgesRoster && known && age < agesAfter {
 		return
 	}
 	m.RosterVersion = s.roster.Version()
-	m.PackedAges = slices.Repeat([]byte{ageUnknown}, s.roster.Len())
-	for _, a := range s.ages.Ages(now, true) {
-		if i, ok := s.roster.Index(a.Member); ok {
-			m.PackedAges[i] = packAge(a.Age)
+	m.PackedAges = make([]byte, s.roster.Len())
+	for i, member := range s.roster.Members() {
+		m.PackedAges[i] = ageUnknown
+		if age, known := s.ages.Age(member.Name, now); known {
+			m.PackedAges[i] = packAge(age)
 		}
 	}
 }
 
 func (s *State) unpackAges(m Message) []freshness.Age {
-	ages := slices.Clone(m.Ages)
+	ages := append(make([]freshness.Age, 0, len(m.Ages)+len(m.PackedAges)), m.Ages...)
 	if m.RosterVersion != s.roster.Version() {
 		return ages
 	}
--- a/internal/fleet/exchange/poll.go
+++ b/internal/fleet/exchange/poll.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"tanagercross/internal/fleet/document"
-	"tanagercross/internal/fleet/roster"
+	"tanagercross/internal/fleet/freshness"
 )
 
 // Times of polling the store.
@@ -37,7 +37,7 @@
 	if s.poll.jitter == 0 {
 		s.poll.jitter = time.Duration(s.random.Int64N(int64(pollJitter))) + 1
 	}
-	age, known := s.ages.StoreAge(now)
+	age, known := s.ages.Age(freshness.StoreName, now)
 	if known && age < pollAfter+s.poll.jitter {
 		return false
 	}
@@ -45,17 +45,7 @@
 	return s.poll.last.IsZero() || since >= backoff+s.poll.jitter
 }
 
-func (s *State) polls() bool {
-	if s.roster.Len() == 0 {
-		return true
-	}
-	for _, m := range s.Roster().Pollers(pollers) {
-		if m.Name == s.params.Self {
-			return true
-		}
-	}
-	return false
-}
+func (s *State) polls() bool { return s.roster.Len() == 0 || s.current().polls }
 
 // Polling records that the store is asked now.
 func (s *State) Polling(now time.Time) { s.poll.last, s.poll.jitter = now, 0 }
@@ -82,6 +72,3 @@
 
 // PollFailed records that the store did not answer.
 func (s *State) PollFailed() { s.poll.failures++ }
-
-// Pollers returns the members that poll the store all the time.
-func Pollers(r roster.Roster) []roster.Member { return r.Pollers(pollers) }
--- a/internal/fleet/exchange/state.go
+++ b/internal/fleet/exchange/state.go
@@ -20,6 +20,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"tanagercross/internal/fleet/document"
@@ -57,6 +58,7 @@
 	round     []string
 	told      map[string][]document.Version // versions that peers were last known to hold
 	poll      poll
+	view      view
 }
 
 // New returns the state of an instance that starts at a moment.
@@ -72,11 +74,32 @@
 // Documents returns the documents held.
 func (s *State) Documents() *document.Set { return &s.documents }
 
-// Roster returns the roster held, with the leaving flags that the members have told.
-func (s *State) Roster() roster.Roster {
-	return s.roster.WithLeaving(func(name string) bool { return s.members.entries[name].value.Leaving })
+// view is what follows from a version of the roster and the members' states.
+type view struct {
+	version uint64
+	digest  uint64
+	roster  roster.Roster
+	polls   bool // whether this member polls the store all the time
+}
+
+// current returns the view of now. It is kept, because ranking all members at each tick takes more time than the rest
+// of the exchange in large rosters.
+func (s *State) current() view {
+	if s.view.version == s.roster.Version() && s.view.digest == s.members.digest {
+		return s.view
+	}
+	v := view{version: s.roster.Version(), digest: s.members.digest}
+	v.roster = s.roster.WithLeaving(func(name string) bool { return s.members.entries[name].value.Leaving })
+	v.polls = slices.ContainsFunc(v.roster.Pollers(pollers), func(m roster.Member) bool {
+		return m.Name == s.params.Self
+	})
+	s.view = v
+	return v
 }
 
+// Roster returns the roster held, with the leaving flags that the members have told.
+func (s *State) Roster() roster.Roster { return s.current().roster }
+
 // Deadline returns the moment from which the instance is no longer fresh; see freshness.Vector.
 func (s *State) Deadline(now time.Time) time.Time { return s.ages.Deadline(s.roster, now) }
 
--- a/internal/fleet/freshness/vector.go
+++ b/internal/fleet/freshness/vector.go
@@ -95,7 +95,7 @@
 	}
 }
 
-// at returns the moment of an entry; the instance itself knows all that it knows.
+// at returns the moment of an entry. The own entry is always of now, if the instance counts itself.
 func (v *Vector) at(name string, now time.Time) (time.Time, bool) {
 	if name == v.self {
 		return now, v.established
@@ -104,25 +104,12 @@
 	return t, ok
 }
 
-// StoreAge returns the age of the store entry; it is false if there is none.
-func (v *Vector) StoreAge(now time.Time) (time.Duration, bool) {
-	t, ok := v.entries[StoreName]
-	return now.Sub(t), ok
-}
-
-// Ages returns the entries younger than the bound, in name order. With members set to false only the store entry is
-// returned, which is all that others need while the store entry is young.
-func (v *Vector) Ages(now time.Time, members bool) []Age {
-	var ages []Age
-	for _, name := range slices.Sorted(maps.Keys(v.entries)) {
-		if age := now.Sub(v.entries[name]); age < Bound && (members || name == StoreName) {
-			ages = append(ages, Age{Member: name, Age: age})
-		}
-	}
-	if members && v.established {
-		ages = append(ages, Age{Member: v.self})
-	}
-	return ages
+// Age returns how old an entry is; it is false if there is none that is younger than the bound. The own entry has age 0
+// once the instance counts itself.
+func (v *Vector) Age(name string, now time.Time) (time.Duration, bool) {
+	t, ok := v.at(name, now)
+	age := now.Sub(t)
+	return age, ok && age < Bound
 }
 
 // Deadline returns the moment from which the instance is no longer fresh with what it has merged by now. An instance
