--- a/internal/fleet/exchange/poll.go
+++ b/internal/fleet/exchange/poll.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"tanagercross/internal/fleet/document"
+	"tanagercross/internal/fleet/freshness"
 	"tanagercross/internal/fleet/roster"
 )
 
@@ -37,7 +38,7 @@
 	if s.poll.jitter == 0 {
 		s.poll.jitter = time.Duration(s.random.Int64N(int64(pollJitter))) + 1
 	}
-	age, known := s.ages.StoreAge(now)
+	age, known := s.ages.Age(freshness.StoreName, now)
 	if known && age < pollAfter+s.poll.jitter {
 		return false
 	}
@@ -45,17 +46,7 @@
 	return s.poll.last.IsZero() || since >= backoff+s.poll.jitter
 }
 
-func (s *State) polls() bool {
-	if s.roster.Len() == 0 {
-		return true
-	}
-	for _, m := range s.Roster().Pollers(pollers) {
-		if m.Name == s.params.Self {
-			return true
-		}
-	}
-	return false
-}
+func (s *State) polls() bool { return s.roster.Len() == 0 || s.current().polls }
 
 // Polling records that the store is asked now.
 func (s *State) Polling(now time.Time) { s.poll.last, s.poll.jitter = now, 0 }
@@ -87,4 +78,6 @@
 func Pollers(r roster.Roster) []roster.Member { return r.Pollers(pollers) }
 
 // StoreAge returns the age of the store entry; it is false if there is none.
-func (s *State) StoreAge(now time.Time) (time.Duration, bool) { return s.ages.StoreAge(now) }
+func (s *State) StoreAge(now time.Time) (time.Duration, bool) {
+	return s.ages.Age(freshness.StoreName, now)
+}
