--- a/internal/database/failover/attempt.go
+++ b/internal/database/failover/attempt.go
@@ -22,7 +22,7 @@
 	for _, s := range w.servers {
 		term = max(term, s.status.Last.Term+1)
 	}
-	w.promised, w.promisedAt = term, now
+	w.promise(term, now)
 	w.attempt = &attempt{why: why, term: term, startedAt: now, stepAt: now}
 	out := make([]Action, 0, len(w.servers))
 	for _, s := range w.servers {
@@ -38,7 +38,7 @@
 	}
 	if e.Kind != "" {
 		if e.Kind == driver.Stale && a != nil && a.term == e.Term {
-			w.promised = max(w.promised, e.Status.Term)
+			w.promise(e.Status.Term, now)
 			w.abandon(now)
 		}
 		return nil
--- a/internal/database/failover/suspicion.go
+++ b/internal/database/failover/suspicion.go
@@ -35,7 +35,7 @@
 	if p == nil { // the list no longer has it
 		return missing
 	}
-	if w.quiet(p, now) {
+	if w.isSilent(p, now) {
 		return silent
 	}
 	if p.fresh(now) && p.asked.After(w.primaryAt) && (p.status.Role != driver.Primary || p.status.Term != w.term) {
@@ -56,8 +56,8 @@
 	return none
 }
 
-// quiet reports whether the primary has been silent too long since it last answered or became known.
-func (w *Watcher) quiet(p *server, now time.Time) bool {
+// isSilent reports whether the primary has been silent too long since it last answered or became known.
+func (w *Watcher) isSilent(p *server, now time.Time) bool {
 	last := p.answeredAt
 	if last.Before(w.primaryAt) {
 		last = w.primaryAt
@@ -136,7 +136,7 @@
 	if now.Sub(w.suspectAt) < w.startDelay || now.Before(w.notBefore) {
 		return out
 	}
-	if w.promised > w.term && now.Sub(w.promisedAt) < QuietTime {
+	if w.promised > w.term && now.Sub(w.promisedAt) < w.quiet {
 		return out
 	}
 	return append(out, w.start(why, now)...)
