Wait for a new primary in reads, bound deadlines

Cause: reads that need the primary used up their attempts within 60 ms, while a failover takes seconds. Change: such reads wait for the view like writes; callers' deadlines are at most 60 s and checked at admission. Result: a read and a write that were not run at a lost primary are done after 2 s on the new one.

--- a/internal/database/pool/pool_test.go
+++ b/internal/database/pool/pool_test.go
@@ -290,3 +290,28 @@
 		t.Errorf("executions %v, %d connections", s.executions, s.mostOpen)
 	}
 }
+
+// Guards against connections that stay open without use, and against a lane that opens more than it needs.
+func TestIdleConnections(t *testing.T) {
+	s := newFakeServer()
+	entered, unblock := block(s, "read")
+	p := hold(t, s, Options{Idle: 20 * time.Millisecond, Upkeep: 5 * time.Millisecond}, 9, 5)
+	var group sync.WaitGroup
+	for range 5 {
+		group.Go(func() { want(t, p.Perform(t.Context(), server, operation.Read{Organisation: "a"}), done) })
+	}
+	for range 5 {
+		<-entered
+	}
+	unblock()
+	group.Wait()
+	open := 0
+	for end := time.Now().Add(5 * time.Second); open != 1+DefaultReady && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		s.mu.Lock()
+		open = s.open
+		s.mu.Unlock()
+	}
+	if open != 1+DefaultReady || s.mostOpen > 9 {
+		t.Errorf("%d connections open, most %d", open, s.mostOpen)
+	}
+}
--- a/internal/request/execution/execution.go
+++ b/internal/request/execution/execution.go
@@ -34,8 +34,9 @@
 // Defaults of Options.
 const (
 	DefaultDeadline    = 10 * time.Second
-	DefaultPrimaryWait = 5 * time.Second // longest wait for a change of primary
-	DefaultShortWait   = time.Second     // wait for a change when the primary may still be alive
+	DefaultLongest     = 60 * time.Second // deadline that a caller may ask for
+	DefaultPrimaryWait = 5 * time.Second  // longest wait for a change of primary
+	DefaultShortWait   = time.Second      // wait for a change when the primary may still be alive
 	DefaultPoll        = 10 * time.Millisecond
 	DefaultLookup      = 25 * time.Millisecond  // first interval of lookups
 	DefaultLookupMost  = 400 * time.Millisecond // longest interval of lookups
@@ -45,6 +46,7 @@
 type Options struct {
 	Retry       retry.Policy
 	Deadline    time.Duration // for callers that give none
+	Longest     time.Duration
 	PrimaryWait time.Duration
 	ShortWait   time.Duration
 	Poll        time.Duration
@@ -60,6 +62,7 @@
 		}
 	}
 	set(&o.Deadline, DefaultDeadline)
+	set(&o.Longest, DefaultLongest)
 	set(&o.PrimaryWait, DefaultPrimaryWait)
 	set(&o.ShortWait, DefaultShortWait)
 	set(&o.Poll, DefaultPoll)
@@ -100,6 +103,9 @@
 	x := &execution{Engine: e, caller: r.from(), deadline: now.Add(e.options.Deadline)}
 	if d := x.caller.Deadline; !d.IsZero() {
 		x.deadline = d
+		if longest := now.Add(e.options.Longest); d.After(longest) {
+			x.deadline = longest
+		}
 	}
 	if d, ok := ctx.Deadline(); ok && d.Before(x.deadline) {
 		x.deadline = d
@@ -187,6 +193,9 @@
 	if x.caller.KeyHash == "" {
 		return outcome.NotRun(outcome.KeyMissing)
 	}
+	if !now.Before(x.deadline) {
+		return outcome.NotRun(outcome.DeadlineExceeded)
+	}
 	organisation, reason := x.ports.Keys.Organisation(x.caller.KeyHash)
 	if reason != "" {
 		return outcome.NotRun(reason)
--- a/internal/request/execution/execution_test.go
+++ b/internal/request/execution/execution_test.go
@@ -111,6 +111,7 @@
 		{Caller{KeyHash: "k"}, "g", " /* a /* b */ */ -- c\n;SET organisation = 'b'", outcome.RequestInvalid},
 		{Caller{KeyHash: "k"}, "g", "(select set_config('organisation', 'b', false))", outcome.RequestInvalid},
 		{Caller{KeyHash: "k"}, "g", "COMMIT", outcome.RequestInvalid},
+		{Caller{KeyHash: "k", Deadline: w.now.Add(-1)}, "g", "SELECT 1", outcome.DeadlineExceeded},
 	} {
 		r := w.engine().Execute(t.Context(), Statement{Caller: c.caller, Group: c.group, Statement: driver.Statement{SQL: c.sql}})
 		if r.Verdict.Outcome != outcome.NotRunOutcome || r.Verdict.Reason != c.want {
@@ -164,6 +165,23 @@
 	}
 }
 
+// Guards the availability during a failover: reads and writes that were not run wait for the new primary.
+func TestWaitForPrimary(t *testing.T) {
+	for _, write := range []bool{false, true} {
+		w := newWorld(1)
+		w.replies = []operation.Reply{
+			{Verdict: outcome.NotRun(outcome.PrimaryReplaced)}, {Verdict: outcome.NotRun(outcome.ServerUnreachable)},
+		}
+		w.lag = w.now.Add(2 * time.Second)
+		w.term, w.primary = 2, 1
+		caller := Caller{KeyHash: "k", Deadline: w.now.Add(4 * time.Second)}
+		r := w.engine().Execute(t.Context(), Statement{Caller: caller, Group: "g", Write: write, Primary: true, Statement: insert})
+		if r.Verdict.Outcome != outcome.Done || w.servers[2] != "s1" {
+			t.Errorf("write %v: %v, servers %v", write, r.Verdict, w.servers)
+		}
+	}
+}
+
 // withdrawingKeys withdraws the key after admission, which asks twice.
 type withdrawingKeys struct {
 	*world
--- a/internal/request/execution/fake_test.go
+++ b/internal/request/execution/fake_test.go
@@ -23,6 +23,7 @@
 	reign   int
 	index   uint64
 	view    Choice
+	lag     time.Time // the view learns nothing before
 	records map[string]driver.Record
 	runs    map[string]int
 	late    []func()
@@ -88,7 +89,7 @@
 
 func (w *world) Sleep(_ context.Context, d time.Duration) bool {
 	w.now = w.now.Add(d)
-	if w.random.IntN(4) == 0 {
+	if w.random.IntN(4) == 0 && w.now.After(w.lag) {
 		w.learn()
 	}
 	if w.random.IntN(4) == 0 {
--- a/internal/request/execution/read.go
+++ b/internal/request/execution/read.go
@@ -24,9 +24,6 @@
 			if verdict = reply.Verdict; verdict.Outcome == outcome.Done {
 				return reply
 			}
-			query.Excluded = append(query.Excluded, choice.Server)
-		} else {
-			query.Excluded = nil
 		}
 		reason = verdict.Reason
 		if verdict.Outcome == outcome.Unknown {
@@ -35,17 +32,32 @@
 		if denied := x.again(ctx, attempts, reason); denied != "" {
 			return refusedBy(verdict, denied)
 		}
+		if choice.Server == "" || choice.Role == driver.Primary {
+			// No other server is left to try, so that the next attempt waits for a newer view and starts over.
+			x.awaitChange(ctx, r.Group, choice.Term, x.changeWait(reason, attempts.Made()))
+			query.Excluded = nil
+			continue
+		}
+		query.Excluded = append(query.Excluded, choice.Server)
 	}
 }
 
+// chooseRead waits for a replica that is about to catch up, or for a primary if the read needs one.
 func (x *execution) chooseRead(ctx context.Context, q *Query) (Choice, outcome.Reason) {
-	choice, reason := x.ports.Router.Read(*q)
-	if reason == "" && choice.Wait > 0 && !q.Waited {
-		q.Waited = true
-		x.pause(ctx, choice.Wait)
-		choice, reason = x.ports.Router.Read(*q)
+	end := x.ports.Clock.Now().Add(x.options.PrimaryWait)
+	for {
+		choice, reason := x.ports.Router.Read(*q)
+		wait := x.options.Poll
+		switch {
+		case reason == "" && choice.Wait > 0 && !q.Waited:
+			q.Waited, wait = true, choice.Wait
+		case reason != outcome.NoPrimary || !x.ports.Clock.Now().Before(end):
+			return choice, reason
+		}
+		if !x.pause(ctx, wait) {
+			return choice, reason
+		}
 	}
-	return choice, reason
 }
 
 func (x *execution) readAt(ctx context.Context, r Statement, q Query, c Choice) Reply {
