Wait for a quiet listener at shutdown

A load test cut one request in 3 of 20 runs: connections in the kernel's accept queue are reset when the listener closes. A shutdown now fails readiness itself and accepts until no request has come for the quiet time, at most 5 s.

--- a/internal/instance/api/server.go
+++ b/internal/instance/api/server.go
@@ -38,6 +38,7 @@
 	DefaultIdleTimeout    = time.Minute
 	DefaultMaxConnections = 10_000
 	DefaultQuiet          = 500 * time.Millisecond
+	DefaultMaxQuiet       = 5 * time.Second
 )
 
 // Options of a Server. The zero value has the defaults, logs nothing and counts into a registry of its own.
@@ -48,9 +49,12 @@
 	WriteTimeout   time.Duration // from the end of the headers to the end of the answer
 	IdleTimeout    time.Duration
 	MaxConnections int
-	// Quiet is the time at shutdown in which connections are still served, each closed after its answer. It covers
-	// requests that are on their way on idle connections.
+	// Quiet is the time without a request after which a shutdown stops to accept connections. The balancer sees the
+	// failing readiness in this time and sends no more: a connection that is still in the accept queue of the kernel
+	// when the listener closes is reset.
 	Quiet time.Duration
+	// MaxQuiet ends the wait for a quiet time if requests keep coming.
+	MaxQuiet time.Duration
 }
 
 // Server serves the caller API on one listener.
@@ -61,6 +65,8 @@
 	http     *http.Server
 	open     atomic.Int64
 	draining atomic.Bool
+	last     atomic.Int64 // start of the latest request, in ns since base
+	base     time.Time
 }
 
 // Error is the error type of the package.
@@ -88,7 +94,7 @@
 // New returns a server that is not yet listening.
 func New(executor Executor, options Options) *Server {
 	options = options.withDefaults()
-	s := &Server{executor: executor, options: options, mux: newMuxer()}
+	s := &Server{executor: executor, options: options, mux: newMuxer(), base: time.Now()}
 	s.mount()
 	s.http = &http.Server{
 		Handler:           s,
@@ -115,6 +121,7 @@
 	o.IdleTimeout = orDefault(o.IdleTimeout, DefaultIdleTimeout)
 	o.MaxConnections = orDefault(o.MaxConnections, DefaultMaxConnections)
 	o.Quiet = orDefault(o.Quiet, DefaultQuiet)
+	o.MaxQuiet = orDefault(o.MaxQuiet, DefaultMaxQuiet)
 	return o
 }
 
@@ -133,7 +140,7 @@
 	var _ goahttp.Muxer = s.mux
 	statementsserver.Mount(s.mux, statementsserver.New(statements.NewEndpoints(statementService{s.executor}), s.mux, decoder, encoder, failed, format))
 	transactionsserver.Mount(s.mux, transactionsserver.New(transactions.NewEndpoints(transactionService{s.executor}), s.mux, decoder, encoder, failed, format))
-	aboutserver.Mount(s.mux, aboutserver.New(about.NewEndpoints(aboutService{s.executor}), s.mux, decoder, encoder, failed, format))
+	aboutserver.Mount(s.mux, aboutserver.New(about.NewEndpoints(aboutService{s.executor, &s.draining}), s.mux, decoder, encoder, failed, format))
 }
 
 // Serve accepts connections until Shutdown. It returns nil after Shutdown.
@@ -145,17 +152,12 @@
 	return &Error{Operation: "serve", Kind: ListenerFailed, Err: eris.Wrap(err, "accept")}
 }
 
-// Shutdown serves connections for the quiet time, each closed after its next answer, and then waits for running
-// requests until ctx ends. The executor should refuse new work before. At the end of ctx it closes what is left and
+// Shutdown makes the server unready and serves requests, each connection closed after its answer, until none has come
+// for the quiet time. It then waits for running requests until ctx ends. At the end of ctx it closes what is left and
 // fails with kind RequestsCut.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.draining.Store(true)
-	quiet := time.NewTimer(s.options.Quiet)
-	defer quiet.Stop()
-	select {
-	case <-quiet.C:
-	case <-ctx.Done():
-	}
+	s.awaitQuiet(ctx)
 	if err := s.http.Shutdown(ctx); err != nil {
 		_ = s.http.Close()
 		return &Error{Operation: "shutdown", Kind: RequestsCut, Err: eris.Wrap(err, "requests were still running")}
@@ -163,6 +165,26 @@
 	return nil
 }
 
+func (s *Server) awaitQuiet(ctx context.Context) {
+	started := time.Since(s.base)
+	timer := time.NewTimer(s.options.Quiet)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		now := time.Since(s.base)
+		left := s.options.Quiet - (now - max(started, time.Duration(s.last.Load())))
+		left = min(left, s.options.MaxQuiet-(now-started))
+		if left <= 0 {
+			return
+		}
+		timer.Reset(left)
+	}
+}
+
 // OpenConnections returns the number of open connections.
 func (s *Server) OpenConnections() int { return int(s.open.Load()) }
 
@@ -204,6 +226,9 @@
 		writeFailure(sw, x.refuse(outcome.KeyMissing, ""))
 		return
 	}
+	if !openRoute(pattern) {
+		s.last.Store(int64(time.Since(s.base)))
+	}
 	r.Body = http.MaxBytesReader(sw, r.Body, MaxBodyBytes)
 	s.mux.ServeHTTP(sw, r.WithContext(context.WithValue(r.Context(), exchangeKey{}, x)))
 }
--- a/internal/instance/api/service.go
+++ b/internal/instance/api/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"tanagercross/internal/database/driver"
@@ -84,7 +85,10 @@
 	return transactionAnswer(x, s.executor.End(ctx, r))
 }
 
-type aboutService struct{ executor Executor }
+type aboutService struct {
+	executor Executor
+	draining *atomic.Bool
+}
 
 var _ about.Service = aboutService{}
 
@@ -102,7 +106,10 @@
 
 // Ready implements about.Service.
 func (s aboutService) Ready(ctx context.Context) error {
-	reason := s.executor.Ready(ctx)
+	reason := outcome.Draining
+	if !s.draining.Load() {
+		reason = s.executor.Ready(ctx)
+	}
 	if reason == "" {
 		return nil
 	}
--- a/internal/tool/load/load.go
+++ b/internal/tool/load/load.go
@@ -12,8 +12,8 @@
 //	report := l.Report(contents, parameters)
 //
 // Each organisation offers requests at its rate in an open loop: a request for which no session is free is counted as
-// skipped. A session sends one request at a time, each to a random instance, and carries its session token. Repetitions
-// keep the request id and follow the documented rules: after not_run for a reason that another attempt can cure, and
+// skipped. A session sends one request at a time, each to a random instance that is ready, as behind the platform's
+// balancer, and carries its session token. Repetitions keep the request id and follow the documented rules: after not_run for a reason that another attempt can cure, and
 // after an unknown outcome.
 //
 // All errors are *Error.
@@ -118,6 +118,7 @@
 // run is the state of one run.
 type run struct {
 	options   Options
+	instances []*instance
 	ledger    *ledger.Ledger
 	client    *http.Client
 	latencies latencies
@@ -145,7 +146,14 @@
 		}
 		all.Go(func() { r.offer(offering, organisation.Rate, work) })
 	}
+	polling, stopPolling := context.WithCancel(ctx)
+	var polls sync.WaitGroup
+	for _, i := range r.instances {
+		polls.Go(func() { i.poll(polling) })
+	}
 	all.Wait()
+	stopPolling()
+	polls.Wait()
 	return r.summary(), nil
 }
 
@@ -189,6 +197,9 @@
 	}
 	transport := &http.Transport{MaxIdleConnsPerHost: sessions, IdleConnTimeout: 30 * time.Second}
 	r := &run{options: o, ledger: l, client: &http.Client{Transport: transport}}
+	for _, base := range o.Instances {
+		r.instances = append(r.instances, &instance{url: base})
+	}
 	r.left.Store(int64(o.MaxRequests))
 	return r, nil
 }
--- a/internal/tool/load/load_test.go
+++ b/internal/tool/load/load_test.go
@@ -48,6 +48,8 @@
 
 func (d *database) tenth() bool { d.calls++; return d.calls%10 == 0 }
 
+func (d *database) Ready(context.Context) outcome.Reason { return "" }
+
 func rowOf(s driver.Statement) ledger.Content {
 	t := ledger.Tag{Organisation: *s.Arguments[0], Session: *s.Arguments[1], RequestID: *s.Arguments[2]}
 	return ledger.Content{Group: "g", Organisation: t.Organisation, Tag: t, Count: 1}
