--- a/internal/instance/settings/settings_test.go
+++ b/internal/instance/settings/settings_test.go
@@ -85,6 +85,10 @@
 			t.Errorf("%s is not documented", s.Name)
 		}
 	}
+	page, err := os.ReadFile("../../../docs/SETTINGS.md")
+	if err != nil || !strings.Contains(string(page), markdown) {
+		t.Errorf("docs/SETTINGS.md does not hold this table (%v):\n%s", err, markdown)
+	}
 	if _, err := settings.Parse(nil, environment()); err != nil {
 		t.Error(err)
 	}
