Refuse input that overflows, redirects or needs quoting

A long x-deadline-ms overflowed to a negative duration, an unclean path was redirected without a typed answer, and names of organisations, which select a schema on the server, were not restricted. These, control characters in authors and reasons, malformed unresolved ids and equal listen addresses are now refused or bounded.

--- a/internal/instance/api/api_test.go
+++ b/internal/instance/api/api_test.go
@@ -147,6 +147,10 @@
 		len(e.last.Statement.Arguments) != 2 || e.last.Statement.Arguments[1] != nil {
 		t.Errorf("request %+v", e.last)
 	}
+	f.do(t, "POST", path, read, "x-api-key", k.Reveal(), "x-deadline-ms", "9223372036854775807")
+	if e.last.Deadline <= 0 {
+		t.Errorf("a long deadline became %s", e.last.Deadline)
+	}
 	// Keys in wrong places must not be echoed into the log.
 	_, _, echoed := f.do(t, "POST", path, `{"mode":"`+k.Reveal()+`","sql":"x"}`, "x-api-key", k.Reveal(), "x-request-id", k.Reveal())
 	_, _, echoed2 := f.do(t, "POST", path, `{"mode":"`+k.Reveal()+`","sql":"x"}`, "x-api-key", k.Reveal())
@@ -185,6 +189,8 @@
 		{"POST", path, `{"mode":"read","sql":"` + strings.Repeat("x", api.MaxBodyBytes) + `"}`, []string{"x-api-key", "k"}, 413, "request_too_large", "1048576"},
 		{"GET", "/v1/groups/g/requests/5", "", []string{"x-api-key", "k"}, 400, "request_invalid", "UUIDv7"},
 		{"GET", path, "", []string{"x-api-key", "k"}, 404, "request_invalid", "no such route"},
+		{"GET", "//v1/about", "", nil, 404, "request_invalid", "no such route"},
+		{"POST", path, `{"mode":"read","sql":"x","unresolved":["1"]}`, []string{"x-api-key", "k"}, 400, "request_invalid", "unresolved"},
 		{"DELETE", "/none", "", nil, 404, "request_invalid", "no such route"},
 	}
 	for _, c := range cases {
--- a/internal/instance/api/exchange.go
+++ b/internal/instance/api/exchange.go
@@ -106,7 +106,14 @@
 		c.SessionToken = *token
 	}
 	if deadlineMS != nil {
-		c.Deadline = time.Duration(*deadlineMS) * time.Millisecond
+		c.Deadline = fromMilliseconds(*deadlineMS)
 	}
 	return c
 }
+
+// maxMilliseconds keeps durations of callers far from overflow.
+const maxMilliseconds = int(366 * 24 * time.Hour / time.Millisecond)
+
+func fromMilliseconds(n int) time.Duration {
+	return time.Duration(min(n, maxMilliseconds)) * time.Millisecond
+}
--- a/internal/instance/api/server.go
+++ b/internal/instance/api/server.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"path"
 	"runtime/debug"
 	"strings"
 	"sync/atomic"
@@ -205,6 +206,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	_, pattern := s.mux.mux.Handler(r)
+	if path.Clean(r.URL.Path) != r.URL.Path {
+		pattern = "" // the mux would redirect, which is no typed answer
+	}
 	x.route = pattern
 	sw := &statusWriter{ResponseWriter: w, status: http.StatusOK}
 	defer s.finish(r.Context(), sw, x)
@@ -278,8 +282,8 @@
 }
 
 func openRoute(pattern string) bool {
-	_, path, _ := strings.Cut(pattern, " ")
-	return path == "/healthz" || path == "/readyz" || path == "/v1/about"
+	_, p, _ := strings.Cut(pattern, " ")
+	return p == "/healthz" || p == "/readyz" || p == "/v1/about"
 }
 
 func writeFailure(w http.ResponseWriter, b failureBody) {
--- a/internal/instance/api/service.go
+++ b/internal/instance/api/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/gen/about"
@@ -27,12 +26,17 @@
 		r.Statement.Arguments = append(r.Statement.Arguments, statementCell(c))
 	}
 	if p.MaxAgeMs != nil {
-		age := time.Duration(*p.MaxAgeMs) * time.Millisecond
+		age := fromMilliseconds(*p.MaxAgeMs)
 		r.MaxAge = &age
 	}
 	if r.Mode == Write && (r.MaxAge != nil || r.Primary) {
 		return nil, &refusal{body: x.refuse(outcome.RequestInvalid, "max_age_ms and primary belong to reads; allowed for mode write: neither")}
 	}
+	for _, id := range p.Unresolved {
+		if _, valid := requestID(id); !valid || id == "" {
+			return nil, &refusal{body: x.refuse(outcome.RequestInvalid, "unresolved must hold UUIDv7 in lower case")}
+		}
+	}
 	x.group = p.Group
 	return statementAnswer(x, s.executor.Statement(ctx, r))
 }
--- a/internal/instance/operator/operator_test.go
+++ b/internal/instance/operator/operator_test.go
@@ -155,6 +155,9 @@
 	expect(noHash, operator.Invalid, "hash: value (absent)")
 	expect(badLimit, operator.Invalid, "limit: value 0; allowed: 1 to 1000")
 	expect(large, operator.Invalid, "at most 1048576 bytes")
+	expect(apply(operator.Proposal{Author: "a\x1b[2J", Reason: "r"}), operator.Invalid, "printable text on one line")
+	_, badName := c.IssueKey(ctx, operator.IssueRequest{Organisation: "A'", Author: "a"})
+	expect(badName, operator.Invalid, `organisation: value "A'"; allowed: 1 to 64 of a-z`)
 	control.err = &operator.Error{Kind: operator.Conflict, Winner: &operator.Winner{Version: 8, Author: "rui"}}
 	expect(apply(good), operator.Conflict, "version 8 by rui was first")
 	control.err = &operator.Error{Kind: operator.Refused, Problems: []configuration.Problem{{Path: "member b2"}}}
--- a/internal/instance/operator/server.go
+++ b/internal/instance/operator/server.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
@@ -24,17 +25,16 @@
 
 const (
 	// maxBodyBytes holds the largest configuration document in JSON escapes.
-	maxBodyBytes    = 1 << 20
-	maxHeaderBytes  = 16 << 10
-	maxTextBytes    = 500
-	defaultHistory  = 20
-	maxHistory      = 1_000
-	readTimeout     = 10 * time.Second
-	writeTimeout    = time.Minute
-	idleTimeout     = time.Minute
-	bearer          = "Bearer "
-	organisationMax = 64
-	maxConnections  = 256
+	maxBodyBytes   = 1 << 20
+	maxHeaderBytes = 16 << 10
+	maxTextBytes   = 500
+	defaultHistory = 20
+	maxHistory     = 1_000
+	readTimeout    = 10 * time.Second
+	writeTimeout   = time.Minute
+	idleTimeout    = time.Minute
+	bearer         = "Bearer "
+	maxConnections = 256
 )
 
 // Options of a Server.
@@ -240,8 +240,8 @@
 	if err := required(operation, text{"organisation", p.Organisation}, text{"author", p.Author}); err != nil {
 		return nil, err
 	}
-	if len(p.Organisation) > organisationMax {
-		return nil, invalid(operation, "organisation", p.Organisation, "at most 64 bytes")
+	if !key.ValidOrganisation(p.Organisation) {
+		return nil, invalid(operation, "organisation", strconv.Quote(p.Organisation), key.OrganisationRule)
 	}
 	k, err := key.New()
 	if err != nil {
@@ -298,6 +298,10 @@
 		if strings.TrimSpace(t.value) == "" {
 			return invalid(operation, t.name, "(absent)", "1 to "+strconv.Itoa(maxTextBytes)+" bytes")
 		}
+		if strings.ContainsFunc(t.value, func(r rune) bool { return !unicode.IsPrint(r) }) {
+			// The text is shown in terminals and kept in the history.
+			return invalid(operation, t.name, strconv.Quote(t.value), "printable text on one line")
+		}
 		if len(t.value) > maxTextBytes {
 			return invalid(operation, t.name, strconv.Itoa(len(t.value))+" bytes", "1 to "+strconv.Itoa(maxTextBytes)+" bytes")
 		}
--- a/internal/instance/settings/settings.go
+++ b/internal/instance/settings/settings.go
@@ -23,6 +23,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -149,6 +150,12 @@
 		}
 		s.AdvertisePeers = s.ListenPeers
 	}
+	listeners := []netip.AddrPort{s.ListenCallers, s.ListenPeers, s.ListenOperators}
+	for i, a := range listeners {
+		if a.IsValid() && a.Port() != 0 && slices.Contains(listeners[:i], a) {
+			problems = append(problems, Problem{Setting: "listen addresses", Value: a.String(), Allowed: "a different address for each listener"})
+		}
+	}
 	if len(s.FleetSecrets) == 0 {
 		need("fleet_secret or fleet_secret_file", secretRule)
 	}
--- a/internal/instance/settings/settings_test.go
+++ b/internal/instance/settings/settings_test.go
@@ -60,6 +60,7 @@
 		{nil, []string{"PLATFORM_URL", "ftp://x"}, `value "ftp://x"; allowed: http or https URL`},
 		{nil, []string{"PEERS", "10.0.0.1"}, `TANAGERCROSS_PEERS: value "10.0.0.1"; allowed: up to 64 IP addresses`},
 		{nil, []string{"LISTEN_PEERS", "0.0.0.0:1"}, "advertise_peers: value (absent)"},
+		{nil, []string{"LISTEN_PEERS", "127.0.0.1:8080"}, "listen addresses: value 127.0.0.1:8080; allowed: a different address"},
 		{nil, []string{"LOG_LEVEL", "loud"}, `value "loud"; allowed: debug, info, warn or error`},
 		{nil, []string{"MAX_CONNECTIONS", "0"}, `value "0"; allowed: 1 to 1000000`},
 		{nil, []string{"FLEET_SECRET", "short-but-hidden"}, "TANAGERCROSS_FLEET_SECRET: value [redacted]; allowed: one or more secrets of at least 32 bytes"},
--- a/internal/organisation/key/key_test.go
+++ b/internal/organisation/key/key_test.go
@@ -78,6 +78,11 @@
 	if _, err := one.WithWithdrawn(k.Hash(), issued, "", ""); key.KindOf(err) != key.Incomplete {
 		t.Errorf("incomplete: %v", err)
 	}
+	quoted := one.Entries()[0]
+	quoted.Hash, quoted.Organisation = key.HashOf("x"), "a'; drop"
+	if _, err := one.WithIssued(quoted); key.KindOf(err) != key.Malformed {
+		t.Errorf("organisation that needs quoting: %v", err)
+	}
 	data, _ := json.Marshal(two)
 	back, err := key.ParseTable(data)
 	if err != nil || len(back.Entries()) != 1 || *back.Entries()[0].WithdrawnAt != issued.Add(time.Hour) {
--- a/internal/organisation/key/table.go
+++ b/internal/organisation/key/table.go
@@ -4,12 +4,22 @@
 	"crypto/subtle"
 	"encoding/json"
 	"maps"
+	"regexp"
 	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 )
 
+// OrganisationRule says which names of organisations are allowed. The name selects a schema on the database server, so it
+// holds no character that needs quoting.
+const OrganisationRule = "1 to 64 of a-z, 0-9 and _, starting with a letter"
+
+var organisationPattern = regexp.MustCompile(`^[a-z][a-z0-9_]{0,63}$`)
+
+// ValidOrganisation reports whether a name follows OrganisationRule.
+func ValidOrganisation(name string) bool { return organisationPattern.MatchString(name) }
+
 // Entry is one key of an organisation. WithdrawnAt is nil while the key is in use.
 type Entry struct {
 	Hash         Hash       `json:"hash"`
@@ -120,6 +130,8 @@
 		return &Error{Operation: operation, Kind: Incomplete, Err: eris.New("hash is required")}
 	case e.Organisation == "":
 		return &Error{Operation: operation, Kind: Incomplete, Err: eris.New("organisation is required")}
+	case !ValidOrganisation(e.Organisation):
+		return &Error{Operation: operation, Kind: Malformed, Err: eris.Errorf("organisation %q; allowed: %s", Redact(e.Organisation), OrganisationRule)}
 	case e.IssuedAt.IsZero() || e.IssuedBy == "":
 		return &Error{Operation: operation, Kind: Incomplete, Err: eris.New("issued_at and issued_by are required")}
 	}
