--- a/internal/instance/api/service.go
+++ b/internal/instance/api/service.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"time"
+	"sync/atomic"
 
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/gen/about"
@@ -26,12 +26,17 @@
 		r.Statement.Arguments = append(r.Statement.Arguments, statementCell(c))
 	}
 	if p.MaxAgeMs != nil {
-		age := time.Duration(*p.MaxAgeMs) * time.Millisecond
+		age := fromMilliseconds(*p.MaxAgeMs)
 		r.MaxAge = &age
 	}
 	if r.Mode == Write && (r.MaxAge != nil || r.Primary) {
 		return nil, &refusal{body: x.refuse(outcome.RequestInvalid, "max_age_ms and primary belong to reads; allowed for mode write: neither")}
 	}
+	for _, id := range p.Unresolved {
+		if _, valid := requestID(id); !valid || id == "" {
+			return nil, &refusal{body: x.refuse(outcome.RequestInvalid, "unresolved must hold UUIDv7 in lower case")}
+		}
+	}
 	x.group = p.Group
 	return statementAnswer(x, s.executor.Statement(ctx, r))
 }
@@ -84,7 +89,10 @@
 	return transactionAnswer(x, s.executor.End(ctx, r))
 }
 
-type aboutService struct{ executor Executor }
+type aboutService struct {
+	executor Executor
+	draining *atomic.Bool
+}
 
 var _ about.Service = aboutService{}
 
@@ -102,7 +110,10 @@
 
 // Ready implements about.Service.
 func (s aboutService) Ready(ctx context.Context) error {
-	reason := s.executor.Ready(ctx)
+	reason := outcome.Draining
+	if !s.draining.Load() {
+		reason = s.executor.Ready(ctx)
+	}
 	if reason == "" {
 		return nil
 	}
