--- a/internal/instance/daemon/join.go
+++ b/internal/instance/daemon/join.go
@@ -40,6 +40,7 @@
 		if m, ok := view.roster.Member(d.settings.Name); ok && m.Address == d.address && m.Place == d.settings.Place {
 			continue
 		}
+		d.log.Info("join needed", "held", view.roster.Version(), "members", len(view.roster.Members()), "listed", view.roster.Members())
 		next := d.rosterWithSelf(ctx, view.roster)
 		result := d.changeRoster(ctx, next, "join of "+d.settings.Name)
 		d.log.Info("joining the roster", "status", string(result.Status), "version", result.Version)
--- /dev/null
+++ b/internal/tool/deployment/deployment.go
@@ -0,0 +1,323 @@
+// Package deployment runs a whole deployment in one process on loopback: a platform stand-in, database groups, and
+// instances, with the latencies of a real one between them.
+//
+// # Usage
+//
+//	d, err := deployment.Start(ctx, deployment.Mutirao().WithInstances(3).WithGroups(1))
+//	if err != nil {
+//		return err
+//	}
+//	defer d.Stop()
+//	key, err := d.IssueKey(ctx, "sertao_coop")
+package deployment
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/instance/daemon"
+	"tanagercross/internal/instance/operator"
+	"tanagercross/internal/instance/settings"
+	"tanagercross/internal/platform/store"
+	"tanagercross/internal/standin/database"
+	"tanagercross/internal/standin/network"
+	"tanagercross/internal/standin/platform"
+)
+
+const (
+	serversPerGroup = 3
+	loopback        = "127.0.0.1:0"
+	platformPlace   = "platform"
+	callersPlace    = "callers"
+	readyPeriod     = 50 * time.Millisecond
+	drainDeadline   = 10 * time.Second
+)
+
+// Deployment is a running deployment.
+type Deployment struct {
+	profile   Profile
+	directory string
+	log       *slog.Logger
+	secrets   secrets
+	Network   *network.Network
+	Platform  *platform.Server
+	Databases []*Database
+	Instances []*daemon.Daemon
+	configs   []settings.Settings
+}
+
+// Database is one database server of a deployment.
+type Database struct {
+	*database.Server
+	Config database.Config
+	Group  string
+	Place  string
+}
+
+type secrets struct{ fleet, operator string }
+
+// Start starts a deployment and waits until every instance is ready.
+func Start(ctx context.Context, p Profile, log *slog.Logger) (*Deployment, error) {
+	directory, err := os.MkdirTemp("", "tanagercross-")
+	if err != nil {
+		return nil, eris.Wrap(err, "directory of the databases")
+	}
+	if log == nil {
+		log = slog.New(slog.DiscardHandler)
+	}
+	d := &Deployment{
+		profile: p, directory: directory, log: log, Network: network.New(p.latency),
+		secrets: secrets{fleet: randomSecret(), operator: randomSecret()},
+	}
+	for _, step := range []func(context.Context) error{d.startDatabases, d.startPlatform, d.startInstances, d.AwaitReady} {
+		if err := step(ctx); err != nil {
+			d.Stop()
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+func randomSecret() string {
+	secret := make([]byte, 32)
+	_, _ = rand.Read(secret)
+	return hex.EncodeToString(secret)
+}
+
+func (d *Deployment) startDatabases(ctx context.Context) error {
+	for g := range d.profile.Groups {
+		group := fmt.Sprintf("%s-%d", d.profile.GroupName, g+1)
+		configs, err := d.groupConfigs(group)
+		if err != nil {
+			return err
+		}
+		for i, c := range configs {
+			s, err := database.Start(ctx, c)
+			if err != nil {
+				return err
+			}
+			place := d.profile.Places[i%len(d.profile.Places)]
+			d.Databases = append(d.Databases, &Database{Server: s, Config: c, Group: group, Place: place})
+			d.Network.Register(s.Addr(), place)
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) groupConfigs(group string) ([]database.Config, error) {
+	configs := make([]database.Config, 0, serversPerGroup)
+	for i := range serversPerGroup {
+		name := fmt.Sprintf("%s-%c", group, 'a'+i)
+		directory := filepath.Join(d.directory, name)
+		if err := os.MkdirAll(directory, 0o755); err != nil {
+			return nil, eris.Wrap(err, "directory of "+name)
+		}
+		addresses, err := freeAddresses(2)
+		if err != nil {
+			return nil, err
+		}
+		configs = append(configs, database.Config{
+			Name: name, Address: addresses[0], ReplicationAddress: addresses[1], Directory: directory,
+			InitialPrimary: i == 0, ConnectionLimit: d.profile.ConnectionLimit, ConnectionDelay: d.profile.ConnectionDelay,
+			Slots: d.profile.Slots, ServiceTime: d.profile.ServiceTime, Lag: d.profile.Lag,
+		})
+	}
+	for i := range configs {
+		for j := range configs {
+			if i != j {
+				peer := database.Peer{Name: configs[j].Name, Address: configs[j].ReplicationAddress}
+				configs[i].Peers = append(configs[i].Peers, peer)
+			}
+		}
+	}
+	return configs, nil
+}
+
+// freeAddresses returns loopback addresses that were free a moment ago.
+func freeAddresses(n int) ([]string, error) {
+	addresses := make([]string, 0, n)
+	for range n {
+		l, err := net.Listen("tcp", loopback)
+		if err != nil {
+			return nil, eris.Wrap(err, "find a free port")
+		}
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, nil
+}
+
+func (d *Deployment) startPlatform(ctx context.Context) error {
+	config := platform.Config{Groups: d.groups()}
+	for i := range d.profile.Instances {
+		addresses, err := freeAddresses(1)
+		if err != nil {
+			return err
+		}
+		place := d.profile.Places[i%len(d.profile.Places)]
+		config.Instances = append(config.Instances, store.ListedInstance{
+			Name: fmt.Sprintf("i%02d", i+1), Address: addresses[0], Place: place,
+		})
+		d.Network.Register(addresses[0], place)
+	}
+	var err error
+	d.Platform, err = platform.Start(ctx, config)
+	if err != nil {
+		return err
+	}
+	d.Network.Register(d.Platform.Addr(), platformPlace)
+	for _, listed := range config.Instances {
+		s, err := d.settingsOf(listed)
+		if err != nil {
+			return err
+		}
+		d.configs = append(d.configs, s)
+	}
+	return nil
+}
+
+// groups returns the group list of the platform.
+func (d *Deployment) groups() []store.Group {
+	var groups []store.Group
+	for _, db := range d.Databases {
+		if len(groups) == 0 || groups[len(groups)-1].Name != db.Group {
+			groups = append(groups, store.Group{Name: db.Group})
+		}
+		g := &groups[len(groups)-1]
+		g.Servers = append(g.Servers, driver.Server{
+			Name: db.Config.Name, Group: db.Group, Place: db.Place, Address: db.Addr(), Slots: d.profile.Slots,
+			ConnectionLimit: d.profile.ConnectionLimit,
+		})
+	}
+	return groups
+}
+
+func (d *Deployment) settingsOf(listed store.ListedInstance) (settings.Settings, error) {
+	peers, err := netip.ParseAddrPort(listed.Address)
+	if err != nil {
+		return settings.Settings{}, eris.Wrap(err, "address of "+listed.Name)
+	}
+	return settings.Settings{
+		Name: listed.Name, Place: listed.Place, Region: listed.Place,
+		ListenCallers: netip.MustParseAddrPort(loopback), ListenPeers: peers,
+		ListenOperators: netip.MustParseAddrPort(loopback), AdvertisePeers: peers,
+		PlatformURL:  &url.URL{Scheme: "http", Host: d.Platform.Addr()},
+		FleetSecrets: []settings.Secret{settings.NewSecret(d.secrets.fleet)}, OperatorSecret: settings.NewSecret(d.secrets.operator),
+		DrainDeadline: drainDeadline, MaxConnections: 1000, ReadTimeout: drainDeadline, WriteTimeout: time.Minute,
+		IdleTimeout: time.Minute,
+	}, nil
+}
+
+func (d *Deployment) startInstances(ctx context.Context) error {
+	for i := range d.configs {
+		started, err := d.StartInstance(ctx, i)
+		if err != nil {
+			return err
+		}
+		d.Instances = append(d.Instances, started)
+	}
+	return nil
+}
+
+// StartInstance starts an instance under the settings of a number; the caller keeps it.
+func (d *Deployment) StartInstance(ctx context.Context, number int) (*daemon.Daemon, error) {
+	s := d.configs[number]
+	started, err := daemon.Start(ctx, daemon.Options{
+		Settings: s, Log: d.log.With("instance", s.Name), Dial: d.Network.Dialer(s.Place),
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.Network.Register(started.CallersAddress(), s.Place)
+	return started, nil
+}
+
+// AwaitReady waits until every instance says that it is ready.
+func (d *Deployment) AwaitReady(ctx context.Context) error {
+	for _, i := range d.Instances {
+		for !ready(ctx, i.CallersAddress()) {
+			select {
+			case <-ctx.Done():
+				return eris.Wrap(ctx.Err(), "wait for "+i.CallersAddress())
+			case <-time.After(readyPeriod):
+			}
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode < http.StatusBadRequest
+}
+
+// Operator returns a client of the operators' API of an instance.
+func (d *Deployment) Operator(number int) *operator.Client {
+	return operator.NewClient("http://"+d.Instances[number].OperatorsAddress(), d.secrets.operator)
+}
+
+// CallerURLs returns the base URLs of the caller API of all instances.
+func (d *Deployment) CallerURLs() []string {
+	urls := make([]string, 0, len(d.Instances))
+	for _, i := range d.Instances {
+		urls = append(urls, "http://"+i.CallersAddress())
+	}
+	return urls
+}
+
+// CallerDialer dials as a caller does, over the latency to clients.
+func (d *Deployment) CallerDialer() func(ctx context.Context, network, address string) (net.Conn, error) {
+	return d.Network.Dialer(callersPlace)
+}
+
+// Primary returns the server of a group that says it is primary of the highest term, or nil.
+func (d *Deployment) Primary(group string) *Database {
+	var best *Database
+	var term uint64
+	for _, db := range d.Databases {
+		if db.Group != group {
+			continue
+		}
+		if s := db.Status(); s.Role == driver.Primary && s.Term >= term {
+			best, term = db, s.Term
+		}
+	}
+	return best
+}
+
+// Stop stops everything and removes the files of the databases.
+func (d *Deployment) Stop() {
+	for _, i := range d.Instances {
+		if i != nil {
+			_ = i.Stop(context.Background())
+		}
+	}
+	for _, db := range d.Databases {
+		db.Stop()
+	}
+	if d.Platform != nil {
+		d.Platform.Stop()
+	}
+	_ = os.RemoveAll(d.directory)
+}
