--- a/internal/database/postgres/connector.go
+++ b/internal/database/postgres/connector.go
@@ -32,7 +32,8 @@
 )
 
 const (
-	connectionString = "user=tanagercross database=tanagercross sslmode=disable application_name=tanagercross"
+	name             = "tanagercross" // user, database and application
+	connectionString = "sslmode=disable"
 
 	defaultConnectTimeout = 5 * time.Second
 	laneIdleTimeout       = 6 * time.Second // a server closes a silent lane connection after this
@@ -64,6 +65,10 @@
 		return nil, &driver.Error{Operation: "connect", Kind: driver.Unreachable, Err: eris.Wrap(err, "port")}
 	}
 	config.Host, config.Port, config.Fallbacks = host, uint16(number), nil
+	// ParseConfig also reads PG* variables and files of the process's user; none of them may reach a server.
+	config.User, config.Database, config.Password = name, name, ""
+	config.RuntimeParams = map[string]string{"application_name": name}
+	config.ValidateConnect, config.AfterConnect = nil, nil
 	config.ConnectTimeout = c.ConnectTimeout
 	if config.ConnectTimeout == 0 {
 		config.ConnectTimeout = defaultConnectTimeout
--- a/internal/standin/database/config.go
+++ b/internal/standin/database/config.go
@@ -36,8 +36,9 @@
 	peerWriteTimeout  = time.Second
 	redialInterval    = 50 * time.Millisecond
 	stopTimeout       = 2 * time.Second
-	batchSize         = 256  // entries per replication message
-	inboxSize         = 4096 // replication messages that wait for the lag
+	batchSize         = 256      // entries per replication message
+	inboxSize         = 4096     // replication messages that wait for the lag
+	maximumMessage    = 16 << 20 // bytes of a client message
 )
 
 func (c Config) withDefaults() Config {
--- a/internal/standin/database/group_test.go
+++ b/internal/standin/database/group_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,13 +33,23 @@
 	servers []*database.Server
 }
 
+// nextPort starts at random, so that test processes on one machine rarely try the same ports.
+var nextPort atomic.Int32
+
+func init() { nextPort.Store(12000 + rand.Int32N(15000)) }
+
+// address returns a free address below the kernel's ephemeral range: with an ephemeral port, an outgoing connection took
+// the port of a killed server and its restart failed (address already in use).
 func address(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func newGroup(t *testing.T) *group {
--- a/internal/standin/database/organisation.go
+++ b/internal/standin/database/organisation.go
@@ -14,7 +14,7 @@
 	_ "modernc.org/sqlite" // registers the "sqlite" driver
 )
 
-const maximumReaders = 16 // SQLite connections per organisation
+const maximumReaders = 4 // SQLite connections per organisation
 
 var organisationPattern = regexp.MustCompile(`^[a-zA-Z0-9_-]{1,64}$`)
 
--- a/internal/standin/database/server.go
+++ b/internal/standin/database/server.go
@@ -48,7 +48,8 @@
 	sockets       map[net.Conn]bool // true for clients
 }
 
-// Start opens the log, rebuilds the SQLite files and serves until Stop, Kill or the end of the context.
+// Start opens the log, rebuilds the SQLite files and serves until Stop, Kill or the end of the context. Stop or
+// Kill must be called in any case, to remove the files.
 func Start(ctx context.Context, config Config) (*Server, error) {
 	config = config.withDefaults()
 	s := &Server{
--- a/internal/standin/database/session.go
+++ b/internal/standin/database/session.go
@@ -70,6 +70,7 @@
 		server: s, conn: conn, backend: pgproto3.NewBackend(conn, conn),
 		statements: map[string][]command{}, portals: map[string]*portal{},
 	}
+	c.backend.SetMaxBodyLen(maximumMessage)
 	if !c.startup() {
 		return
 	}
