--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -230,8 +230,6 @@
 	return m.Address
 }
 
-func (d *Daemon) shuffle(n int, swap func(i, j int)) { rand.Shuffle(n, swap) }
-
 func (d *Daemon) jitter(most time.Duration) time.Duration { return rand.N(most) }
 
 func (d *Daemon) wait(ctx context.Context, t time.Duration) {
--- a/internal/instance/daemon/exchanger.go
+++ b/internal/instance/daemon/exchanger.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"tanagercross/internal/fleet/document"
@@ -85,8 +87,8 @@
 
 // broadcast exchanges at once with all members of a small fleet, or with some of a large one.
 func (d *Daemon) broadcast(ctx context.Context) {
-	members := d.fleet.view().roster.Members()
-	d.shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	members := slices.Clone(d.fleet.view().roster.Members())
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	for _, m := range members[:min(len(members), broadcastPeers)] {
 		if m.Name != d.settings.Name {
 			d.spawn(func() { d.exchangeWith(ctx, m.Name) })
--- a/internal/instance/daemon/join.go
+++ b/internal/instance/daemon/join.go
@@ -40,7 +40,6 @@
 		if m, ok := view.roster.Member(d.settings.Name); ok && m.Address == d.address && m.Place == d.settings.Place {
 			continue
 		}
-		d.log.Info("join needed", "held", view.roster.Version(), "members", len(view.roster.Members()), "listed", view.roster.Members())
 		next := d.rosterWithSelf(ctx, view.roster)
 		result := d.changeRoster(ctx, next, "join of "+d.settings.Name)
 		d.log.Info("joining the roster", "status", string(result.Status), "version", result.Version)
@@ -106,7 +105,7 @@
 		if !ok {
 			continue
 		}
-		rest := slices.DeleteFunc(view.roster.Members(), func(m roster.Member) bool { return m.Name == gone })
+		rest := slices.DeleteFunc(slices.Clone(view.roster.Members()), func(m roster.Member) bool { return m.Name == gone })
 		result := d.changeRoster(ctx, roster.New(view.roster.Version()+1, rest), "removal of "+gone)
 		d.log.Info("removing a member", "member", gone, "status", string(result.Status))
 	}
--- a/internal/instance/daemon/lanes.go
+++ b/internal/instance/daemon/lanes.go
@@ -96,6 +96,9 @@
 
 func (d *Daemon) planLanes(ctx context.Context, p *lane.Planner, now time.Time) {
 	view := d.fleet.view()
+	if _, listed := view.roster.Member(d.settings.Name); !listed {
+		return // without a roster every instance would rank first for every lane
+	}
 	var servers []driver.Server
 	for _, g := range view.groups {
 		servers = append(servers, g.Servers...)
--- a/internal/tool/deployment/deployment.go
+++ b/internal/tool/deployment/deployment.go
@@ -17,12 +17,14 @@
 	"encoding/hex"
 	"fmt"
 	"log/slog"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"os"
 	"path/filepath"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -44,6 +46,9 @@
 	callersPlace    = "callers"
 	readyPeriod     = 50 * time.Millisecond
 	drainDeadline   = 10 * time.Second
+	firstPort       = 12000
+	ports           = 20000
+	portAttempts    = 1000
 )
 
 // Deployment is a running deployment.
@@ -146,18 +151,23 @@
 	return configs, nil
 }
 
-// freeAddresses returns loopback addresses that were free a moment ago.
+// freeAddresses returns loopback addresses that were free a moment ago. They are below the range of ports that outgoing
+// connections use, so that a server can come back under its address.
 func freeAddresses(n int) ([]string, error) {
 	addresses := make([]string, 0, n)
-	for range n {
-		l, err := net.Listen("tcp", loopback)
+	for range portAttempts {
+		if len(addresses) == n {
+			return addresses, nil
+		}
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+mathrand.IntN(ports)))
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, eris.Wrap(err, "find a free port")
+			continue
 		}
 		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
+		addresses = append(addresses, address)
 	}
-	return addresses, nil
+	return nil, eris.New("no free port found")
 }
 
 func (d *Deployment) startPlatform(ctx context.Context) error {
