Resolve duels of watchers and keep a cut-off primary from coming back

Cause: with equal ranks, which differing rosters can give, the watchers saw each promise at about the same time and started their next attempts together. Change: the quiet time after a promise carries jitter; a primary that stalls or is silent is the last choice for 5 s.

--- a/internal/database/failover/attempt.go
+++ b/internal/database/failover/attempt.go
@@ -8,7 +8,6 @@
 
 // attempt is one change of primary. Its term is never used again by this holder.
 type attempt struct {
-	why       suspicion
 	term      uint64
 	startedAt time.Time
 	fenced    []driver.Status // what the servers reported after they accepted the fence
@@ -17,13 +16,13 @@
 }
 
 // start fences all servers with a term above every term seen.
-func (w *Watcher) start(why suspicion, now time.Time) []Action {
+func (w *Watcher) start(now time.Time) []Action {
 	term := max(w.promised, w.term) + 1
 	for _, s := range w.servers {
 		term = max(term, s.status.Last.Term+1)
 	}
-	w.promised, w.promisedAt = term, now
-	w.attempt = &attempt{why: why, term: term, startedAt: now, stepAt: now}
+	w.promise(term, now)
+	w.attempt = &attempt{term: term, startedAt: now, stepAt: now}
 	out := make([]Action, 0, len(w.servers))
 	for _, s := range w.servers {
 		out = append(out, Fence{Server: s.name, Term: term, Holder: w.settings.Holder})
@@ -38,7 +37,7 @@
 	}
 	if e.Kind != "" {
 		if e.Kind == driver.Stale && a != nil && a.term == e.Term {
-			w.promised = max(w.promised, e.Status.Term)
+			w.promise(e.Status.Term, now)
 			w.abandon(now)
 		}
 		return nil
@@ -57,8 +56,8 @@
 }
 
 // choose promotes a server if it may. A server qualifies if it is at least as advanced as a majority of fenced servers,
-// itself included. The most advanced of the preferred ones is taken. The old primary of a failed or leaving term and
-// leaving servers are taken only if nothing better was fenced within AvoidWait.
+// itself included. The most advanced of the preferred ones is taken. A doubted primary and leaving servers are
+// taken only if nothing better was fenced within AvoidWait.
 func (w *Watcher) choose(now time.Time) []Action {
 	a := w.attempt
 	var best *driver.Status
@@ -69,7 +68,7 @@
 			continue
 		}
 		s := w.find(c.Server)
-		preferred := s != nil && !s.leaving && (c.Server != w.primary || !a.why.avoidsOld())
+		preferred := s != nil && !s.leaving && !w.doubts(c.Server, now)
 		if best == nil || (preferred && !bestPreferred) ||
 			(preferred == bestPreferred && c.Last.Compare(best.Last) > 0) {
 			best, bestPreferred = c, preferred
--- a/internal/database/failover/failover.go
+++ b/internal/database/failover/failover.go
@@ -50,6 +50,7 @@
 	StrayLimit    = 2 * time.Second        // a server left fenced for a term without primary for this long is taken back
 	AttemptLimit  = 700 * time.Millisecond // for each of the two steps of an attempt
 	AvoidWait     = 300 * time.Millisecond // wait for fences that allow a primary other than the old one
+	DoubtFor      = 5 * time.Second        // how long a doubted primary is the last choice
 	PauseLimit    = 500 * time.Millisecond // a longer time between two events means that the watcher was paused
 	OrderlyPeriod = 5 * time.Second        // between two attempts to replace a leaving primary
 )
--- a/internal/database/failover/suspicion.go
+++ b/internal/database/failover/suspicion.go
@@ -20,8 +20,24 @@
 	leaving    suspicion = "leaving"    // the list says that it leaves
 )
 
-// avoidsOld reports whether the old primary is the last choice for the new term.
-func (s suspicion) avoidsOld() bool { return s == silent || s == stalled || s == leaving }
+// doubt remembers a primary that seems not to answer or replicate. It starts earlier and lasts longer than suspicion: a
+// primary that a rival attempt has fenced no longer looks stalled, and as the most advanced server it would be promoted
+// again although it is cut off.
+func (w *Watcher) doubt(now time.Time) {
+	p := w.find(w.primary)
+	if p == nil {
+		return
+	}
+	stalling := !w.stalledAt.IsZero() && now.Sub(w.stalledAt) >= SilenceLimit
+	if stalling || w.isSilent(p, now) || w.cutOff(SilenceLimit, now) {
+		w.doubted, w.doubtedAt = p.name, now
+	}
+}
+
+// doubts reports whether a server is the last choice for a new term.
+func (w *Watcher) doubts(server string, now time.Time) bool {
+	return server == w.doubted && now.Sub(w.doubtedAt) < DoubtFor
+}
 
 // suspect returns what this watcher finds wrong with the primary.
 func (w *Watcher) suspect(now time.Time) suspicion {
@@ -35,7 +51,7 @@
 	if p == nil { // the list no longer has it
 		return missing
 	}
-	if w.quiet(p, now) {
+	if w.isSilent(p, now) {
 		return silent
 	}
 	if p.fresh(now) && p.asked.After(w.primaryAt) && (p.status.Role != driver.Primary || p.status.Term != w.term) {
@@ -44,7 +60,7 @@
 	if w.ahead() >= w.majority() {
 		return superseded
 	}
-	if (!w.stalledAt.IsZero() && now.Sub(w.stalledAt) >= StallLimit) || w.cutOff(now) {
+	if (!w.stalledAt.IsZero() && now.Sub(w.stalledAt) >= StallLimit) || w.cutOff(StallLimit, now) {
 		return stalled
 	}
 	if w.ahead() > 0 && now.Sub(w.promisedAt) >= StrayLimit {
@@ -56,8 +72,8 @@
 	return none
 }
 
-// quiet reports whether the primary has been silent too long since it last answered or became known.
-func (w *Watcher) quiet(p *server, now time.Time) bool {
+// isSilent reports whether the primary has been silent too long since it last answered or became known.
+func (w *Watcher) isSilent(p *server, now time.Time) bool {
 	last := p.answeredAt
 	if last.Before(w.primaryAt) {
 		last = w.primaryAt
@@ -78,10 +94,10 @@
 
 // cutOff reports whether so many replicas have heard nothing from the primary that it cannot reach a majority. It finds
 // a cut between the servers when there are no writes that would stall.
-func (w *Watcher) cutOff(now time.Time) bool {
+func (w *Watcher) cutOff(limit time.Duration, now time.Time) bool {
 	n := 0
 	for _, s := range w.servers {
-		if s.name != w.primary && w.noContact(s, StallLimit, now) {
+		if s.name != w.primary && w.noContact(s, limit, now) {
 			n++
 		}
 	}
@@ -118,6 +134,7 @@
 	if w.attempt != nil {
 		return w.proceed(now)
 	}
+	w.doubt(now)
 	var out []Action
 	why := w.suspect(now)
 	if (why == missing || why == silent || why == stalled) && now.Sub(w.reportedAt) >= ReportPeriod {
@@ -136,10 +153,10 @@
 	if now.Sub(w.suspectAt) < w.startDelay || now.Before(w.notBefore) {
 		return out
 	}
-	if w.promised > w.term && now.Sub(w.promisedAt) < QuietTime {
+	if w.promised > w.term && now.Sub(w.promisedAt) < w.quiet {
 		return out
 	}
-	return append(out, w.start(why, now)...)
+	return append(out, w.start(now)...)
 }
 
 // canFence reports whether a majority answers, so that a fence does not take a working server away for nothing. To
--- a/internal/database/failover/watcher.go
+++ b/internal/database/failover/watcher.go
@@ -38,6 +38,7 @@
 	primaryAt  time.Time // when the primary became known, or the watcher started or resumed
 	promised   uint64    // highest term promised by any server
 	promisedAt time.Time
+	quiet      time.Duration // how long the newest promise is left alone
 
 	replicated uint64    // last replicated index that the primary reported
 	stalledAt  time.Time // since when it has not moved although entries wait; zero if none wait
@@ -47,6 +48,8 @@
 	reportedAt  time.Time
 	suspicion   suspicion
 	suspectAt   time.Time // since when there is enough evidence for a change; zero if there is not
+	doubted     string
+	doubtedAt   time.Time
 	startDelay  time.Duration
 	notBefore   time.Time // back-off
 	attempt     *attempt
@@ -148,9 +151,7 @@
 		return
 	}
 	s.status, s.asked, s.answeredAt = status, asked, now
-	if status.Term > w.promised {
-		w.promised, w.promisedAt = status.Term, now
-	}
+	w.promise(status.Term, now)
 	switch {
 	case status.Role == driver.Primary:
 		w.newPrimary(status.Term, s.name, now)
@@ -181,14 +182,21 @@
 	}
 	w.term, w.primary, w.primaryAt = term, primary, now
 	w.replicated, w.stalledAt, w.suspectAt = 0, time.Time{}, time.Time{}
-	if term > w.promised {
-		w.promised, w.promisedAt = term, now
-	}
+	w.promise(term, now)
 	if w.attempt != nil && w.attempt.term <= term {
 		w.attempt = nil
 	}
 }
 
+// promise takes a promised term. The jitter keeps watchers of equal rank, which see a promise at the same time, from
+// starting their next attempts together: without it the seeded model had write gaps of 6 s.
+func (w *Watcher) promise(term uint64, now time.Time) {
+	if term > w.promised {
+		w.promised, w.promisedAt = term, now
+		w.quiet = QuietTime + time.Duration(w.settings.Random()*float64(RetryJitter))
+	}
+}
+
 func (w *Watcher) addEvidence(e PeerEvidence, now time.Time) {
 	for i := range w.evidence {
 		if w.evidence[i].From == e.From {
