--- a/internal/database/failover/faults_test.go
+++ b/internal/database/failover/faults_test.go
@@ -205,12 +205,13 @@
 	}
 	for name, c := range map[string]struct {
 		idle, left bool
+		gap        time.Duration
 		fault      func(w *world, p *database)
 	}{
 		"stalled in both directions":        {left: true, fault: func(w *world, p *database) { isolate(w, p, true, true) }},
 		"confirmations lost":                {left: true, fault: func(w *world, p *database) { isolate(w, p, false, true) }},
 		"cut while idle":                    {idle: true, left: true, fault: func(w *world, p *database) { isolate(w, p, true, true) }},
-		"majority fenced by a dead watcher": {fault: func(w *world, p *database) { foreign(w, p, 2) }},
+		"majority fenced by a dead watcher": {gap: 2500 * time.Millisecond, fault: func(w *world, p *database) { foreign(w, p, 2) }},
 		"replica fenced by a dead watcher":  {fault: func(w *world, p *database) { foreign(w, p, 1) }},
 		"leaving":                           {left: true, fault: func(w *world, p *database) { w.setLeaving(p.name, true) }},
 		"restart":                           {fault: func(w *world, p *database) { w.killDatabase(p, ms(100)) }},
@@ -223,7 +224,7 @@
 				w.run(w.now.Add(3 * time.Second))
 				w.idle = c.idle
 				w.run(w.now.Add(time.Second))
-				p := w.currentPrimary()
+				p, start := w.currentPrimary(), w.now
 				c.fault(w, p)
 				w.run(w.now.Add(4 * time.Second))
 				w.idle = false
@@ -231,6 +232,9 @@
 				if last := w.all[len(w.all)-1].at; w.now.Sub(last) > time.Second {
 					w.fail("no writes for %v", w.now.Sub(last))
 				}
+				if gap := w.gap(start, w.now); c.gap > 0 && gap > c.gap {
+					w.fail("write gap %v", gap)
+				}
 				if current := w.currentPrimary(); c.left && current == p {
 					w.fail("%s is still primary", p.name)
 				}
