--- a/internal/database/failover/watcher.go
+++ b/internal/database/failover/watcher.go
@@ -48,6 +48,8 @@
 	reportedAt  time.Time
 	suspicion   suspicion
 	suspectAt   time.Time // since when there is enough evidence for a change; zero if there is not
+	doubted     string
+	doubtedAt   time.Time
 	startDelay  time.Duration
 	notBefore   time.Time // back-off
 	attempt     *attempt
