--- a/internal/database/pool/pool.go
+++ b/internal/database/pool/pool.go
@@ -181,6 +181,9 @@
 
 // EndByKey ends the transactions and the queued work of a withdrawn key, and returns the number of transactions.
 func (p *Pool) EndByKey(keyHash string) int {
+	if keyHash == "" {
+		return 0
+	}
 	p.mu.Lock()
 	p.withdrawn[keyHash] = time.Now()
 	lanes := make([]*lane, 0, len(p.lanes))
--- a/internal/fleet/lease/holder.go
+++ b/internal/fleet/lease/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -55,7 +56,7 @@
 			h.shards[s] = &candidacy{next: now}
 		}
 	}
-	for s := range h.shards {
+	for _, s := range slices.Sorted(maps.Keys(h.shards)) {
 		if !slices.Contains(shards, s) {
 			delete(h.shards, s)
 			h.release(s)
@@ -79,7 +80,8 @@
 // Votes of a round that was lost are released, so that two candidates cannot split a committee for good.
 func (h *Holder) Tick(now time.Time, random Random) []Round {
 	started := make(map[uint64]*Round)
-	for s, c := range h.shards {
+	for _, s := range slices.Sorted(maps.Keys(h.shards)) {
+		c := h.shards[s]
 		if now.Before(c.next) {
 			continue
 		}
@@ -102,7 +104,6 @@
 	rounds := h.released
 	h.released = nil
 	for _, r := range started {
-		slices.Sort(r.Ballot.Shards)
 		rounds = append(rounds, *r)
 	}
 	slices.SortFunc(rounds, func(a, b Round) int { return cmp.Compare(a.Number, b.Number) })
--- a/internal/request/execution/execution.go
+++ b/internal/request/execution/execution.go
@@ -114,6 +114,9 @@
 	defer cancel()
 	reply := x.guarded(ctx, now, r)
 	reply.RequestID = x.requestID
+	if reply.Verdict.Outcome == outcome.Unknown {
+		reply.Group = recordedGroup(r)
+	}
 	if reply.Verdict.Outcome != outcome.Done {
 		e.ports.Counter.Refused(reply.Verdict.Outcome, reply.Verdict.Reason)
 	}
--- a/internal/request/execution/identity.go
+++ b/internal/request/execution/identity.go
@@ -105,15 +105,22 @@
 func checkStatement(s driver.Statement) outcome.Reason {
 	switch strings.ToLower(firstWord(s.SQL)) {
 	case "", "begin", "start", "commit", "end", "rollback", "abort", "prepare", "set", "reset", "discard", "listen",
-		"unlisten", "deallocate", "do", "execute":
+		"unlisten", "deallocate", "do", "execute", "copy":
 		return outcome.RequestInvalid
 	}
-	if strings.Contains(strings.ToLower(s.SQL), "set_config") {
-		return outcome.RequestInvalid
+	lower := strings.ToLower(s.SQL)
+	for _, name := range reservedNames {
+		if strings.Contains(lower, name) {
+			return outcome.RequestInvalid
+		}
 	}
 	return ""
 }
 
+// reservedNames are parts of the names of functions with which the proxy controls connections, lanes and groups. They
+// are refused anywhere in the text; data that contains them goes into arguments.
+var reservedNames = []string{"set_config", "advisory_", "group_fence", "group_promote", "group_await", "tanagercross_request"}
+
 // firstWord returns the first word of a statement after white space, semicolons, parentheses and comments.
 func firstWord(sql string) string {
 	for {
--- a/internal/request/execution/interactive.go
+++ b/internal/request/execution/interactive.go
@@ -88,7 +88,7 @@
 	}
 	if v.Reason == outcome.TransactionUnknown {
 		// The holder may have been restarted after a commit was sent.
-		return Reply{Verdict: outcome.NotKnown(outcome.AnswerLost), Group: a.group}
+		return Reply{Verdict: outcome.NotKnown(outcome.AnswerLost)}
 	}
 	return Reply{Verdict: v}
 }
--- a/internal/request/execution/request.go
+++ b/internal/request/execution/request.go
@@ -74,6 +74,23 @@
 	Group       string // set if the outcome is unknown: where to ask for it again
 }
 
+// recordedGroup returns the group that holds the record of a request, or "" if the request leaves none.
+func recordedGroup(r Request) string {
+	switch r := r.(type) {
+	case Statement:
+		if r.Write {
+			return r.Group
+		}
+	case Commit:
+		if h, err := parseHandle(r.Transaction); err == nil {
+			return h.Group
+		}
+	case Outcome:
+		return r.Group
+	}
+	return ""
+}
+
 func transactionOf(r Request) string {
 	switch r := r.(type) {
 	case Run:
--- a/internal/request/execution/settle.go
+++ b/internal/request/execution/settle.go
@@ -23,7 +23,7 @@
 		}
 		interval = min(2*interval, x.options.LookupMost)
 	}
-	return Reply{Verdict: open, Group: a.group}
+	return Reply{Verdict: open}
 }
 
 // lookUp asks the current primary once and reports whether the answer proves the outcome.
@@ -65,14 +65,14 @@
 	}
 	if expired(id, x.ports.Clock.Now()) {
 		message := "the record may have been removed"
-		return Reply{Verdict: outcome.NotKnown(outcome.OutcomeUnreadable).WithMessage(message), Group: r.Group}
+		return Reply{Verdict: outcome.NotKnown(outcome.OutcomeUnreadable).WithMessage(message)}
 	}
 	if _, reason := x.awaitPrimary(ctx, r.Group); reason != "" {
-		return Reply{Verdict: outcome.NotRun(reason), Group: r.Group}
+		return Reply{Verdict: outcome.NotRun(reason)}
 	}
 	a := attempted{group: r.Group, record: driver.Record{RequestID: id.String()}}
 	if reply, proved := x.lookUp(ctx, a); proved {
 		return reply
 	}
-	return Reply{Verdict: outcome.NotKnown(outcome.OutcomeUnreadable), Group: r.Group}
+	return Reply{Verdict: outcome.NotKnown(outcome.OutcomeUnreadable)}
 }
