Test release of a lane with an open transaction

Cause: a release must neither cut a transaction nor keep the lock. Change: test with two pools on one server.

--- a/internal/database/pool/pool_test.go
+++ b/internal/database/pool/pool_test.go
@@ -315,3 +315,29 @@
 		t.Errorf("%d connections open, most %d", open, s.mostOpen)
 	}
 }
+
+// Guards against a lane that two pools hold, and against a release that cuts an open transaction or keeps the lock.
+func TestRelease(t *testing.T) {
+	s := newFakeServer()
+	p := hold(t, s, Options{}, 9, 2)
+	id := begin(t, p, "a", "s", "")
+	other := New(s, Options{})
+	if err := other.Hold(t.Context(), driver.Server{Name: server}, 0, 9, 2); KindOf(err) != Taken {
+		t.Fatalf("second holder: %v", err)
+	}
+	released := make(chan struct{})
+	go func() { p.Release(t.Context(), server, 0); close(released) }()
+	for p.lanes[Holding{server, 0}].usable() {
+		time.Sleep(time.Millisecond)
+	}
+	want(t, p.Perform(t.Context(), server, operation.Read{Organisation: "a"}), outcome.NotRun(outcome.LaneUnavailable))
+	want(t, p.Perform(t.Context(), server, operation.Run{Organisation: "a", Session: "s", Transaction: id}), done)
+	commit := operation.Commit{Organisation: "a", Session: "s", Transaction: id, Record: driver.Record{RequestID: "1"}}
+	want(t, p.Perform(t.Context(), server, commit), done)
+	<-released
+	if err := other.Hold(t.Context(), driver.Server{Name: server}, 0, 9, 2); err != nil {
+		t.Fatalf("after the release: %v", err)
+	}
+	other.Drain(t.Context())
+	want(t, p.Perform(t.Context(), server, commit), outcome.NotKnown(outcome.AnswerLost))
+}
