Bound store attempts of large rosters during an outage

Cause: at 1,000 members the attempts during an outage grew to 255 a second. Change: members that are not pollers wait longer in large rosters, and start afresh once a peer has reached the store.

--- a/internal/fleet/exchange/poll.go
+++ b/internal/fleet/exchange/poll.go
@@ -9,11 +9,14 @@
 
 // Times of polling the store.
 const (
-	pollers     = 3
-	pollPeriod  = 500 * time.Millisecond
-	pollAfter   = 1500 * time.Millisecond
-	pollJitter  = time.Second
-	pollBackoff = 8 * time.Second // longest time between attempts of an instance that is not a poller
+	pollers    = 3
+	pollPeriod = 500 * time.Millisecond
+	pollAfter  = 1500 * time.Millisecond
+	pollJitter = time.Second
+	// The longest time between attempts of an instance that is not a poller is pollBackoff, or in large rosters
+	// pollSpacing for each member, so that during an outage all of them together ask about ten times a second.
+	pollBackoff = 8 * time.Second
+	pollSpacing = 100 * time.Millisecond
 )
 
 // poll is when the store was last asked, and how long an instance that is not a poller waits.
@@ -39,9 +42,13 @@
 	}
 	age, known := s.ages.Age(freshness.StoreName, now)
 	if known && age < pollAfter+s.poll.jitter {
+		if age < pollAfter {
+			s.poll.failures = 0 // a peer has reached the store
+		}
 		return false
 	}
-	backoff := min(pollPeriod<<min(s.poll.failures, 10), pollBackoff)
+	limit := max(pollBackoff, time.Duration(s.roster.Len())*pollSpacing)
+	backoff := min(pollPeriod<<min(s.poll.failures, 12), limit)
 	return s.poll.last.IsZero() || since >= backoff+s.poll.jitter
 }
 
--- a/internal/fleet/peer/exchange_bench_test.go
+++ b/internal/fleet/peer/exchange_bench_test.go
@@ -147,12 +147,13 @@
 					b.Skip("large rosters")
 				}
 				f := newFleet(b, size)
-				for range 6 {
+				// Until every member knows the states of all others.
+				for range 6 + size/50 {
 					f.second()
 				}
 				f.outage = outage
 				if outage {
-					for range 6 {
+					for range 10 {
 						f.second()
 					}
 				}
