--- a/internal/fleet/document/procedure.go
+++ b/internal/fleet/document/procedure.go
@@ -166,6 +166,9 @@
 	}
 }
 
+// Change returns the change of the procedure.
+func (p *Procedure) Change() Change { return p.change }
+
 // Step takes an event and returns the actions that follow from it.
 func (p *Procedure) Step(e Event, now time.Time) []Action {
 	switch e := e.(type) {
--- a/internal/fleet/exchange/faults_test.go
+++ b/internal/fleet/exchange/faults_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tanagercross/internal/fleet/document"
+	"tanagercross/internal/fleet/roster"
 )
 
 // fault is brought about for a while at a random moment.
@@ -103,14 +104,18 @@
 	}
 }
 
-// Guards against a configuration change that takes longer than five seconds without faults.
+// Guards against a configuration change that takes longer than five seconds without faults, or a second if the roster
+// is known to be settled.
 func TestChangeWithoutFaults(t *testing.T) {
-	n := newNetwork(t, 1, 21)
-	n.run(2 * time.Second)
-	n.propose(n.nodes[0])
-	n.run(5 * time.Second)
-	if n.count(document.InForce) != 1 {
-		t.Errorf("results %+v", n.results)
+	for limit, settled := range map[time.Duration]bool{5 * time.Second: false, time.Second: true} {
+		n := newNetwork(t, 1, 21)
+		n.settled = func() bool { return settled }
+		n.run(2 * time.Second)
+		n.propose(n.nodes[0])
+		n.run(limit)
+		if n.count(document.InForce) != 1 {
+			t.Errorf("settled %t: results %+v", settled, n.results)
+		}
 	}
 }
 
@@ -140,3 +145,30 @@
 		t.Error("not fresh with a holder of the change")
 	}
 }
+
+// Guards against an instance outside the roster that admits requests, since changes are in force without asking it, and
+// against a roster change that does not let it in.
+func TestJoin(t *testing.T) {
+	n := newNetwork(t, 1, 4)
+	joining := &node{name: "i-new"}
+	n.nodes = append(n.nodes, joining)
+	n.restart(joining)
+	n.run(3 * time.Second)
+	if joining.state.Fresh(n.now) || joining.state.Roster().Len() != 4 {
+		t.Error("fresh outside the roster, or without the roster")
+	}
+	o := n.nodes[0]
+	base, before := o.state.Documents().Get(document.Roster), o.state.Roster()
+	after := roster.New(2, append([]roster.Member{{Name: joining.name}}, before.Members()...))
+	content, err := after.Encode()
+	if err != nil || roster.CheckChange(before, after) != nil {
+		t.Fatal(err)
+	}
+	o.change = document.NewProcedure(
+		document.Change{ID: "join", Name: document.Roster, Base: 1, Author: "x", Content: content},
+		document.Params{Base: base, Roster: before, NextRoster: after}, n.now)
+	n.run(10 * time.Second)
+	if n.count(document.InForce) != 1 || !joining.state.Fresh(n.now) {
+		t.Errorf("results %+v, fresh %t", n.results, joining.state.Fresh(n.now))
+	}
+}
--- a/internal/fleet/exchange/network_test.go
+++ b/internal/fleet/exchange/network_test.go
@@ -83,13 +83,15 @@
 	inForce map[string]uint64
 	results []document.Result
 	reads   int
+	settled func() bool // whether a proposer takes its roster for settled
 }
 
 func newNetwork(t *testing.T, seed uint64, size int) *network {
 	n := &network{
-		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Now(), inForce: map[string]uint64{},
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1e9, 0), inForce: map[string]uint64{},
 		store: rows{rows: map[string]store.Row{}, made: map[string]string{}},
 	}
+	n.settled = func() bool { return n.random.IntN(4) > 0 }
 	var members []roster.Member
 	for i := range size {
 		members = append(members, roster.Member{Name: fmt.Sprintf("i-%03d", i), Place: fmt.Sprint(i % 3)})
@@ -287,13 +289,14 @@
 }
 
 func (n *network) finish(o *node, r document.Result) {
+	name := o.change.Change().Name
 	o.change = nil
 	n.results = append(n.results, r)
 	if r.Status == document.InForce {
-		n.inForce[document.Configuration] = max(n.inForce[document.Configuration], r.Version)
+		n.inForce[name] = max(n.inForce[name], r.Version)
 	}
 	if r.Status == document.Conflict {
-		made := n.store.made[fmt.Sprint(document.Configuration, "/", r.Winner.Version)]
+		made := n.store.made[fmt.Sprint(name, "/", r.Winner.Version)]
 		if made != r.Winner.ChangeID || r.Winner.Author == "" {
 			n.t.Errorf("conflict names %+v, made by %s", r.Winner, made)
 		}
@@ -309,7 +312,7 @@
 	o.change = document.NewProcedure(document.Change{
 		ID: fmt.Sprint(o.name, "/", n.random.Uint64()), Name: base.Name, Base: base.Version, Author: o.name,
 		Content: []byte(o.name),
-	}, document.Params{Base: base, Roster: o.state.Roster(), RosterSettled: n.random.IntN(4) > 0}, n.now)
+	}, document.Params{Base: base, Roster: o.state.Roster(), RosterSettled: n.settled()}, n.now)
 	n.step(o, document.Tick{})
 }
 
@@ -361,8 +364,10 @@
 		}
 		o.seen[v.Name] = v.Version
 	}
-	if held := o.state.Documents().Get(document.Configuration).Version; fresh && held < n.inForce[document.Configuration] {
-		n.t.Errorf("%s is fresh at version %d, in force %d", o.name, held, n.inForce[document.Configuration])
+	for name, version := range n.inForce {
+		if held := o.state.Documents().Get(name).Version; fresh && held < version {
+			n.t.Errorf("%s is fresh at %s version %d, in force %d", o.name, name, held, version)
+		}
 	}
 	if cut := o.noStore && o.noPeers; !cut {
 		o.cutSince = time.Time{}
