--- a/internal/standin/platform/fault.go
+++ b/internal/standin/platform/fault.go
@@ -11,10 +11,10 @@
 
 // Faults are the faults in force. It is also the JSON body of PUT /faults on the control port.
 type Faults struct {
-	Outage          bool  `json:"outage"`            // every call gets 503 without effect
-	LatencyMS       int64 `json:"latency_ms"`        // added before each call
-	LoseAnswers     int   `json:"lose_answers"`      // number of commits whose answers are lost after the effect
-	InstanceListLag int64 `json:"instance_list_lag"` // milliseconds
+	Outage            bool  `json:"outage"`       // every call gets 503 without effect
+	LatencyMS         int64 `json:"latency_ms"`   // added before each call
+	LoseAnswers       int   `json:"lose_answers"` // number of commits whose answers are lost after the effect
+	InstanceListLagMS int64 `json:"instance_list_lag_ms"`
 }
 
 // listing is a version of the instance list with the time from which it is true.
@@ -64,7 +64,7 @@
 
 // SetInstanceListLag sets how old the instance list is that callers see.
 func (s *Server) SetInstanceListLag(d time.Duration) {
-	s.changeFaults(func(f *Faults) { f.InstanceListLag = d.Milliseconds() })
+	s.changeFaults(func(f *Faults) { f.InstanceListLagMS = d.Milliseconds() })
 }
 
 // SetGroups replaces the list of database groups.
@@ -128,7 +128,7 @@
 func (s *Server) instanceList() []rest.Instance {
 	s.state.mu.Lock()
 	defer s.state.mu.Unlock()
-	seen := time.Now().Add(-time.Duration(s.state.faults.InstanceListLag) * time.Millisecond)
+	seen := time.Now().Add(-time.Duration(s.state.faults.InstanceListLagMS) * time.Millisecond)
 	for _, l := range slices.Backward(s.state.listings) {
 		if !l.since.After(seen) {
 			return l.instances
