Measure one exchange of large rosters

Cause: simulating 4,000 members in one process needs more memory than the machine gives. Change: a benchmark of one exchange between two members with full tables.

--- a/internal/fleet/peer/exchange_bench_test.go
+++ b/internal/fleet/peer/exchange_bench_test.go
@@ -33,7 +33,8 @@
 	tick     int
 }
 
-func newFleet(b testing.TB, size int) *fleet {
+// newFleet returns a roster of a size of which only the first members are simulated.
+func newFleet(b testing.TB, size, active int) *fleet {
 	f := &fleet{b: b, now: time.Now(), states: map[string]*exchange.State{}}
 	var members []roster.Member
 	for i := range size {
@@ -50,7 +51,7 @@
 	for _, name := range document.Names() {
 		f.versions = append(f.versions, document.Version{Name: name, Version: 1})
 	}
-	for i, name := range f.names {
+	for i, name := range f.names[:active] {
 		s := exchange.New(exchange.Params{Self: name, Incarnation: 1, Seed: uint64(i)}, f.now)
 		for _, n := range document.Names() {
 			s.MergeDocument(document.Document{Name: n, Version: 1, Content: content})
@@ -146,7 +147,7 @@
 				if size > 200 && testing.Short() {
 					b.Skip("large rosters")
 				}
-				f := newFleet(b, size)
+				f := newFleet(b, size, size)
 				// Until every member knows the states of all others.
 				for range 6 + size/50 {
 					f.second()
@@ -179,6 +180,45 @@
 	}
 }
 
+// BenchmarkPair measures one exchange between two members of a large roster, with all tables full. With young=true the
+// store entry is young; with young=false the members' ages are sent, as in majority mode. B/s and core% are for the 8
+// exchanges that a member makes and the 8 that it answers in a second.
+//
+//	go test -run '^$' -bench 'Pair' ./internal/fleet/peer
+func BenchmarkPair(b *testing.B) {
+	for _, size := range []int{200, 1000, 4000} {
+		for _, young := range []bool{true, false} {
+			b.Run(fmt.Sprintf("members=%d/young=%t", size, young), func(b *testing.B) {
+				f := newFleet(b, size, 2)
+				var members []exchange.MemberState
+				for _, name := range f.names {
+					members = append(members, exchange.MemberState{Member: name, Incarnation: 1, Sequence: 1})
+				}
+				for _, name := range f.names[:2] {
+					s := f.states[name]
+					s.Answer(exchange.Message{Members: members}, f.now)
+					s.Answered(f.now, f.names[2], exchange.Message{
+						RosterVersion: 1, PackedAges: make([]byte, size), Versions: f.versions,
+					}, f.now)
+				}
+				f.now = f.now.Add(3 * time.Second)
+				if young {
+					for _, name := range f.names[:2] {
+						f.states[name].Polled(f.now, f.versions)
+					}
+				}
+				f.bytes = 0
+				b.ResetTimer()
+				for b.Loop() {
+					f.exchange(f.names[0], f.names[1])
+				}
+				b.ReportMetric(8*float64(f.bytes)/float64(b.N), "B/s")
+				b.ReportMetric(100*8*b.Elapsed().Seconds()/float64(b.N), "core%")
+			})
+		}
+	}
+}
+
 // countingListener counts the bytes of its connections in both directions.
 type countingListener struct {
 	net.Listener
