Add the demonstration

Cause: a newcomer must see the whole path under failure with one command. Change: tanagercross demo starts a deployment in one process, runs roaming callers of eight organisations, kills the primary, changes the configuration, withdraws a key and prints the ledger's report. The first configuration version is written by the fleet, so that operators have a version to change.

--- a/cmd/tanagercross/demo.go
+++ b/cmd/tanagercross/demo.go
@@ -2,17 +2,42 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
+	"os"
 
 	"github.com/rotisserie/eris"
+
+	"tanagercross/internal/tool/demo"
+	"tanagercross/internal/tool/deployment"
 )
 
-// runDemo runs the demonstration with the arguments after "--". It is nil in builds without it.
-var runDemo func(ctx context.Context, arguments []string, out io.Writer, json bool) error
+// Sizes of the demonstration.
+const (
+	demoInstances = 3
+	demoGroups    = 1
+)
 
+// demonstrate runs the demonstration. Its last line on standard output is the report as one JSON object; with --json,
+// progress goes to standard error.
 func demonstrate(ctx context.Context, t *tool) error {
-	if runDemo == nil {
-		return eris.New("this build contains no demonstration")
+	progress := t.out
+	if t.options.json {
+		progress = io.Writer(os.Stderr)
+	}
+	profile := deployment.Mutirao().WithInstances(demoInstances).WithGroups(demoGroups)
+	report, err := demo.Run(ctx, demo.Options{Profile: profile}, progress)
+	if err != nil {
+		return err
+	}
+	data, err := json.Marshal(report)
+	if err != nil {
+		return eris.Wrap(err, "encode report")
+	}
+	fmt.Fprintln(t.out, string(data))
+	if n := report.Faults(); n > 0 {
+		return eris.Errorf("%d violations of correctness", n)
 	}
-	return runDemo(ctx, t.options.arguments, t.out, t.options.json)
+	return nil
 }
--- a/internal/instance/daemon/exchanger.go
+++ b/internal/instance/daemon/exchanger.go
@@ -125,6 +125,7 @@
 		if now := d.clock.Now(); now.Sub(listed) >= groupListPeriod {
 			listed = now
 			d.refreshGroups(ctx)
+			d.ensureConfiguration(ctx)
 		}
 	}
 }
--- a/internal/instance/daemon/join.go
+++ b/internal/instance/daemon/join.go
@@ -8,6 +8,7 @@
 
 	"github.com/google/uuid"
 
+	"tanagercross/internal/fleet/configuration"
 	"tanagercross/internal/fleet/document"
 	"tanagercross/internal/fleet/exchange"
 	"tanagercross/internal/fleet/roster"
@@ -140,22 +141,37 @@
 		return
 	}
 	content, err := encodeGroups(list)
-	held := d.fleet.document(document.Groups)
-	if err != nil || bytes.Equal(content, held.Content) {
+	if err != nil || bytes.Equal(content, d.fleet.document(document.Groups).Content) {
 		return
 	}
-	next := document.Document{
-		Name: document.Groups, Version: held.Version + 1, Content: content,
-		Origins: []document.Origin{{Version: held.Version + 1, ChangeID: uuid.NewString(), Author: d.settings.Name}},
+	d.replace(ctx, document.Groups, content, "group list of the platform")
+}
+
+// ensureConfiguration writes the built-in defaults as the first version, so that operators have a version to change.
+func (d *Daemon) ensureConfiguration(ctx context.Context) {
+	if d.fleet.view().configurationVersion > 0 {
+		return
 	}
-	data, err := next.Encode()
+	content, err := configuration.Document{}.YAML()
 	if err != nil {
 		return
 	}
-	conditions := []store.Condition{{Key: document.Key(document.Groups), Version: held.Version}}
-	writes := []store.Write{
-		{Key: document.Key(document.Groups), Value: data}, {Key: document.VersionKey(document.Groups)},
+	d.replace(ctx, document.Configuration, content, "built-in defaults")
+}
+
+// replace writes the next version of a document that needs no confirmation by members.
+func (d *Daemon) replace(ctx context.Context, name string, content []byte, reason string) {
+	held := d.fleet.document(name)
+	version := held.Version + 1
+	next := document.Document{Name: name, Version: version, Content: content, Origins: []document.Origin{{
+		Version: version, ChangeID: uuid.NewString(), Author: d.settings.Name, Reason: reason,
+	}}}
+	data, err := next.Encode()
+	if err != nil {
+		return
 	}
+	conditions := []store.Condition{{Key: document.Key(name), Version: held.Version}}
+	writes := []store.Write{{Key: document.Key(name), Value: data}, {Key: document.VersionKey(name)}}
 	// A conflict or a lost answer needs no handling: the next poll reads what is there.
 	if d.store.Commit(ctx, conditions, writes) == nil {
 		d.fleet.update(func(s *exchange.State, _ time.Time) { s.MergeDocument(next) })
--- a/internal/tool/deployment/deployment.go
+++ b/internal/tool/deployment/deployment.go
@@ -25,6 +25,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -33,6 +34,7 @@
 	"tanagercross/internal/instance/daemon"
 	"tanagercross/internal/instance/operator"
 	"tanagercross/internal/instance/settings"
+	"tanagercross/internal/organisation/key"
 	"tanagercross/internal/platform/store"
 	"tanagercross/internal/standin/database"
 	"tanagercross/internal/standin/network"
@@ -61,6 +63,7 @@
 	Platform  *platform.Server
 	Databases []*Database
 	Instances []*daemon.Daemon
+	Keys      map[string]key.Key // by organisation
 	configs   []settings.Settings
 }
 
@@ -189,6 +192,9 @@
 		return err
 	}
 	d.Network.Register(d.Platform.Addr(), platformPlace)
+	if err := d.seedKeys(ctx); err != nil {
+		return err
+	}
 	for _, listed := range config.Instances {
 		s, err := d.settingsOf(listed)
 		if err != nil {
@@ -318,11 +324,13 @@
 
 // Stop stops everything and removes the files of the databases.
 func (d *Deployment) Stop() {
+	var drains sync.WaitGroup
 	for _, i := range d.Instances {
 		if i != nil {
-			_ = i.Stop(context.Background())
+			drains.Go(func() { _ = i.Stop(context.Background()) })
 		}
 	}
+	drains.Wait()
 	for _, db := range d.Databases {
 		db.Stop()
 	}
--- a/internal/tool/load/load.go
+++ b/internal/tool/load/load.go
@@ -80,6 +80,8 @@
 	SessionRequests  int           // optional: requests after which a session ends and a new one starts
 	MaxRequests      int           // optional: requests of the whole run
 	Seed             uint64
+	// Dial opens the connections to instances; nil is plain TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Summary holds the figures of the generator itself.
@@ -195,7 +197,7 @@
 	for _, organisation := range o.Organisations {
 		sessions += organisation.Sessions
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: sessions, IdleConnTimeout: 30 * time.Second}
+	transport := &http.Transport{MaxIdleConnsPerHost: sessions, IdleConnTimeout: 30 * time.Second, DialContext: o.Dial}
 	r := &run{options: o, ledger: l, client: &http.Client{Transport: transport}}
 	for _, base := range o.Instances {
 		r.instances = append(r.instances, &instance{url: base})
