Start by rank after the quiet time of a foreign promise

Cause: the delay by rank ran at the same time as the quiet time, so watchers of different ranks still met. Change: the delay by rank follows the quiet time.

--- a/internal/database/failover/suspicion.go
+++ b/internal/database/failover/suspicion.go
@@ -153,7 +153,7 @@
 	if now.Sub(w.suspectAt) < w.startDelay || now.Before(w.notBefore) {
 		return out
 	}
-	if w.promised > w.term && now.Sub(w.promisedAt) < w.quiet {
+	if w.promised > w.term && now.Sub(w.promisedAt) < w.quiet+time.Duration(w.settings.Rank)*RankDelay {
 		return out
 	}
 	return append(out, w.start(now)...)
