Close idle connections before the test of a refused connection

Cause: the test failed once in a full run: the client reused a connection that the stopped platform had just closed, and a write on it is Unknown by design, because it may have been sent. Change: the test closes idle connections first, so that the connection is really refused; the expected kind stays.

--- a/internal/fleet/exchange/state.go
+++ b/internal/fleet/exchange/state.go
@@ -13,8 +13,8 @@
 //	answer := s.Answer(request, now)            // at the peer
 //	if s.PollDue(now) { ... s.Polled(before, versions) }
 //
-// In the steady state a message carries the versions of the documents, two digests, the store's age and a few server
-// positions. Documents are sent to a peer whose versions are older. States of members and groups are sent for a short
+// In the steady state a request carries the versions of the documents and two digests, and an answer also the ages of
+// the store and the witnesses and a few server positions. Documents are sent to a peer whose versions are older. States of members and groups are sent for a short
 // time after a change, and in turn while the digests differ. A State is not safe for concurrent use.
 package exchange
 
@@ -37,7 +37,7 @@
 // Params are what a State needs.
 type Params struct {
 	Self        string
-	Incarnation uint64
+	Incarnation uint64 // must grow with each restart, for example the start time in milliseconds
 	Seed        uint64
 	Check       document.Check // examines proposals; nil accepts all
 }
--- a/internal/platform/rest/rest_test.go
+++ b/internal/platform/rest/rest_test.go
@@ -67,6 +67,8 @@
 		t.Errorf("object: %q %v", data, err)
 	}
 	p.Stop()
+	// Without idle connections: a write on one that the platform has just closed may have been sent, and is Unknown.
+	s.Close()
 	if got := put(2); got != store.Unavailable {
 		t.Errorf("refused connection: %q", got)
 	}
