Compare large tables by buckets

Cause: at 1,000 members the digests still differed 26 s after the start, and members went on sending entries in turn. Change: a request asks about one of 64 buckets with its digest; tables of more than 256 entries send only the entries of a bucket that differs. Result: a test of 1,000 entries repairs ten missing ones within a round of buckets with fewer than 400 entries sent.

--- a/internal/fleet/exchange/merge.go
+++ b/internal/fleet/exchange/merge.go
@@ -14,6 +14,9 @@
 	if told, ok := s.told[peer]; ok {
 		m.Documents = s.documents.NewerThan(told)
 	}
+	s.bucket = (s.bucket + 1) % buckets
+	m.Bucket = s.bucket
+	m.MemberBucketDigest, m.GroupBucketDigest = s.members.buckets[s.bucket], s.groups.buckets[s.bucket]
 	m.Members = s.memberStates(s.members.rumours(now))
 	m.Groups = s.groupStates(s.groups.rumours(now))
 	return m
@@ -39,8 +42,8 @@
 	s.told[request.From] = request.Versions
 	m := s.message()
 	m.Documents = s.documents.NewerThan(request.Versions)
-	m.Members = s.memberStates(s.members.missing(request.MemberDigest, now))
-	m.Groups = s.groupStates(s.groups.missing(request.GroupDigest, now))
+	m.Members = s.memberStates(s.members.missing(request.MemberDigest, request.Bucket, request.MemberBucketDigest, now))
+	m.Groups = s.groupStates(s.groups.missing(request.GroupDigest, request.Bucket, request.GroupBucketDigest, now))
 	m.Groups = append(m.Groups, s.positions(m.Groups)...)
 	s.addAges(&m, now)
 	for _, c := range request.Proposals {
--- a/internal/fleet/exchange/message.go
+++ b/internal/fleet/exchange/message.go
@@ -69,8 +69,12 @@
 
 	MemberDigest uint64
 	GroupDigest  uint64
-	Members      []MemberState
-	Groups       []GroupState
+	// Bucket is set in requests only: the bucket of both tables that the sender asks about, with its digests.
+	Bucket             int
+	MemberBucketDigest uint64
+	GroupBucketDigest  uint64
+	Members            []MemberState
+	Groups             []GroupState
 
 	Proposals     []document.Change
 	Confirmations []document.Confirmation
--- a/internal/fleet/exchange/state.go
+++ b/internal/fleet/exchange/state.go
@@ -53,6 +53,7 @@
 	random    *rand.Rand
 	round     []string
 	told      map[string][]document.Version // versions that peers were last known to hold
+	bucket    int                           // last bucket asked about
 	poll      poll
 	view      view
 }
--- a/internal/fleet/exchange/state_test.go
+++ b/internal/fleet/exchange/state_test.go
@@ -1,6 +1,7 @@
 package exchange_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -72,3 +73,28 @@
 		t.Errorf("sent again: %+v", answer)
 	}
 }
+
+// Guards against large tables that never agree: entries of which the peer has not heard must reach it within a round of
+// all buckets.
+func TestBuckets(t *testing.T) {
+	now := time.Now()
+	var members []exchange.MemberState
+	for i := range 1000 {
+		members = append(members, exchange.MemberState{Member: fmt.Sprint(i), Incarnation: 1, Sequence: 1})
+	}
+	a := exchange.New(exchange.Params{Self: "a", Incarnation: 1}, now)
+	b := exchange.New(exchange.Params{Self: "b", Incarnation: 1}, now)
+	a.Answer(exchange.Message{From: "x", Members: members}, now)
+	b.Answer(exchange.Message{From: "x", Members: members[:990]}, now)
+	now = now.Add(time.Minute)
+	sent := 0
+	for range 70 {
+		answer := a.Answer(b.Request("a", now), now)
+		sent += len(answer.Members)
+		b.Answered(now, "a", answer, now)
+		now = now.Add(2 * time.Second)
+	}
+	if got := len(b.Members()); got != 1002 || sent > 400 {
+		t.Errorf("%d members known, %d entries sent", got, sent)
+	}
+}
--- a/internal/fleet/exchange/table.go
+++ b/internal/fleet/exchange/table.go
@@ -13,8 +13,12 @@
 const (
 	// rumourPeriod is how long an entry is sent after it changed here. Eight exchanges a second reach every member
 	// many times in it.
-	rumourPeriod     = 1500 * time.Millisecond
-	entriesPerSend   = 16
+	rumourPeriod   = 1500 * time.Millisecond
+	entriesPerSend = 16
+	// Tables of more than turnLimit entries are compared by buckets: sending the entries in turn would take longer than
+	// the time between two changes somewhere in a large fleet, so that members would never agree.
+	turnLimit        = 16 * entriesPerSend
+	buckets          = 64
 	positionsPerSend = 9
 )
 
@@ -30,7 +34,7 @@
 	entries map[string]entry[T]
 	names   []string // sorted; rebuilt when a name is added
 	digest  uint64
-	changed time.Time
+	buckets [buckets]uint64 // digest of the entries of each bucket
 	cursor  int
 	recent  []string // names changed within rumourPeriod, oldest first
 }
@@ -47,8 +51,9 @@
 	}
 	e := entry[T]{value: value, changed: old.changed, hash: hash}
 	t.digest += hash - old.hash
+	t.buckets[bucket(name)] += hash - old.hash
 	if hash != old.hash {
-		e.changed, t.changed = now, now
+		e.changed = now
 		t.recent = slices.DeleteFunc(t.recent, func(n string) bool { return n == name })
 		t.recent = append(t.recent, name)
 	}
@@ -59,6 +64,7 @@
 	for name, e := range t.entries {
 		if !keep(name) {
 			t.digest -= e.hash
+			t.buckets[bucket(name)] -= e.hash
 			delete(t.entries, name)
 		}
 	}
@@ -86,17 +92,32 @@
 	return names
 }
 
-// missing returns what a peer with another digest may lack: recent changes, and otherwise the next entries in turn.
-func (t *table[T]) missing(peerDigest uint64, now time.Time) []string {
+// missing returns what a peer with another digest may lack: recent changes, and otherwise the next entries in turn, or of
+// a large table the entries of the bucket that the peer asks about.
+func (t *table[T]) missing(peerDigest uint64, asked int, askedDigest uint64, now time.Time) []string {
 	if peerDigest == t.digest {
 		return nil
 	}
 	if names := t.rumours(now); len(names) > 0 {
 		return names
 	}
-	return t.turn(entriesPerSend)
+	if len(t.names) <= turnLimit {
+		return t.turn(entriesPerSend)
+	}
+	if asked < 0 || asked >= buckets || askedDigest == t.buckets[asked] {
+		return nil
+	}
+	var names []string
+	for _, n := range t.names {
+		if bucket(n) == asked {
+			names = append(names, n)
+		}
+	}
+	return names
 }
 
+func bucket(name string) int { return int(xxhash.Sum64String(name) % buckets) }
+
 // hasher builds the hash of the parts of an entry that must be the same everywhere.
 type hasher struct{ d xxhash.Digest }
 
--- a/internal/fleet/peer/message.go
+++ b/internal/fleet/peer/message.go
@@ -20,12 +20,14 @@
 	return &peerv1.ExchangeRequest{
 		From: m.From, Documents: documents, Members: encodeMembers(m.Members), Groups: encodeGroups(m.Groups, now),
 		Incarnation: m.Incarnation, MemberDigest: m.MemberDigest, GroupDigest: m.GroupDigest,
+		Bucket: uint32(m.Bucket), MemberBucketDigest: m.MemberBucketDigest, GroupBucketDigest: m.GroupBucketDigest,
 	}, err
 }
 
 func decodeRequest(r *peerv1.ExchangeRequest, now time.Time) (exchange.Message, error) {
 	m := exchange.Message{
 		From: r.From, Incarnation: r.Incarnation, MemberDigest: r.MemberDigest, GroupDigest: r.GroupDigest,
+		Bucket: int(r.Bucket), MemberBucketDigest: r.MemberBucketDigest, GroupBucketDigest: r.GroupBucketDigest,
 		Members: decodeMembers(r.Members), Groups: decodeGroups(r.Groups, now),
 	}
 	return m, decodeDocuments(&m, r.Documents, func(content []byte) error {
--- a/internal/fleet/peer/peer_test.go
+++ b/internal/fleet/peer/peer_test.go
@@ -133,6 +133,7 @@
 	}
 	request := s.message
 	request.From, request.Confirmations = "b", nil
+	request.Bucket, request.MemberBucketDigest, request.GroupBucketDigest = 7, 8, 9
 	request.Ages, request.RosterVersion, request.PackedAges = nil, 0, nil
 	request.Proposals = []document.Change{{ID: "c", Name: "keys", Base: 2, Author: "x", Content: []byte{2}}}
 	answer, err := c.Exchange(t.Context(), address, request)
