Let a deployment kill, restart and cut single instances

Cause: experiments need faults of one instance, not of a place, and an abrupt end. Change: each instance is a location of its own in the emulated network, reaches the platform through it and keeps its caller address over a restart. The network can take a location down and counts traffic. The shared reading of contents moves to the load.

--- a/internal/standin/network/conn.go
+++ b/internal/standin/network/conn.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,6 +34,7 @@
 
 	once   sync.Once
 	closed chan struct{}
+	lost   atomic.Bool // the connection was dropped: what was written is not delivered
 
 	mu       sync.Mutex
 	deadline time.Time
@@ -54,6 +56,7 @@
 // Write implements net.Conn. It returns before the bytes arrive, as a socket does.
 func (c *conn) Write(b []byte) (int, error) {
 	data := append([]byte(nil), b...)
+	c.network.count(c.from, c.to, len(b))
 	select {
 	case <-c.closed:
 		return 0, net.ErrClosed
@@ -82,7 +85,7 @@
 // flush delivers what was written before Close, as a socket does.
 func (c *conn) flush() {
 	defer func() { _ = c.Conn.Close() }()
-	for {
+	for !c.lost.Load() {
 		select {
 		case k := <-c.out:
 			time.Sleep(time.Until(k.due))
@@ -121,6 +124,9 @@
 	buffer := make([]byte, chunkBytes)
 	for {
 		n, err := c.Conn.Read(buffer)
+		if n > 0 {
+			c.network.count(c.from, c.to, n)
+		}
 		k := chunk{
 			data: append([]byte(nil), buffer[:n]...), err: err, due: time.Now().Add(c.network.latency(c.to, c.from)),
 		}
@@ -217,5 +223,13 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.once.Do(func() { close(c.closed) })
+	c.network.untrack(c)
 	return nil
 }
+
+// drop closes the connection and discards what has not arrived.
+func (c *conn) drop() {
+	c.lost.Store(true)
+	c.once.Do(func() { close(c.closed) })
+	_ = c.Conn.Close()
+}
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -7,7 +7,7 @@
 //	conn, err := n.Dialer("sertao")(ctx, "tcp", "127.0.0.1:5432")
 //
 // Bytes keep their order. A cut holds bytes back in both directions until it ends, as lost packets do; new connections
-// wait for its end or for the end of their context.
+// wait for its end or for the end of their context. A place that is down has lost its connections and refuses new ones.
 package network
 
 import (
@@ -28,11 +28,17 @@
 	mu      sync.Mutex
 	places  map[string]string
 	cuts    map[[2]string]chan struct{} // closed when the cut ends
+	down    map[string]bool
+	conns   map[*conn]struct{}
+	traffic map[[2]string]Traffic
 }
 
 // New returns a network without addresses.
 func New(latency Latency) *Network {
-	return &Network{latency: latency, places: map[string]string{}, cuts: map[[2]string]chan struct{}{}}
+	return &Network{
+		latency: latency, places: map[string]string{}, cuts: map[[2]string]chan struct{}{}, down: map[string]bool{},
+		conns: map[*conn]struct{}{}, traffic: map[[2]string]Traffic{},
+	}
 }
 
 // Register says in which place an address is.
@@ -83,11 +89,19 @@
 		if err := n.handshake(ctx, from, to); err != nil {
 			return nil, err
 		}
+		if n.isDown(from) || n.isDown(to) {
+			return nil, refusal(network)
+		}
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, eris.Wrap(err, "dial")
 		}
-		return newConn(conn, n, from, to), nil
+		delayed := newConn(conn, n, from, to)
+		if !n.track(delayed) {
+			_ = delayed.Close()
+			return nil, refusal(network)
+		}
+		return delayed, nil
 	}
 }
 
--- a/internal/tool/demo/observe.go
+++ b/internal/tool/demo/observe.go
@@ -77,7 +77,7 @@
 			if err != nil {
 				return nil, err
 			}
-			contents = append(contents, contentOf(group, organisation, rows)...)
+			contents = append(contents, load.Contents(group, organisation, rows)...)
 		}
 	}
 	return contents, nil
@@ -95,18 +95,3 @@
 	}
 	return nil, eris.Errorf("group %s has no primary at the end", group)
 }
-
-func contentOf(group, organisation string, rows [][]string) []ledger.Content {
-	contents := make([]ledger.Content, 0, len(rows))
-	for _, row := range rows {
-		count := 1
-		if row[3] != "1" {
-			count = 2 // any number above one is a doubled write
-		}
-		contents = append(contents, ledger.Content{
-			Group: group, Organisation: organisation, Count: count,
-			Tag: ledger.Tag{Organisation: row[0], Session: row[1], RequestID: row[2]},
-		})
-	}
-	return contents
-}
--- a/internal/tool/deployment/deployment.go
+++ b/internal/tool/deployment/deployment.go
@@ -31,10 +31,12 @@
 	"github.com/rotisserie/eris"
 
 	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/postgres"
 	"tanagercross/internal/instance/daemon"
 	"tanagercross/internal/instance/operator"
 	"tanagercross/internal/instance/settings"
 	"tanagercross/internal/organisation/key"
+	"tanagercross/internal/platform/rest"
 	"tanagercross/internal/platform/store"
 	"tanagercross/internal/standin/database"
 	"tanagercross/internal/standin/network"
@@ -65,6 +67,8 @@
 	Instances []*daemon.Daemon
 	Keys      map[string]key.Key // by organisation
 	configs   []settings.Settings
+	places    map[string]string // of instances, by name
+	dead      map[int]bool
 }
 
 // Database is one database server of a deployment.
@@ -87,9 +91,10 @@
 		log = slog.New(slog.DiscardHandler)
 	}
 	d := &Deployment{
-		profile: p, directory: directory, log: log, Network: network.New(p.latency),
+		profile: p, directory: directory, log: log, places: map[string]string{}, dead: map[int]bool{},
 		secrets: secrets{fleet: randomSecret(), operator: randomSecret()},
 	}
+	d.Network = network.New(func(from, to string) time.Duration { return p.latency(d.placeOf(from), d.placeOf(to)) })
 	for _, step := range []func(context.Context) error{d.startDatabases, d.startPlatform, d.startInstances, d.AwaitReady} {
 		if err := step(ctx); err != nil {
 			d.Stop()
@@ -184,7 +189,8 @@
 		config.Instances = append(config.Instances, store.ListedInstance{
 			Name: fmt.Sprintf("i%02d", i+1), Address: addresses[0], Place: place,
 		})
-		d.Network.Register(addresses[0], place)
+		d.Network.Register(addresses[0], config.Instances[i].Name)
+		d.places[config.Instances[i].Name] = place
 	}
 	var err error
 	d.Platform, err = platform.Start(ctx, config)
@@ -226,9 +232,14 @@
 	if err != nil {
 		return settings.Settings{}, eris.Wrap(err, "address of "+listed.Name)
 	}
+	callers, err := freeAddresses(1)
+	if err != nil {
+		return settings.Settings{}, err
+	}
 	return settings.Settings{
 		Name: listed.Name, Place: listed.Place, Region: listed.Place,
-		ListenCallers: netip.MustParseAddrPort(loopback), ListenPeers: peers,
+		// Restarts keep the address, as behind the platform's balancer.
+		ListenCallers: netip.MustParseAddrPort(callers[0]), ListenPeers: peers,
 		ListenOperators: netip.MustParseAddrPort(loopback), AdvertisePeers: peers,
 		PlatformURL:  &url.URL{Scheme: "http", Host: d.Platform.Addr()},
 		FleetSecrets: []settings.Secret{settings.NewSecret(d.secrets.fleet)}, OperatorSecret: settings.NewSecret(d.secrets.operator),
@@ -251,13 +262,19 @@
 // StartInstance starts an instance under the settings of a number; the caller keeps it.
 func (d *Deployment) StartInstance(ctx context.Context, number int) (*daemon.Daemon, error) {
 	s := d.configs[number]
-	started, err := daemon.Start(ctx, daemon.Options{
-		Settings: s, Log: d.log.With("instance", s.Name), Dial: d.Network.Dialer(s.Place),
-	})
+	o := daemon.Options{Settings: s, Log: d.log.With("instance", s.Name)}
+	if !d.profile.PlainNetwork {
+		o.Dial = d.Network.Dialer(s.Name)
+		o.Store = rest.New(s.PlatformURL.String(), rest.Options{Dial: o.Dial})
+	}
+	if d.profile.WrapConnector != nil {
+		o.Connector = d.profile.WrapConnector(d, postgres.Connector{Dial: o.Dial})
+	}
+	started, err := daemon.Start(ctx, o)
 	if err != nil {
 		return nil, err
 	}
-	d.Network.Register(started.CallersAddress(), s.Place)
+	d.Network.Register(started.CallersAddress(), s.Name)
 	return started, nil
 }
 
@@ -304,6 +321,9 @@
 
 // CallerDialer dials as a caller does, over the latency to clients.
 func (d *Deployment) CallerDialer() func(ctx context.Context, network, address string) (net.Conn, error) {
+	if d.profile.PlainNetwork {
+		return nil
+	}
 	return d.Network.Dialer(callersPlace)
 }
 
@@ -325,8 +345,8 @@
 // Stop stops everything and removes the files of the databases.
 func (d *Deployment) Stop() {
 	var drains sync.WaitGroup
-	for _, i := range d.Instances {
-		if i != nil {
+	for n, i := range d.Instances {
+		if i != nil && !d.dead[n] {
 			drains.Go(func() { _ = i.Stop(context.Background()) })
 		}
 	}
--- a/internal/tool/deployment/profile.go
+++ b/internal/tool/deployment/profile.go
@@ -1,6 +1,10 @@
 package deployment
 
-import "time"
+import (
+	"time"
+
+	"tanagercross/internal/database/driver"
+)
 
 // Profile describes a deployment. It is a value; its With methods return changed copies.
 type Profile struct {
@@ -18,6 +22,10 @@
 	BetweenPlaces time.Duration
 	ToClients     time.Duration // one way
 	Organisations []string
+	// PlainNetwork leaves out the emulation of latencies and cuts.
+	PlainNetwork bool
+	// WrapConnector, if set, replaces the connector of the instances to databases.
+	WrapConnector func(*Deployment, driver.Connector) driver.Connector
 }
 
 // Mutirao is the deployment of Mutirão Refeições: three places, one data centre each.
--- a/internal/tool/ledger/time.go
+++ b/internal/tool/ledger/time.go
@@ -7,6 +7,10 @@
 	"tanagercross/internal/session/outcome"
 )
 
+// WriteGap returns the longest time without an acknowledged write in the window of a failure, as far as writes were
+// offered in that time.
+func (l *Ledger) WriteGap(f Failure) time.Duration { return writeGap(l.Entries(), f) }
+
 // writeGap returns the longest time without an acknowledged write in the window of a failure, as far as writes were
 // offered in that time.
 func writeGap(entries []Entry, f Failure) time.Duration {
--- a/internal/tool/load/balancer.go
+++ b/internal/tool/load/balancer.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -20,8 +22,8 @@
 }
 
 // poll asks for the readiness until ctx ends.
-func (i *instance) poll(ctx context.Context) {
-	client := &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+func (i *instance) poll(ctx context.Context, dial func(context.Context, string, string) (net.Conn, error)) {
+	client := &http.Client{Timeout: pollTimeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial}}
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
@@ -48,12 +50,26 @@
 }
 
 // pick returns a random instance that is ready, or any if none is.
-func (r *run) pick(random *rand.Rand) *instance {
-	start := random.IntN(len(r.instances))
-	for n := range r.instances {
-		if i := r.instances[(start+n)%len(r.instances)]; !i.unready.Load() {
+func pick(instances []*instance, random *rand.Rand) *instance {
+	start := random.IntN(len(instances))
+	for n := range instances {
+		if i := instances[(start+n)%len(instances)]; !i.unready.Load() {
 			return i
 		}
 	}
-	return r.instances[start]
+	return instances[start]
+}
+
+// usable returns the instances that an organisation uses.
+func (r *run) usable(o Organisation) []*instance {
+	if o.Instances == nil {
+		return r.instances
+	}
+	var used []*instance
+	for _, i := range r.instances {
+		if slices.Contains(o.Instances, i.url) {
+			used = append(used, i)
+		}
+	}
+	return used
 }
--- a/internal/tool/load/caller.go
+++ b/internal/tool/load/caller.go
@@ -73,7 +73,7 @@
 // send makes one HTTP request. A request that got no whole answer is unknown; one that was not sent is not_run.
 func (s *session) send(ctx context.Context, c call) reply {
 	r := s.run
-	instance := r.pick(s.random).url
+	instance := pick(s.instances, s.random).url
 	got := reply{started: time.Now(), instance: instance}
 	fail := func(o outcome.Outcome, reason outcome.Reason) reply {
 		return reply{Outcome: o, Reason: reason, started: got.started, ended: time.Now(), instance: instance}
--- a/internal/tool/load/load.go
+++ b/internal/tool/load/load.go
@@ -27,6 +27,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,6 +43,7 @@
 	CreateSQL   = "CREATE TABLE IF NOT EXISTS load_entry (organisation text, session text, request_id text)"
 	InsertSQL   = "INSERT INTO load_entry (organisation, session, request_id) VALUES ($1, $2, $3)"
 	ReadSQL     = "SELECT 0, $1, $2, $3 UNION ALL SELECT 1, organisation, session, request_id FROM load_entry WHERE session = $2"
+	PullSQL     = ReadSQL + " UNION ALL SELECT 2, pg_sleep($4), '', ''"
 	ContentsSQL = "SELECT organisation, session, request_id, COUNT(*) FROM load_entry GROUP BY organisation, session, request_id"
 )
 
@@ -63,6 +65,10 @@
 	Key      key.Key
 	Rate     float64 // requests per second
 	Sessions int     // sessions at the same time
+	// Pull is the time for which each read holds its slot at the server in addition, as a long statement does.
+	Pull time.Duration
+	// Instances are the base URLs that the organisation uses; nil stands for all.
+	Instances []string
 }
 
 // Options of a run. Zero values of the optional fields have the defaults.
@@ -80,6 +86,8 @@
 	SessionRequests  int           // optional: requests after which a session ends and a new one starts
 	MaxRequests      int           // optional: requests of the whole run
 	Seed             uint64
+	// Until ends the offering before Duration when it is closed; nil never does.
+	Until <-chan struct{}
 	// Dial opens the connections to instances; nil is plain TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -151,7 +159,7 @@
 	polling, stopPolling := context.WithCancel(ctx)
 	var polls sync.WaitGroup
 	for _, i := range r.instances {
-		polls.Go(func() { i.poll(polling) })
+		polls.Go(func() { i.poll(polling, r.options.Dial) })
 	}
 	all.Wait()
 	stopPolling()
@@ -214,6 +222,13 @@
 			return eris.Errorf("organisation %q: allowed: a name, at least one session, a rate above 0 up to %d/s", organisation.Name, MaxRate)
 		}
 	}
+	for _, organisation := range o.Organisations {
+		for _, instance := range organisation.Instances {
+			if !slices.Contains(o.Instances, instance) {
+				return eris.Errorf("organisation %q: instance %q: allowed: one of the instances of the run", organisation.Name, instance)
+			}
+		}
+	}
 	for _, instance := range o.Instances {
 		u, err := url.Parse(instance)
 		if err != nil || !loopback(u.Hostname()) {
@@ -255,6 +270,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-r.options.Until:
+			return
 		case <-timer.C:
 		}
 		for now := time.Now(); !next.After(now); next = next.Add(interval) {
--- a/internal/tool/load/session.go
+++ b/internal/tool/load/session.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"tanagercross/internal/database/driver"
@@ -25,6 +26,7 @@
 	run          *run
 	organisation Organisation
 	random       *rand.Rand
+	instances    []*instance
 	name         string
 	token        string
 	unresolved   []string // writes whose outcome stayed unknown
@@ -32,7 +34,9 @@
 }
 
 func newSession(r *run, o Organisation, random *rand.Rand) *session {
-	return &session{run: r, organisation: o, random: random, name: fmt.Sprintf("%s-%d", o.Name, r.sessions.Add(1))}
+	return &session{
+		run: r, organisation: o, random: random, instances: r.usable(o), name: fmt.Sprintf("%s-%d", o.Name, r.sessions.Add(1)),
+	}
 }
 
 // request sends one request of a random kind.
@@ -58,6 +62,9 @@
 func (s *session) read(ctx context.Context, group string) bool {
 	id := newID()
 	b := statement("read", ReadSQL, s.organisation.Name, s.name, id)
+	if pull := s.organisation.Pull; pull > 0 {
+		b = statement("read", PullSQL, s.organisation.Name, s.name, id, strconv.FormatFloat(pull.Seconds(), 'f', -1, 64))
+	}
 	aged := s.random.Float64() < s.run.options.AgedShare
 	if aged {
 		age := s.run.options.MaxAge.Milliseconds()
@@ -212,11 +219,12 @@
 			continue
 		}
 		t := ledger.Tag{Organisation: text(row.Cells[1]), Session: text(row.Cells[2]), RequestID: text(row.Cells[3])}
-		if text(row.Cells[0]) == "0" {
+		switch text(row.Cells[0]) {
+		case "0":
 			echo = t
-			continue
+		case "1":
+			seen = append(seen, t)
 		}
-		seen = append(seen, t)
 	}
 	return echo, seen
 }
