Keep a refused repetition of an unknown write unknown

Change: header x-request-repeat marks a repetition; refusals of marked writes and commits become unknown, except request_id_reused. The load generator marks its repetitions, and the ledger counts a last answer of not_run for a present write as a fault. Result: TestRefusedRepetitionStaysUnknown and the tests of load and ledger pass.

--- a/design/design.go
+++ b/design/design.go
@@ -82,6 +82,7 @@
 	Attribute("session_token", String, "Session token of the last reply")
 	Attribute("request_id", String, "Id of the request (UUIDv7); made if absent")
 	Attribute("deadline_ms", Int, "Time the caller is ready to wait, in milliseconds", func() { Minimum(1) })
+	Attribute("repeat", Boolean, "An earlier attempt with this request id has an unknown outcome")
 }
 
 func credentialHeaders() {
@@ -89,6 +90,7 @@
 	Header("session_token:x-session-token")
 	Header("request_id:x-request-id")
 	Header("deadline_ms:x-deadline-ms")
+	Header("repeat:x-request-repeat")
 }
 
 func statement() {
--- a/internal/gen/http/cli/tanagercrossd/cli.go
+++ b/internal/gen/http/cli/tanagercrossd/cli.go
@@ -33,8 +33,8 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "statements run --body '{\n      \"arguments\": [\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         },\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         },\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         }\n      ],\n      \"max_age_ms\": 8823556559314185272,\n      \"mode\": \"read\",\n      \"primary\": true,\n      \"sql\": \"j\",\n      \"unresolved\": [\n         \"Ea dolor repellat ut velit et.\",\n         \"Autem enim.\",\n         \"Facere quidem sequi iste repudiandae.\"\n      ]\n   }' --group \"Officia laborum deserunt recusandae nam minima autem.\" --key \"Consequatur odit qui perspiciatis quis ea sed.\" --session-token \"Molestias consequuntur autem.\" --request-id \"Iste incidunt quisquam modi.\" --deadline-ms 8005866775863554485" + "\n" +
-		os.Args[0] + " " + "transactions begin --group \"Ut veniam.\" --key \"Qui aspernatur.\" --session-token \"Debitis dolorem voluptatem.\" --request-id \"Doloremque non unde beatae velit.\" --deadline-ms 7112602806021140314" + "\n" +
+	return os.Args[0] + " " + "statements run --body '{\n      \"arguments\": [\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         },\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         },\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         }\n      ],\n      \"max_age_ms\": 8823556559314185272,\n      \"mode\": \"read\",\n      \"primary\": true,\n      \"sql\": \"soj\",\n      \"unresolved\": [\n         \"Ea dolor repellat ut velit et.\",\n         \"Autem enim.\",\n         \"Facere quidem sequi iste repudiandae.\"\n      ]\n   }' --group \"Officia laborum deserunt recusandae nam minima autem.\" --key \"Consequatur odit qui perspiciatis quis ea sed.\" --session-token \"Molestias consequuntur autem.\" --request-id \"Iste incidunt quisquam modi.\" --deadline-ms 8005866775863554485 --repeat true" + "\n" +
+		os.Args[0] + " " + "transactions begin --group \"Ut veniam.\" --key \"Qui aspernatur.\" --session-token \"Debitis dolorem voluptatem.\" --request-id \"Doloremque non unde beatae velit.\" --deadline-ms 7112602806021140314 --repeat false" + "\n" +
 		os.Args[0] + " " + "about about" + "\n" +
 		""
 }
@@ -58,6 +58,7 @@
 		statementsRunSessionTokenFlag = statementsRunFlags.String("session-token", "", "")
 		statementsRunRequestIDFlag    = statementsRunFlags.String("request-id", "", "")
 		statementsRunDeadlineMsFlag   = statementsRunFlags.String("deadline-ms", "", "")
+		statementsRunRepeatFlag       = statementsRunFlags.String("repeat", "", "")
 
 		statementsOutcomeFlags            = flag.NewFlagSet("outcome", flag.ExitOnError)
 		statementsOutcomeGroupFlag        = statementsOutcomeFlags.String("group", "REQUIRED", "")
@@ -74,6 +75,7 @@
 		transactionsBeginSessionTokenFlag = transactionsBeginFlags.String("session-token", "", "")
 		transactionsBeginRequestIDFlag    = transactionsBeginFlags.String("request-id", "", "")
 		transactionsBeginDeadlineMsFlag   = transactionsBeginFlags.String("deadline-ms", "", "")
+		transactionsBeginRepeatFlag       = transactionsBeginFlags.String("repeat", "", "")
 
 		transactionsRunFlags            = flag.NewFlagSet("run", flag.ExitOnError)
 		transactionsRunBodyFlag         = transactionsRunFlags.String("body", "REQUIRED", "")
@@ -82,6 +84,7 @@
 		transactionsRunSessionTokenFlag = transactionsRunFlags.String("session-token", "", "")
 		transactionsRunRequestIDFlag    = transactionsRunFlags.String("request-id", "", "")
 		transactionsRunDeadlineMsFlag   = transactionsRunFlags.String("deadline-ms", "", "")
+		transactionsRunRepeatFlag       = transactionsRunFlags.String("repeat", "", "")
 
 		transactionsCommitFlags            = flag.NewFlagSet("commit", flag.ExitOnError)
 		transactionsCommitIDFlag           = transactionsCommitFlags.String("id", "REQUIRED", "Transaction id")
@@ -89,6 +92,7 @@
 		transactionsCommitSessionTokenFlag = transactionsCommitFlags.String("session-token", "", "")
 		transactionsCommitRequestIDFlag    = transactionsCommitFlags.String("request-id", "", "")
 		transactionsCommitDeadlineMsFlag   = transactionsCommitFlags.String("deadline-ms", "", "")
+		transactionsCommitRepeatFlag       = transactionsCommitFlags.String("repeat", "", "")
 
 		transactionsRollbackFlags            = flag.NewFlagSet("rollback", flag.ExitOnError)
 		transactionsRollbackIDFlag           = transactionsRollbackFlags.String("id", "REQUIRED", "Transaction id")
@@ -96,6 +100,7 @@
 		transactionsRollbackSessionTokenFlag = transactionsRollbackFlags.String("session-token", "", "")
 		transactionsRollbackRequestIDFlag    = transactionsRollbackFlags.String("request-id", "", "")
 		transactionsRollbackDeadlineMsFlag   = transactionsRollbackFlags.String("deadline-ms", "", "")
+		transactionsRollbackRepeatFlag       = transactionsRollbackFlags.String("repeat", "", "")
 
 		aboutFlags = flag.NewFlagSet("about", flag.ContinueOnError)
 
@@ -220,7 +225,7 @@
 			switch epn {
 			case "run":
 				endpoint = c.Run()
-				data, err = statementsc.BuildRunPayload(*statementsRunBodyFlag, *statementsRunGroupFlag, *statementsRunKeyFlag, *statementsRunSessionTokenFlag, *statementsRunRequestIDFlag, *statementsRunDeadlineMsFlag)
+				data, err = statementsc.BuildRunPayload(*statementsRunBodyFlag, *statementsRunGroupFlag, *statementsRunKeyFlag, *statementsRunSessionTokenFlag, *statementsRunRequestIDFlag, *statementsRunDeadlineMsFlag, *statementsRunRepeatFlag)
 			case "outcome":
 				endpoint = c.Outcome()
 				data, err = statementsc.BuildOutcomePayload(*statementsOutcomeGroupFlag, *statementsOutcomeIDFlag, *statementsOutcomeKeyFlag, *statementsOutcomeSessionTokenFlag, *statementsOutcomeDeadlineMsFlag)
@@ -230,16 +235,16 @@
 			switch epn {
 			case "begin":
 				endpoint = c.Begin()
-				data, err = transactionsc.BuildBeginPayload(*transactionsBeginGroupFlag, *transactionsBeginKeyFlag, *transactionsBeginSessionTokenFlag, *transactionsBeginRequestIDFlag, *transactionsBeginDeadlineMsFlag)
+				data, err = transactionsc.BuildBeginPayload(*transactionsBeginGroupFlag, *transactionsBeginKeyFlag, *transactionsBeginSessionTokenFlag, *transactionsBeginRequestIDFlag, *transactionsBeginDeadlineMsFlag, *transactionsBeginRepeatFlag)
 			case "run":
 				endpoint = c.Run()
-				data, err = transactionsc.BuildRunPayload(*transactionsRunBodyFlag, *transactionsRunIDFlag, *transactionsRunKeyFlag, *transactionsRunSessionTokenFlag, *transactionsRunRequestIDFlag, *transactionsRunDeadlineMsFlag)
+				data, err = transactionsc.BuildRunPayload(*transactionsRunBodyFlag, *transactionsRunIDFlag, *transactionsRunKeyFlag, *transactionsRunSessionTokenFlag, *transactionsRunRequestIDFlag, *transactionsRunDeadlineMsFlag, *transactionsRunRepeatFlag)
 			case "commit":
 				endpoint = c.Commit()
-				data, err = transactionsc.BuildCommitPayload(*transactionsCommitIDFlag, *transactionsCommitKeyFlag, *transactionsCommitSessionTokenFlag, *transactionsCommitRequestIDFlag, *transactionsCommitDeadlineMsFlag)
+				data, err = transactionsc.BuildCommitPayload(*transactionsCommitIDFlag, *transactionsCommitKeyFlag, *transactionsCommitSessionTokenFlag, *transactionsCommitRequestIDFlag, *transactionsCommitDeadlineMsFlag, *transactionsCommitRepeatFlag)
 			case "rollback":
 				endpoint = c.Rollback()
-				data, err = transactionsc.BuildRollbackPayload(*transactionsRollbackIDFlag, *transactionsRollbackKeyFlag, *transactionsRollbackSessionTokenFlag, *transactionsRollbackRequestIDFlag, *transactionsRollbackDeadlineMsFlag)
+				data, err = transactionsc.BuildRollbackPayload(*transactionsRollbackIDFlag, *transactionsRollbackKeyFlag, *transactionsRollbackSessionTokenFlag, *transactionsRollbackRequestIDFlag, *transactionsRollbackDeadlineMsFlag, *transactionsRollbackRepeatFlag)
 			}
 		case "about":
 			c := aboutc.NewClient(scheme, host, doer, enc, dec, restore)
@@ -281,6 +286,7 @@
 	fmt.Fprint(os.Stderr, " -session-token STRING")
 	fmt.Fprint(os.Stderr, " -request-id STRING")
 	fmt.Fprint(os.Stderr, " -deadline-ms INT")
+	fmt.Fprint(os.Stderr, " -repeat BOOL")
 	fmt.Fprintln(os.Stderr)
 
 	// Description
@@ -294,10 +300,11 @@
 	fmt.Fprintln(os.Stderr, `    -session-token STRING: `)
 	fmt.Fprintln(os.Stderr, `    -request-id STRING: `)
 	fmt.Fprintln(os.Stderr, `    -deadline-ms INT: `)
+	fmt.Fprintln(os.Stderr, `    -repeat BOOL: `)
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "statements run --body '{\n      \"arguments\": [\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         },\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         },\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         }\n      ],\n      \"max_age_ms\": 8823556559314185272,\n      \"mode\": \"read\",\n      \"primary\": true,\n      \"sql\": \"j\",\n      \"unresolved\": [\n         \"Ea dolor repellat ut velit et.\",\n         \"Autem enim.\",\n         \"Facere quidem sequi iste repudiandae.\"\n      ]\n   }' --group \"Officia laborum deserunt recusandae nam minima autem.\" --key \"Consequatur odit qui perspiciatis quis ea sed.\" --session-token \"Molestias consequuntur autem.\" --request-id \"Iste incidunt quisquam modi.\" --deadline-ms 8005866775863554485")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "statements run --body '{\n      \"arguments\": [\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         },\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         },\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         }\n      ],\n      \"max_age_ms\": 8823556559314185272,\n      \"mode\": \"read\",\n      \"primary\": true,\n      \"sql\": \"soj\",\n      \"unresolved\": [\n         \"Ea dolor repellat ut velit et.\",\n         \"Autem enim.\",\n         \"Facere quidem sequi iste repudiandae.\"\n      ]\n   }' --group \"Officia laborum deserunt recusandae nam minima autem.\" --key \"Consequatur odit qui perspiciatis quis ea sed.\" --session-token \"Molestias consequuntur autem.\" --request-id \"Iste incidunt quisquam modi.\" --deadline-ms 8005866775863554485 --repeat true")
 }
 
 func statementsOutcomeUsage() {
@@ -348,6 +355,7 @@
 	fmt.Fprint(os.Stderr, " -session-token STRING")
 	fmt.Fprint(os.Stderr, " -request-id STRING")
 	fmt.Fprint(os.Stderr, " -deadline-ms INT")
+	fmt.Fprint(os.Stderr, " -repeat BOOL")
 	fmt.Fprintln(os.Stderr)
 
 	// Description
@@ -360,10 +368,11 @@
 	fmt.Fprintln(os.Stderr, `    -session-token STRING: `)
 	fmt.Fprintln(os.Stderr, `    -request-id STRING: `)
 	fmt.Fprintln(os.Stderr, `    -deadline-ms INT: `)
+	fmt.Fprintln(os.Stderr, `    -repeat BOOL: `)
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "transactions begin --group \"Ut veniam.\" --key \"Qui aspernatur.\" --session-token \"Debitis dolorem voluptatem.\" --request-id \"Doloremque non unde beatae velit.\" --deadline-ms 7112602806021140314")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "transactions begin --group \"Ut veniam.\" --key \"Qui aspernatur.\" --session-token \"Debitis dolorem voluptatem.\" --request-id \"Doloremque non unde beatae velit.\" --deadline-ms 7112602806021140314 --repeat false")
 }
 
 func transactionsRunUsage() {
@@ -375,6 +384,7 @@
 	fmt.Fprint(os.Stderr, " -session-token STRING")
 	fmt.Fprint(os.Stderr, " -request-id STRING")
 	fmt.Fprint(os.Stderr, " -deadline-ms INT")
+	fmt.Fprint(os.Stderr, " -repeat BOOL")
 	fmt.Fprintln(os.Stderr)
 
 	// Description
@@ -388,10 +398,11 @@
 	fmt.Fprintln(os.Stderr, `    -session-token STRING: `)
 	fmt.Fprintln(os.Stderr, `    -request-id STRING: `)
 	fmt.Fprintln(os.Stderr, `    -deadline-ms INT: `)
+	fmt.Fprintln(os.Stderr, `    -repeat BOOL: `)
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "transactions run --body '{\n      \"arguments\": [\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         },\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         },\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         }\n      ],\n      \"sql\": \"924\"\n   }' --id \"Molestiae omnis doloremque.\" --key \"Pariatur labore perferendis quo aut eveniet.\" --session-token \"Praesentium ab assumenda soluta culpa in.\" --request-id \"Commodi expedita velit non.\" --deadline-ms 6476298158154317793")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "transactions run --body '{\n      \"arguments\": [\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         },\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         },\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         }\n      ],\n      \"sql\": \"924\"\n   }' --id \"Molestiae omnis doloremque.\" --key \"Pariatur labore perferendis quo aut eveniet.\" --session-token \"Praesentium ab assumenda soluta culpa in.\" --request-id \"Commodi expedita velit non.\" --deadline-ms 6476298158154317793 --repeat true")
 }
 
 func transactionsCommitUsage() {
@@ -402,6 +413,7 @@
 	fmt.Fprint(os.Stderr, " -session-token STRING")
 	fmt.Fprint(os.Stderr, " -request-id STRING")
 	fmt.Fprint(os.Stderr, " -deadline-ms INT")
+	fmt.Fprint(os.Stderr, " -repeat BOOL")
 	fmt.Fprintln(os.Stderr)
 
 	// Description
@@ -414,10 +426,11 @@
 	fmt.Fprintln(os.Stderr, `    -session-token STRING: `)
 	fmt.Fprintln(os.Stderr, `    -request-id STRING: `)
 	fmt.Fprintln(os.Stderr, `    -deadline-ms INT: `)
+	fmt.Fprintln(os.Stderr, `    -repeat BOOL: `)
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "transactions commit --id \"Eos quo necessitatibus architecto sunt minus odit.\" --key \"Eum laborum aut beatae officia omnis.\" --session-token \"Ut fugit.\" --request-id \"Vel molestiae magni repellendus eos beatae voluptatem.\" --deadline-ms 2667634962704983023")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "transactions commit --id \"Aperiam doloribus ut adipisci.\" --key \"Earum natus est sed dolore sit.\" --session-token \"Fuga quae dolorem ut doloremque alias.\" --request-id \"Fugiat tenetur voluptatem voluptatum aliquid molestiae.\" --deadline-ms 5271981443948563011 --repeat true")
 }
 
 func transactionsRollbackUsage() {
@@ -428,6 +441,7 @@
 	fmt.Fprint(os.Stderr, " -session-token STRING")
 	fmt.Fprint(os.Stderr, " -request-id STRING")
 	fmt.Fprint(os.Stderr, " -deadline-ms INT")
+	fmt.Fprint(os.Stderr, " -repeat BOOL")
 	fmt.Fprintln(os.Stderr)
 
 	// Description
@@ -440,10 +454,11 @@
 	fmt.Fprintln(os.Stderr, `    -session-token STRING: `)
 	fmt.Fprintln(os.Stderr, `    -request-id STRING: `)
 	fmt.Fprintln(os.Stderr, `    -deadline-ms INT: `)
+	fmt.Fprintln(os.Stderr, `    -repeat BOOL: `)
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "transactions rollback --id \"Qui distinctio et fugit recusandae molestias aliquam.\" --key \"Itaque nobis.\" --session-token \"Aliquid molestiae magni enim quod itaque qui.\" --request-id \"Tenetur consequatur alias.\" --deadline-ms 961455444428406884")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "transactions rollback --id \"Fugit sit.\" --key \"Inventore animi officia dolorem minus illo omnis.\" --session-token \"Qui distinctio et fugit recusandae molestias aliquam.\" --request-id \"Itaque nobis.\" --deadline-ms 8705787580542331288 --repeat true")
 }
 
 // aboutUsage displays the usage of the about command and its subcommands.
--- a/internal/gen/http/statements/client/cli.go
+++ b/internal/gen/http/statements/client/cli.go
@@ -19,13 +19,13 @@
 
 // BuildRunPayload builds the payload for the statements run endpoint from CLI
 // flags.
-func BuildRunPayload(statementsRunBody string, statementsRunGroup string, statementsRunKey string, statementsRunSessionToken string, statementsRunRequestID string, statementsRunDeadlineMs string) (*statements.RunPayload, error) {
+func BuildRunPayload(statementsRunBody string, statementsRunGroup string, statementsRunKey string, statementsRunSessionToken string, statementsRunRequestID string, statementsRunDeadlineMs string, statementsRunRepeat string) (*statements.RunPayload, error) {
 	var err error
 	var body RunRequestBody
 	{
 		err = json.Unmarshal([]byte(statementsRunBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"arguments\": [\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         },\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         },\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         }\n      ],\n      \"max_age_ms\": 8823556559314185272,\n      \"mode\": \"read\",\n      \"primary\": true,\n      \"sql\": \"j\",\n      \"unresolved\": [\n         \"Ea dolor repellat ut velit et.\",\n         \"Autem enim.\",\n         \"Facere quidem sequi iste repudiandae.\"\n      ]\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"arguments\": [\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         },\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         },\n         {\n            \"value\": \"Asperiores vel voluptas.\"\n         }\n      ],\n      \"max_age_ms\": 8823556559314185272,\n      \"mode\": \"read\",\n      \"primary\": true,\n      \"sql\": \"soj\",\n      \"unresolved\": [\n         \"Ea dolor repellat ut velit et.\",\n         \"Autem enim.\",\n         \"Facere quidem sequi iste repudiandae.\"\n      ]\n   }'")
 		}
 		if utf8.RuneCountInString(body.SQL) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.sql", body.SQL, utf8.RuneCountInString(body.SQL), 1, true))
@@ -91,6 +91,17 @@
 			}
 		}
 	}
+	var repeat *bool
+	{
+		if statementsRunRepeat != "" {
+			var val bool
+			val, err = strconv.ParseBool(statementsRunRepeat)
+			repeat = &val
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for repeat, must be BOOL")
+			}
+		}
+	}
 	v := &statements.RunPayload{
 		SQL:      body.SQL,
 		Mode:     body.Mode,
@@ -118,6 +129,7 @@
 	v.SessionToken = sessionToken
 	v.RequestID = requestID
 	v.DeadlineMs = deadlineMs
+	v.Repeat = repeat
 
 	return v, nil
 }
--- a/internal/gen/http/statements/client/encode_decode.go
+++ b/internal/gen/http/statements/client/encode_decode.go
@@ -69,6 +69,11 @@
 			headStr := strconv.Itoa(head)
 			req.Header.Set("x-deadline-ms", headStr)
 		}
+		if p.Repeat != nil {
+			head := *p.Repeat
+			headStr := strconv.FormatBool(head)
+			req.Header.Set("x-request-repeat", headStr)
+		}
 		body := NewRunRequestBody(p)
 		if err := encoder(req).Encode(&body); err != nil {
 			return goahttp.ErrEncodingError("statements", "run", err)
--- a/internal/gen/http/statements/server/encode_decode.go
+++ b/internal/gen/http/statements/server/encode_decode.go
@@ -62,6 +62,7 @@
 			sessionToken *string
 			requestID    *string
 			deadlineMs   *int
+			repeat       *bool
 
 			params = mux.Vars(r)
 		)
@@ -94,10 +95,20 @@
 				err = goa.MergeErrors(err, goa.InvalidRangeError("deadline_ms", *deadlineMs, 1, true))
 			}
 		}
+		{
+			repeatRaw := r.Header.Get("x-request-repeat")
+			if repeatRaw != "" {
+				v, err2 := strconv.ParseBool(repeatRaw)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("repeat", repeatRaw, "boolean"))
+				}
+				repeat = &v
+			}
+		}
 		if err != nil {
 			return payload, err
 		}
-		payload = NewRunPayload(&body, group, key, sessionToken, requestID, deadlineMs)
+		payload = NewRunPayload(&body, group, key, sessionToken, requestID, deadlineMs, repeat)
 
 		return payload, nil
 	}
--- a/internal/gen/http/statements/server/types.go
+++ b/internal/gen/http/statements/server/types.go
@@ -761,7 +761,7 @@
 }
 
 // NewRunPayload builds a statements service run endpoint payload.
-func NewRunPayload(body *RunRequestBody, group string, key *string, sessionToken *string, requestID *string, deadlineMs *int) *statements.RunPayload {
+func NewRunPayload(body *RunRequestBody, group string, key *string, sessionToken *string, requestID *string, deadlineMs *int, repeat *bool) *statements.RunPayload {
 	v := &statements.RunPayload{
 		SQL:      *body.SQL,
 		Mode:     *body.Mode,
@@ -789,6 +789,7 @@
 	v.SessionToken = sessionToken
 	v.RequestID = requestID
 	v.DeadlineMs = deadlineMs
+	v.Repeat = repeat
 
 	return v
 }
--- a/internal/gen/http/transactions/client/cli.go
+++ b/internal/gen/http/transactions/client/cli.go
@@ -19,7 +19,7 @@
 
 // BuildBeginPayload builds the payload for the transactions begin endpoint
 // from CLI flags.
-func BuildBeginPayload(transactionsBeginGroup string, transactionsBeginKey string, transactionsBeginSessionToken string, transactionsBeginRequestID string, transactionsBeginDeadlineMs string) (*transactions.BeginPayload, error) {
+func BuildBeginPayload(transactionsBeginGroup string, transactionsBeginKey string, transactionsBeginSessionToken string, transactionsBeginRequestID string, transactionsBeginDeadlineMs string, transactionsBeginRepeat string) (*transactions.BeginPayload, error) {
 	var err error
 	var group string
 	{
@@ -61,19 +61,31 @@
 			}
 		}
 	}
+	var repeat *bool
+	{
+		if transactionsBeginRepeat != "" {
+			var val bool
+			val, err = strconv.ParseBool(transactionsBeginRepeat)
+			repeat = &val
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for repeat, must be BOOL")
+			}
+		}
+	}
 	v := &transactions.BeginPayload{}
 	v.Group = group
 	v.Key = key
 	v.SessionToken = sessionToken
 	v.RequestID = requestID
 	v.DeadlineMs = deadlineMs
+	v.Repeat = repeat
 
 	return v, nil
 }
 
 // BuildRunPayload builds the payload for the transactions run endpoint from
 // CLI flags.
-func BuildRunPayload(transactionsRunBody string, transactionsRunID string, transactionsRunKey string, transactionsRunSessionToken string, transactionsRunRequestID string, transactionsRunDeadlineMs string) (*transactions.RunPayload, error) {
+func BuildRunPayload(transactionsRunBody string, transactionsRunID string, transactionsRunKey string, transactionsRunSessionToken string, transactionsRunRequestID string, transactionsRunDeadlineMs string, transactionsRunRepeat string) (*transactions.RunPayload, error) {
 	var err error
 	var body RunRequestBody
 	{
@@ -134,6 +146,17 @@
 			}
 		}
 	}
+	var repeat *bool
+	{
+		if transactionsRunRepeat != "" {
+			var val bool
+			val, err = strconv.ParseBool(transactionsRunRepeat)
+			repeat = &val
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for repeat, must be BOOL")
+			}
+		}
+	}
 	v := &transactions.RunPayload{
 		SQL: body.SQL,
 	}
@@ -152,13 +175,14 @@
 	v.SessionToken = sessionToken
 	v.RequestID = requestID
 	v.DeadlineMs = deadlineMs
+	v.Repeat = repeat
 
 	return v, nil
 }
 
 // BuildCommitPayload builds the payload for the transactions commit endpoint
 // from CLI flags.
-func BuildCommitPayload(transactionsCommitID string, transactionsCommitKey string, transactionsCommitSessionToken string, transactionsCommitRequestID string, transactionsCommitDeadlineMs string) (*transactions.CommitPayload, error) {
+func BuildCommitPayload(transactionsCommitID string, transactionsCommitKey string, transactionsCommitSessionToken string, transactionsCommitRequestID string, transactionsCommitDeadlineMs string, transactionsCommitRepeat string) (*transactions.CommitPayload, error) {
 	var err error
 	var id string
 	{
@@ -200,19 +224,31 @@
 			}
 		}
 	}
+	var repeat *bool
+	{
+		if transactionsCommitRepeat != "" {
+			var val bool
+			val, err = strconv.ParseBool(transactionsCommitRepeat)
+			repeat = &val
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for repeat, must be BOOL")
+			}
+		}
+	}
 	v := &transactions.CommitPayload{}
 	v.ID = id
 	v.Key = key
 	v.SessionToken = sessionToken
 	v.RequestID = requestID
 	v.DeadlineMs = deadlineMs
+	v.Repeat = repeat
 
 	return v, nil
 }
 
 // BuildRollbackPayload builds the payload for the transactions rollback
 // endpoint from CLI flags.
-func BuildRollbackPayload(transactionsRollbackID string, transactionsRollbackKey string, transactionsRollbackSessionToken string, transactionsRollbackRequestID string, transactionsRollbackDeadlineMs string) (*transactions.RollbackPayload, error) {
+func BuildRollbackPayload(transactionsRollbackID string, transactionsRollbackKey string, transactionsRollbackSessionToken string, transactionsRollbackRequestID string, transactionsRollbackDeadlineMs string, transactionsRollbackRepeat string) (*transactions.RollbackPayload, error) {
 	var err error
 	var id string
 	{
@@ -254,12 +290,24 @@
 			}
 		}
 	}
+	var repeat *bool
+	{
+		if transactionsRollbackRepeat != "" {
+			var val bool
+			val, err = strconv.ParseBool(transactionsRollbackRepeat)
+			repeat = &val
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for repeat, must be BOOL")
+			}
+		}
+	}
 	v := &transactions.RollbackPayload{}
 	v.ID = id
 	v.Key = key
 	v.SessionToken = sessionToken
 	v.RequestID = requestID
 	v.DeadlineMs = deadlineMs
+	v.Repeat = repeat
 
 	return v, nil
 }
--- a/internal/gen/http/transactions/client/encode_decode.go
+++ b/internal/gen/http/transactions/client/encode_decode.go
@@ -69,6 +69,11 @@
 			headStr := strconv.Itoa(head)
 			req.Header.Set("x-deadline-ms", headStr)
 		}
+		if p.Repeat != nil {
+			head := *p.Repeat
+			headStr := strconv.FormatBool(head)
+			req.Header.Set("x-request-repeat", headStr)
+		}
 		return nil
 	}
 }
@@ -300,6 +305,11 @@
 			headStr := strconv.Itoa(head)
 			req.Header.Set("x-deadline-ms", headStr)
 		}
+		if p.Repeat != nil {
+			head := *p.Repeat
+			headStr := strconv.FormatBool(head)
+			req.Header.Set("x-request-repeat", headStr)
+		}
 		body := NewRunRequestBody(p)
 		if err := encoder(req).Encode(&body); err != nil {
 			return goahttp.ErrEncodingError("transactions", "run", err)
@@ -535,6 +545,11 @@
 			headStr := strconv.Itoa(head)
 			req.Header.Set("x-deadline-ms", headStr)
 		}
+		if p.Repeat != nil {
+			head := *p.Repeat
+			headStr := strconv.FormatBool(head)
+			req.Header.Set("x-request-repeat", headStr)
+		}
 		return nil
 	}
 }
@@ -766,6 +781,11 @@
 			headStr := strconv.Itoa(head)
 			req.Header.Set("x-deadline-ms", headStr)
 		}
+		if p.Repeat != nil {
+			head := *p.Repeat
+			headStr := strconv.FormatBool(head)
+			req.Header.Set("x-request-repeat", headStr)
+		}
 		return nil
 	}
 }
--- a/internal/gen/http/transactions/server/encode_decode.go
+++ b/internal/gen/http/transactions/server/encode_decode.go
@@ -42,6 +42,7 @@
 			sessionToken *string
 			requestID    *string
 			deadlineMs   *int
+			repeat       *bool
 			err          error
 
 			params = mux.Vars(r)
@@ -75,10 +76,20 @@
 				err = goa.MergeErrors(err, goa.InvalidRangeError("deadline_ms", *deadlineMs, 1, true))
 			}
 		}
+		{
+			repeatRaw := r.Header.Get("x-request-repeat")
+			if repeatRaw != "" {
+				v, err2 := strconv.ParseBool(repeatRaw)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("repeat", repeatRaw, "boolean"))
+				}
+				repeat = &v
+			}
+		}
 		if err != nil {
 			return payload, err
 		}
-		payload = NewBeginPayload(group, key, sessionToken, requestID, deadlineMs)
+		payload = NewBeginPayload(group, key, sessionToken, requestID, deadlineMs, repeat)
 
 		return payload, nil
 	}
@@ -260,6 +271,7 @@
 			sessionToken *string
 			requestID    *string
 			deadlineMs   *int
+			repeat       *bool
 
 			params = mux.Vars(r)
 		)
@@ -292,10 +304,20 @@
 				err = goa.MergeErrors(err, goa.InvalidRangeError("deadline_ms", *deadlineMs, 1, true))
 			}
 		}
+		{
+			repeatRaw := r.Header.Get("x-request-repeat")
+			if repeatRaw != "" {
+				v, err2 := strconv.ParseBool(repeatRaw)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("repeat", repeatRaw, "boolean"))
+				}
+				repeat = &v
+			}
+		}
 		if err != nil {
 			return payload, err
 		}
-		payload = NewRunPayload(&body, id, key, sessionToken, requestID, deadlineMs)
+		payload = NewRunPayload(&body, id, key, sessionToken, requestID, deadlineMs, repeat)
 
 		return payload, nil
 	}
@@ -457,6 +479,7 @@
 			sessionToken *string
 			requestID    *string
 			deadlineMs   *int
+			repeat       *bool
 			err          error
 
 			params = mux.Vars(r)
@@ -490,10 +513,20 @@
 				err = goa.MergeErrors(err, goa.InvalidRangeError("deadline_ms", *deadlineMs, 1, true))
 			}
 		}
+		{
+			repeatRaw := r.Header.Get("x-request-repeat")
+			if repeatRaw != "" {
+				v, err2 := strconv.ParseBool(repeatRaw)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("repeat", repeatRaw, "boolean"))
+				}
+				repeat = &v
+			}
+		}
 		if err != nil {
 			return payload, err
 		}
-		payload = NewCommitPayload(id, key, sessionToken, requestID, deadlineMs)
+		payload = NewCommitPayload(id, key, sessionToken, requestID, deadlineMs, repeat)
 
 		return payload, nil
 	}
@@ -655,6 +688,7 @@
 			sessionToken *string
 			requestID    *string
 			deadlineMs   *int
+			repeat       *bool
 			err          error
 
 			params = mux.Vars(r)
@@ -688,10 +722,20 @@
 				err = goa.MergeErrors(err, goa.InvalidRangeError("deadline_ms", *deadlineMs, 1, true))
 			}
 		}
+		{
+			repeatRaw := r.Header.Get("x-request-repeat")
+			if repeatRaw != "" {
+				v, err2 := strconv.ParseBool(repeatRaw)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("repeat", repeatRaw, "boolean"))
+				}
+				repeat = &v
+			}
+		}
 		if err != nil {
 			return payload, err
 		}
-		payload = NewRollbackPayload(id, key, sessionToken, requestID, deadlineMs)
+		payload = NewRollbackPayload(id, key, sessionToken, requestID, deadlineMs, repeat)
 
 		return payload, nil
 	}
--- a/internal/gen/http/transactions/server/types.go
+++ b/internal/gen/http/transactions/server/types.go
@@ -1468,19 +1468,20 @@
 }
 
 // NewBeginPayload builds a transactions service begin endpoint payload.
-func NewBeginPayload(group string, key *string, sessionToken *string, requestID *string, deadlineMs *int) *transactions.BeginPayload {
+func NewBeginPayload(group string, key *string, sessionToken *string, requestID *string, deadlineMs *int, repeat *bool) *transactions.BeginPayload {
 	v := &transactions.BeginPayload{}
 	v.Group = group
 	v.Key = key
 	v.SessionToken = sessionToken
 	v.RequestID = requestID
 	v.DeadlineMs = deadlineMs
+	v.Repeat = repeat
 
 	return v
 }
 
 // NewRunPayload builds a transactions service run endpoint payload.
-func NewRunPayload(body *RunRequestBody, id string, key *string, sessionToken *string, requestID *string, deadlineMs *int) *transactions.RunPayload {
+func NewRunPayload(body *RunRequestBody, id string, key *string, sessionToken *string, requestID *string, deadlineMs *int, repeat *bool) *transactions.RunPayload {
 	v := &transactions.RunPayload{
 		SQL: *body.SQL,
 	}
@@ -1499,30 +1500,33 @@
 	v.SessionToken = sessionToken
 	v.RequestID = requestID
 	v.DeadlineMs = deadlineMs
+	v.Repeat = repeat
 
 	return v
 }
 
 // NewCommitPayload builds a transactions service commit endpoint payload.
-func NewCommitPayload(id string, key *string, sessionToken *string, requestID *string, deadlineMs *int) *transactions.CommitPayload {
+func NewCommitPayload(id string, key *string, sessionToken *string, requestID *string, deadlineMs *int, repeat *bool) *transactions.CommitPayload {
 	v := &transactions.CommitPayload{}
 	v.ID = id
 	v.Key = key
 	v.SessionToken = sessionToken
 	v.RequestID = requestID
 	v.DeadlineMs = deadlineMs
+	v.Repeat = repeat
 
 	return v
 }
 
 // NewRollbackPayload builds a transactions service rollback endpoint payload.
-func NewRollbackPayload(id string, key *string, sessionToken *string, requestID *string, deadlineMs *int) *transactions.RollbackPayload {
+func NewRollbackPayload(id string, key *string, sessionToken *string, requestID *string, deadlineMs *int, repeat *bool) *transactions.RollbackPayload {
 	v := &transactions.RollbackPayload{}
 	v.ID = id
 	v.Key = key
 	v.SessionToken = sessionToken
 	v.RequestID = requestID
 	v.DeadlineMs = deadlineMs
+	v.Repeat = repeat
 
 	return v
 }
--- a/internal/gen/statements/service.go
+++ b/internal/gen/statements/service.go
@@ -98,6 +98,8 @@
 	RequestID *string
 	// Time the caller is ready to wait, in milliseconds
 	DeadlineMs *int
+	// An earlier attempt with this request id has an unknown outcome
+	Repeat *bool
 	// One statement
 	SQL       string
 	Arguments []*Cell
--- a/internal/gen/transactions/service.go
+++ b/internal/gen/transactions/service.go
@@ -67,7 +67,9 @@
 	RequestID *string
 	// Time the caller is ready to wait, in milliseconds
 	DeadlineMs *int
-	Group      string
+	// An earlier attempt with this request id has an unknown outcome
+	Repeat *bool
+	Group  string
 }
 
 type Cell struct {
@@ -85,6 +87,8 @@
 	RequestID *string
 	// Time the caller is ready to wait, in milliseconds
 	DeadlineMs *int
+	// An earlier attempt with this request id has an unknown outcome
+	Repeat *bool
 	// Transaction id
 	ID string
 }
@@ -116,6 +120,8 @@
 	RequestID *string
 	// Time the caller is ready to wait, in milliseconds
 	DeadlineMs *int
+	// An earlier attempt with this request id has an unknown outcome
+	Repeat *bool
 	// Transaction id
 	ID string
 }
@@ -134,6 +140,8 @@
 	RequestID *string
 	// Time the caller is ready to wait, in milliseconds
 	DeadlineMs *int
+	// An earlier attempt with this request id has an unknown outcome
+	Repeat *bool
 	// One statement
 	SQL       string
 	Arguments []*Cell
--- a/internal/instance/api/exchange.go
+++ b/internal/instance/api/exchange.go
@@ -100,6 +100,12 @@
 	return &refusal{body: newFailure(x, r)}
 }
 
+// repeated marks a call as a repetition of one whose outcome is unknown.
+func (c Call) repeated(repeat *bool) Call {
+	c.Repeat = repeat != nil && *repeat
+	return c
+}
+
 func (x *exchange) call(token *string, deadlineMS *int) Call {
 	c := Call{Key: x.key, RequestID: x.requestID}
 	if token != nil {
--- a/internal/instance/api/executor.go
+++ b/internal/instance/api/executor.go
@@ -30,6 +30,7 @@
 	RequestID    string        // UUID
 	SessionToken string        // empty in the first request of a session
 	Deadline     time.Duration // 0 if the caller named none
+	Repeat       bool          // an earlier attempt with this request id has an unknown outcome
 }
 
 // Mode says whether a statement reads or writes.
--- a/internal/instance/api/service.go
+++ b/internal/instance/api/service.go
@@ -19,7 +19,7 @@
 func (s statementService) Run(ctx context.Context, p *statements.RunPayload) (*statements.Answer, error) {
 	x := exchangeOf(ctx)
 	r := StatementRequest{
-		Call: x.call(p.SessionToken, p.DeadlineMs), Group: p.Group, Mode: Mode(p.Mode),
+		Call: x.call(p.SessionToken, p.DeadlineMs).repeated(p.Repeat), Group: p.Group, Mode: Mode(p.Mode),
 		Statement: driver.Statement{SQL: p.SQL}, Primary: p.Primary != nil && *p.Primary, Unresolved: p.Unresolved,
 	}
 	for _, c := range p.Arguments {
@@ -62,13 +62,13 @@
 // Begin implements transactions.Service.
 func (s transactionService) Begin(ctx context.Context, p *transactions.BeginPayload) (*transactions.Answer, error) {
 	x := exchangeOf(ctx)
-	return transactionAnswer(x, s.executor.Begin(ctx, BeginRequest{Call: x.call(p.SessionToken, p.DeadlineMs), Group: p.Group}))
+	return transactionAnswer(x, s.executor.Begin(ctx, BeginRequest{Call: x.call(p.SessionToken, p.DeadlineMs).repeated(p.Repeat), Group: p.Group}))
 }
 
 // Run implements transactions.Service.
 func (s transactionService) Run(ctx context.Context, p *transactions.RunPayload) (*transactions.Answer, error) {
 	x := exchangeOf(ctx)
-	r := StepRequest{Call: x.call(p.SessionToken, p.DeadlineMs), Transaction: p.ID, Statement: driver.Statement{SQL: p.SQL}}
+	r := StepRequest{Call: x.call(p.SessionToken, p.DeadlineMs).repeated(p.Repeat), Transaction: p.ID, Statement: driver.Statement{SQL: p.SQL}}
 	for _, c := range p.Arguments {
 		r.Statement.Arguments = append(r.Statement.Arguments, transactionCell(c))
 	}
@@ -78,14 +78,14 @@
 // Commit implements transactions.Service.
 func (s transactionService) Commit(ctx context.Context, p *transactions.CommitPayload) (*transactions.Answer, error) {
 	x := exchangeOf(ctx)
-	r := EndRequest{Call: x.call(p.SessionToken, p.DeadlineMs), Transaction: p.ID, Commit: true}
+	r := EndRequest{Call: x.call(p.SessionToken, p.DeadlineMs).repeated(p.Repeat), Transaction: p.ID, Commit: true}
 	return transactionAnswer(x, s.executor.End(ctx, r))
 }
 
 // Rollback implements transactions.Service.
 func (s transactionService) Rollback(ctx context.Context, p *transactions.RollbackPayload) (*transactions.Answer, error) {
 	x := exchangeOf(ctx)
-	r := EndRequest{Call: x.call(p.SessionToken, p.DeadlineMs), Transaction: p.ID}
+	r := EndRequest{Call: x.call(p.SessionToken, p.DeadlineMs).repeated(p.Repeat), Transaction: p.ID}
 	return transactionAnswer(x, s.executor.End(ctx, r))
 }
 
--- a/internal/instance/daemon/executor.go
+++ b/internal/instance/daemon/executor.go
@@ -107,7 +107,7 @@
 		wait = values.DefaultDeadline
 	}
 	caller := execution.Caller{
-		Token: c.SessionToken, RequestID: c.RequestID, Deadline: e.clock.Now().Add(min(wait, values.MaxDeadline)),
+		Token: c.SessionToken, RequestID: c.RequestID, Repeat: c.Repeat, Deadline: e.clock.Now().Add(min(wait, values.MaxDeadline)),
 	}
 	if !c.Key.IsZero() {
 		caller.KeyHash = c.Key.String()
--- a/internal/request/execution/execution.go
+++ b/internal/request/execution/execution.go
@@ -114,6 +114,9 @@
 	defer cancel()
 	reply := x.guarded(ctx, now, r)
 	reply.RequestID = x.requestID
+	if x.caller.Repeat {
+		reply.Verdict = repeated(r, reply.Verdict)
+	}
 	if reply.Verdict.Outcome == outcome.Unknown {
 		reply.Group = recordedGroup(r)
 	}
@@ -142,6 +145,25 @@
 	return withheldLookup(r, reply)
 }
 
+// repeated returns the verdict of a repetition. That this attempt was refused says nothing about the earlier one, whose
+// outcome is unknown; only a found record or a request id of another request decides.
+func repeated(r Request, v outcome.Verdict) outcome.Verdict {
+	if v.Outcome != outcome.NotRunOutcome || v.Reason == outcome.RequestIDReused {
+		return v
+	}
+	switch r := r.(type) {
+	case Statement:
+		if !r.Write {
+			return v
+		}
+	case Commit:
+	default:
+		return v
+	}
+	message := "this attempt was not run: " + string(v.Reason) + "; the earlier one may have been"
+	return outcome.NotKnown(outcome.OutcomeUnreadable).WithMessage(message)
+}
+
 // lapsed returns why the instance may no longer answer for the caller, or "".
 func (x *execution) lapsed() outcome.Reason {
 	if !x.ports.Freshness.Fresh(x.ports.Clock.Now()) {
--- a/internal/request/execution/execution_test.go
+++ b/internal/request/execution/execution_test.go
@@ -221,3 +221,21 @@
 		t.Errorf("%d different fingerprints of 8", len(seen))
 	}
 }
+
+// Guards against telling a caller "not run" about a request whose earlier attempt may have run.
+func TestRefusedRepetitionStaysUnknown(t *testing.T) {
+	refusal := outcome.NotRun(outcome.QueueFull)
+	write := Statement{Write: true}
+	if v := repeated(write, refusal); v.Outcome != outcome.Unknown {
+		t.Errorf("write: %v", v)
+	}
+	if v := repeated(Commit{}, refusal); v.Outcome != outcome.Unknown {
+		t.Errorf("commit: %v", v)
+	}
+	if v := repeated(Statement{}, refusal); v != refusal {
+		t.Errorf("read: %v", v)
+	}
+	if v := repeated(write, outcome.NotRun(outcome.RequestIDReused)); v.Outcome != outcome.NotRunOutcome {
+		t.Errorf("reused id: %v", v)
+	}
+}
--- a/internal/request/execution/request.go
+++ b/internal/request/execution/request.go
@@ -17,6 +17,8 @@
 	Token     string // session token of the last reply, if any
 	RequestID string // UUIDv7; made if empty
 	Deadline  time.Time
+	// Repeat says that an earlier attempt with this request id has an unknown outcome.
+	Repeat bool
 }
 
 func (c Caller) from() Caller { return c }
--- a/internal/tool/ledger/report.go
+++ b/internal/tool/ledger/report.go
@@ -51,7 +51,7 @@
 
 	Lost           int `json:"lost"`             // acknowledged writes that are absent at the end
 	Doubled        int `json:"doubled"`          // writes whose effect is present more than once
-	NotRunButRan   int `json:"not_run_but_ran"`  // writes that were only ever not_run and are present
+	NotRunButRan   int `json:"not_run_but_ran"`  // writes whose last answer was not_run and that are present
 	StaleReads     int `json:"stale_reads"`      // session reads that miss an acknowledged earlier write of their session
 	ForeignAnswers int `json:"foreign_answers"`  // answers or rows that belong to another request, session or organisation
 	Unaccounted    int `json:"unaccounted_rows"` // rows that no recorded request wrote
@@ -101,21 +101,23 @@
 	group   string
 	kind    Kind
 	outcome outcome.Outcome
+	last    outcome.Outcome
 }
 
 type requestKey struct{ group, id string }
 
-// settle merges the attempts: done wins over unknown, and unknown over not_run, since a refused repetition says nothing
-// about an earlier attempt.
+// settle merges the attempts, in the order of their start: done wins over unknown, and unknown over not_run. The last
+// answer is kept too: a repetition that is marked as such must not be told not_run if the earlier attempt ran.
 func settle(entries []Entry) map[requestKey]request {
 	rank := map[outcome.Outcome]int{outcome.NotRunOutcome: 1, outcome.Unknown: 2, outcome.Done: 3}
 	settled := map[requestKey]request{}
 	for _, e := range entries {
 		k := requestKey{e.Group, e.RequestID}
+		merged := request{tag: e.Tag(), group: e.Group, kind: e.Kind, outcome: e.Outcome, last: e.Outcome}
 		if old, ok := settled[k]; ok && rank[old.outcome] >= rank[e.Outcome] {
-			continue
+			merged.outcome = old.outcome
 		}
-		settled[k] = request{tag: e.Tag(), group: e.Group, kind: e.Kind, outcome: e.Outcome}
+		settled[k] = merged
 	}
 	return settled
 }
@@ -150,7 +152,7 @@
 		switch {
 		case q.outcome == outcome.Done && n == 0:
 			r.Lost++
-		case q.outcome == outcome.NotRunOutcome && n > 0:
+		case q.last == outcome.NotRunOutcome && q.outcome != outcome.Done && n > 0:
 			r.NotRunButRan++
 		}
 		if n > 1 {
--- a/internal/tool/load/caller.go
+++ b/internal/tool/load/caller.go
@@ -56,6 +56,7 @@
 	group     string
 	id        string
 	statement *body
+	repeat    bool // an earlier attempt has an unknown outcome
 }
 
 func writeStatement(sql string, arguments ...string) *body {
@@ -76,6 +77,9 @@
 	instance := r.pick(s.random).url
 	got := reply{started: time.Now(), instance: instance}
 	fail := func(o outcome.Outcome, reason outcome.Reason) reply {
+		if c.repeat {
+			o = outcome.Unknown
+		}
 		return reply{Outcome: o, Reason: reason, started: got.started, ended: time.Now(), instance: instance}
 	}
 	method, path := c.method, c.path
@@ -99,6 +103,9 @@
 	}
 	q.Header.Set("x-api-key", s.organisation.Key.Reveal())
 	q.Header.Set("x-request-id", c.id)
+	if c.repeat {
+		q.Header.Set("x-request-repeat", "true")
+	}
 	q.Header.Set("x-deadline-ms", strconv.FormatInt(r.options.Deadline.Milliseconds(), 10))
 	if s.token != "" {
 		q.Header.Set("x-session-token", s.token)
--- a/internal/tool/load/session.go
+++ b/internal/tool/load/session.go
@@ -141,6 +141,7 @@
 		r := s.send(ctx, c)
 		record(r)
 		unknown = unknown || r.Outcome == outcome.Unknown
+		c.repeat = unknown
 		if r.done() {
 			return r
 		}
