Measure the targets with experiments

Change: internal/tool/experiment with twelve experiments, typed results, Markdown rows and SVG plots, and the command tanagercross experiment list|run. Figures are counted from callers and database contents.

--- a/cmd/tanagercross/main.go
+++ b/cmd/tanagercross/main.go
@@ -10,6 +10,9 @@
 //	tanagercross key withdraw --hash 9f86... --by ana --reason "lost phone"
 //	tanagercross status --json
 //	tanagercross demo
+//	tanagercross experiment list
+//	tanagercross experiment run failover latency --seed 7 --report reports
+//	tanagercross experiment run all --brief
 //
 // The base URL comes from --url or TANAGERCROSS_URL, the secret from --secret-file, TANAGERCROSS_OPERATOR_SECRET_FILE or
 // TANAGERCROSS_OPERATOR_SECRET, in this order.
@@ -85,6 +88,8 @@
 	code, kind := exitFailed, "failed"
 	var e *operator.Error
 	switch {
+	case errors.Is(err, errNotMet):
+		kind = "not_met"
 	case errors.Is(err, errNotInForce):
 		code, kind = exitRefused, "not_in_force"
 	case errors.As(err, &e):
--- a/cmd/tanagercross/options.go
+++ b/cmd/tanagercross/options.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 
 	"github.com/integrii/flaggy"
@@ -36,6 +37,7 @@
 	hash         string
 	keyFile      string
 	arguments    []string // after --
+	experiment   experimentOptions
 }
 
 // usageError is an error in the arguments.
@@ -52,7 +54,7 @@
 
 // parse reads the arguments. flaggy itself ends the process after --help (code 0) and after unknown arguments (code 2).
 func parse(arguments []string) (options, command, error) {
-	o := options{limit: defaultHistoryLimit}
+	o := options{limit: defaultHistoryLimit, experiment: experimentOptions{profile: "mutirao", seed: 1}}
 	p := flaggy.NewParser("tanagercross")
 	p.Description = "operators' tool of the database proxy"
 	p.AdditionalHelpAppend = exitHelp
@@ -75,6 +77,9 @@
 	key := add(&p.Subcommand, "key", "issue and withdraw keys", nil)
 	add(&p.Subcommand, "status", "show the status of an instance", status)
 	add(&p.Subcommand, "demo", "run the demonstration", demonstrate)
+	measure := add(&p.Subcommand, "experiment", "measure the targets on a deployment in this process", nil)
+	add(measure, "list", "list the experiments", experimentList)
+	experimentFlags(add(measure, "run", "run experiments", experimentRun), &o.experiment)
 
 	add(config, "show", "show the configuration in force", configShow)
 	check := add(config, "check", "check a file without any instance", configCheck)
@@ -114,6 +119,20 @@
 	run        command
 }
 
+func experimentFlags(s *flaggy.Subcommand, o *experimentOptions) {
+	for i := range o.names {
+		s.AddPositionalValue(&o.names[i], "name-"+strconv.Itoa(i+1), i+1, i == 0, "name of an experiment, or all")
+	}
+	s.String(&o.profile, "", "profile", "deployment: mutirao or trust")
+	s.Int(&o.instances, "", "instances", "number of instances (default: by experiment)")
+	s.Int(&o.groups, "", "groups", "number of database groups (default: by experiment)")
+	s.Int(&o.runs, "", "runs", "number of faults, changes or requests (default: by experiment)")
+	s.UInt64(&o.seed, "", "seed", "seed of the load and of the choice of victims")
+	s.Duration(&o.duration, "", "duration", "measured time of one phase (default: by experiment)")
+	s.String(&o.report, "", "report", "directory for NAME.md, a row of a Markdown table, and NAME.svg")
+	s.Bool(&o.brief, "", "brief", "smaller defaults, for a trial")
+}
+
 func author(s *flaggy.Subcommand, o *options) {
 	s.String(&o.by, "", "by", "author of the change")
 	s.String(&o.reason, "", "reason", "written reason of the change")
--- a/internal/tool/deployment/deployment.go
+++ b/internal/tool/deployment/deployment.go
@@ -69,6 +69,7 @@
 	configs   []settings.Settings
 	places    map[string]string // of instances, by name
 	dead      map[int]bool
+	mu        sync.Mutex // of the servers of the databases
 }
 
 // Database is one database server of a deployment.
--- a/internal/tool/deployment/fault.go
+++ b/internal/tool/deployment/fault.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
 
 	"github.com/rotisserie/eris"
 
+	"tanagercross/internal/database/driver"
 	"tanagercross/internal/standin/database"
 )
 
@@ -28,14 +30,26 @@
 	}
 }
 
-// KillInstance ends an instance without a drain. All its connections are closed first, so that nothing that it says
-// afterwards reaches anyone.
-func (d *Deployment) KillInstance(number int) {
-	d.Network.SetDown(d.configs[number].Name, true)
-	d.dead[number] = true
+// KillInstances ends instances at once without a drain. All their connections are closed first, so that nothing that
+// they say afterwards reaches anyone.
+func (d *Deployment) KillInstances(numbers ...int) {
+	for _, number := range numbers {
+		d.Network.SetDown(d.configs[number].Name, true)
+		d.dead[number] = true
+	}
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
-	_ = d.Instances[number].Stop(ended)
+	var stops sync.WaitGroup
+	for _, number := range numbers {
+		stops.Go(func() { _ = d.Instances[number].Stop(ended) })
+	}
+	stops.Wait()
+}
+
+// StopInstance drains an instance. Its error says that requests were cut.
+func (d *Deployment) StopInstance(ctx context.Context, number int) error {
+	d.dead[number] = true
+	return d.Instances[number].Stop(ctx)
 }
 
 // RestartInstance starts a new life of an instance that was stopped or killed.
@@ -63,10 +77,20 @@
 	if err != nil {
 		return eris.Wrap(err, "restart "+c.Name)
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	db.Server = s
 	return nil
 }
 
+// StatusOf returns the report of a database server. Unlike the server's own method it may be called during a restart.
+func (d *Deployment) StatusOf(db *Database) driver.Status {
+	d.mu.Lock()
+	s := db.Server
+	d.mu.Unlock()
+	return s.Status()
+}
+
 // SetDatabaseCut cuts a database server from its clients and from the other servers of its group, or ends the cut.
 func (d *Deployment) SetDatabaseCut(db *Database, cut bool) {
 	c := database.Cut{Inbound: cut, Outbound: cut}
