--- a/internal/tool/experiment/statistics.go
+++ b/internal/tool/experiment/statistics.go
@@ -104,6 +104,7 @@
 type reasons struct {
 	reason outcome.Reason
 	count  int
+	ms     []float64 // until the answer
 }
 
 func countReasons(entries []ledger.Entry) []reasons {
@@ -118,6 +119,7 @@
 			counted = append(counted, reasons{reason: e.Reason})
 		}
 		counted[i].count++
+		counted[i].ms = append(counted[i].ms, milliseconds(e.Ended.Sub(e.Started)))
 	}
 	slices.SortFunc(counted, func(a, b reasons) int { return b.count - a.count })
 	return counted
