Ignore evidence of silent members and stop probing removed servers

Cause: the last evidence of a member that died stays in its state and would count as the second source for a change of primary; a server that left the group list kept a probe connection. Change: only members that answer count as accusers; probers of servers that are no longer listed stop.

--- a/internal/instance/daemon/prober.go
+++ b/internal/instance/daemon/prober.go
@@ -22,6 +22,7 @@
 	jobs   chan failover.Action
 	conn   driver.Conn
 	put    func(failover.Event)
+	stop   context.CancelFunc
 }
 
 func newProber(d *Daemon, s driver.Server, put func(failover.Event)) *prober {
--- a/internal/instance/daemon/watch.go
+++ b/internal/instance/daemon/watch.go
@@ -137,7 +137,8 @@
 		shared, _ = s.Group(w.group)
 	})
 	for _, name := range accusers {
-		if name != w.settings.Name {
+		// The last evidence of a member that is gone stays in its state and must not count as a second source.
+		if name != w.settings.Name && w.liveness.alive(name) {
 			w.perform(ctx, w.watcher.Handle(failover.PeerEvidence{From: name, Term: term}, now))
 		}
 	}
@@ -194,11 +195,19 @@
 }
 
 func (w *watch) setServers(ctx context.Context, servers []driver.Server) {
+	for name, p := range w.probers {
+		if !slices.ContainsFunc(servers, func(s driver.Server) bool { return s.Name == name && s.Address == p.server.Address }) {
+			p.stop()
+			delete(w.probers, name)
+		}
+	}
 	for _, s := range servers {
 		if _, ok := w.probers[s.Name]; ok {
 			continue
 		}
+		ctx, stop := context.WithCancel(ctx)
 		p := newProber(w.Daemon, s, w.box.Put)
+		p.stop = stop
 		w.probers[s.Name] = p
 		w.spawn(func() { p.run(ctx) })
 	}
