Cut a primary from its replicas before it dies in the comparison of acknowledgements

Cause: the stand-in's lag delays the processing of entries that already left the primary, so that a plain kill lost no write and did not tell the ways apart. Change: the primary is cut from its replicas for 200 ms before it is killed; gaps of dead replicas are separate.

--- a/internal/tool/deployment/fault.go
+++ b/internal/tool/deployment/fault.go
@@ -93,8 +93,13 @@
 
 // SetDatabaseCut cuts a database server from its clients and from the other servers of its group, or ends the cut.
 func (d *Deployment) SetDatabaseCut(db *Database, cut bool) {
+	db.SetClientCut(database.Cut{Inbound: cut, Outbound: cut})
+	d.SetPeersCut(db, cut)
+}
+
+// SetPeersCut cuts a database server from the other servers of its group, or ends the cut.
+func (d *Deployment) SetPeersCut(db *Database, cut bool) {
 	c := database.Cut{Inbound: cut, Outbound: cut}
-	db.SetClientCut(c)
 	for _, peer := range db.Config.Peers {
 		db.SetPeerCut(peer.Name, c)
 	}
--- a/internal/tool/experiment/acknowledgement.go
+++ b/internal/tool/experiment/acknowledgement.go
@@ -16,6 +16,8 @@
 	acknowledgementLag = 10 * time.Millisecond
 	namedPeriod        = 500 * time.Microsecond // between looks at the named replica
 	steadyPart         = 3 * time.Second
+	// separation is the time for which a primary acknowledges alone, if it may, before it dies.
+	separation = 200 * time.Millisecond
 )
 
 // way is a way to acknowledge a write.
@@ -87,7 +89,7 @@
 }
 
 func acknowledgement(ctx context.Context, x *run) error {
-	x.condition("replication lag 10 ms, only writes; primaries and named replicas are killed in turn")
+	x.condition("replication lag 10 ms, only writes; primaries, cut from their replicas for 200 ms, and the next replicas are killed in turn")
 	x.result.Plot = Plot{Title: "Write latency by way of acknowledgement", XLabel: "% of writes", YLabel: "ms"}
 	base := 0.0
 	for _, w := range []way{atPrimary, namedReplica, byMajority} {
@@ -123,7 +125,7 @@
 			steady = append(steady, milliseconds(e.Ended.Sub(e.Started)))
 		}
 	}
-	gaps, err := x.killServers(ctx, w)
+	gaps, named, err := x.killServers(ctx, w)
 	if _, ended := t.end(); err == nil {
 		err = ended
 	}
@@ -144,37 +146,42 @@
 	x.result.add(name+"_lost_writes", float64(r.Lost), "", lost)
 	x.result.add(name+"_write_gap_median", median(gaps), "ms", nil)
 	x.result.add(name+"_write_gap_worst", quantile(gaps, 1), "ms", nil)
+	x.result.add(name+"_replica_death_write_gap_worst", quantile(named, 1), "ms", nil)
 	x.result.Plot.Series = append(x.result.Plot.Series, distribution(name, steady))
-	x.say("%s: median latency %.1f ms, %d of %d acknowledged writes lost, write gaps %.0f", name, median(steady), r.Lost, r.Acknowledged, gaps)
+	x.say("%s: median latency %.1f ms, %d of %d acknowledged writes lost, write gaps %.0f, of replicas %.0f", name, median(steady), r.Lost, r.Acknowledged,
+		gaps, named)
 	return median(steady), nil
 }
 
-// killServers kills the primary and the replica that follows it in turn, and returns the write gaps in ms.
-func (x *run) killServers(ctx context.Context, w way) ([]float64, error) {
+// killServers kills the primary and the replica that follows it in turn, and returns the write gaps of both in ms. A
+// primary loses its replicas shortly before it dies, as in a partition.
+func (x *run) killServers(ctx context.Context, w way) (gaps, named []float64, err error) {
 	group, random := x.groups()[0], x.random()
-	var gaps []float64
 	for n := range x.options.Runs {
 		pause(ctx, time.Duration(random.Int64N(jitterAtMost))*time.Millisecond)
 		victim, err := x.awaitPrimary(ctx, group)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
+		kind := &gaps
+		at := time.Now()
 		if n%2 == 1 {
-			server := driver.Server{Name: victim.Config.Name, Group: group}
-			victim = nextServer(x.deployment, server)
+			kind, victim = &named, nextServer(x.deployment, driver.Server{Name: victim.Config.Name, Group: group})
+		} else {
+			x.deployment.SetPeersCut(victim, true)
+			pause(ctx, separation)
 		}
-		at := time.Now()
 		victim.Kill()
 		pause(ctx, gapAfter)
 		gap := x.ledger.WriteGap(ledger.Failure{Group: group, At: at, Before: gapBefore, After: gapAfter})
-		gaps = append(gaps, milliseconds(gap))
+		*kind = append(*kind, milliseconds(gap))
 		x.say("%s, kill %d of %d: %s, write gap %.0f ms", w, n+1, x.options.Runs, victim.Config.Name, milliseconds(gap))
 		if err := x.deployment.RestartDatabase(ctx, victim); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		if err := x.awaitWhole(ctx, group); err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 	}
-	return gaps, ctx.Err()
+	return gaps, named, ctx.Err()
 }
