--- a/internal/request/execution/execution.go
+++ b/internal/request/execution/execution.go
@@ -222,6 +222,10 @@
 		return outcome.NotRun(outcome.DeadlineExceeded)
 	}
 	organisation, reason := x.ports.Keys.Organisation(x.caller.KeyHash)
+	if reason == outcome.KeyUnknown && !x.ports.Freshness.Fresh(now) {
+		// A new life has no keys yet; key_unknown would tell the caller not to repeat the request.
+		reason = outcome.InstanceNotFresh
+	}
 	if reason != "" {
 		return outcome.NotRun(reason)
 	}
--- a/internal/request/execution/execution_test.go
+++ b/internal/request/execution/execution_test.go
@@ -126,6 +126,18 @@
 	}
 }
 
+// Guards against an instance that has just started and refuses a valid key for good, since it has not read the keys.
+func TestUnknownKeyAtInstanceThatIsNotFresh(t *testing.T) {
+	w := newWorld(1)
+	for _, want := range []outcome.Reason{outcome.KeyUnknown, outcome.InstanceNotFresh} {
+		r := w.engine().Execute(t.Context(), Statement{Caller: Caller{KeyHash: "new"}, Group: "g", Statement: insert})
+		if r.Verdict.Outcome != outcome.NotRunOutcome || r.Verdict.Reason != want {
+			t.Errorf("%v, want %s", r.Verdict, want)
+		}
+		w.fresh = false
+	}
+}
+
 // Guards against reads that go to a server twice, and against an answer that is given after the key was withdrawn.
 func TestReads(t *testing.T) {
 	w := newWorld(1)
--- a/internal/request/execution/fake_test.go
+++ b/internal/request/execution/fake_test.go
@@ -70,6 +70,9 @@
 	if o := w.keys[hash]; o != "" {
 		return o, ""
 	}
+	if hash == "new" {
+		return "", outcome.KeyUnknown
+	}
 	return "", outcome.KeyWithdrawn
 }
 func (w *world) Fresh(time.Time) bool                        { return w.fresh }
