Use the session token, the router and the group view directly on the entry path

Cause: the entry path had its own session, query and choice types behind the ports Tokens and Router, and adapters that copied them. The adapters dropped Serve.Durable, Serve.DataTime and route.Wait after the first wait, and a transaction id was not authenticated. A position seen on a reply was recorded as asked for after the answer, which made the data of replicas look younger than it was.

Change: execution works on token.Token, token.Signer, group.View and route. A transaction id is a token.Transaction that is signed; a step of another organisation or session is refused before it reaches a database. An answer to a read of a stated age is compared with that age again, and a read at a primary that was replaced meanwhile is repeated. Writes also wait for a primary that does not answer, up to the bound of the wait for a change. A session that cannot take another group is refused before it runs. Positions carry the time before the question.

--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -166,8 +166,8 @@
 	}})
 	d.engine = execution.New(execution.Ports{
 		Keys: keys{d}, Freshness: d.fleet, Rates: allotment.NewLimiter(d, d.rateOf, allotment.Options{}),
-		Configuration: versions{d}, Tokens: tokens{signer}, Router: router{d}, Performer: performer{d},
-		Clock: wall{d.clock}, Counter: counter{d.metric},
+		Configuration: versions{d}, Signer: signer, Groups: groups{d}, Performer: performer{d},
+		Clock: wall{d.clock}, Counter: counter{d.metric}, Place: s.Place,
 	}, execution.Options{})
 	d.callers = &serving{server: api.New(executor{d}, api.Options{
 		Log: d.log, Metric: d.metric, ReadTimeout: s.ReadTimeout, WriteTimeout: s.WriteTimeout,
--- a/internal/instance/daemon/table.go
+++ b/internal/instance/daemon/table.go
@@ -23,9 +23,9 @@
 }
 
 type positionSeen struct {
-	group, server string
-	position      driver.Position
-	asked         time.Time
+	server   string
+	position driver.Position
+	asked    time.Time
 }
 
 type unreachable struct{ server string }
@@ -42,6 +42,17 @@
 func (unreachable) tableEvent()  {}
 func (announced) tableEvent()    {}
 
+// groups gives requests the tables of groups; it implements execution.Groups.
+type groups struct{ *Daemon }
+
+// View implements execution.Groups.
+func (g groups) View() *group.View { return g.table.View() }
+
+// Observe implements execution.Groups.
+func (g groups) Observe(server string, p driver.Position, asked time.Time) {
+	g.tableEvents.Put(positionSeen{server: server, position: p, asked: asked})
+}
+
 // runTable owns the tables of groups and servers until the context ends.
 func (d *Daemon) runTable(ctx context.Context) {
 	ticks, cancel := d.clock.Subscribe(tableTick)
--- a/internal/request/execution/execution.go
+++ b/internal/request/execution/execution.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	engine := execution.New(execution.Ports{Keys: keys, Router: router, Performer: performer}, execution.Options{})
+//	engine := execution.New(execution.Ports{Keys: keys, Signer: signer, Performer: performer}, execution.Options{})
 //	reply := engine.Execute(ctx, execution.Statement{
 //		Caller: execution.Caller{KeyHash: hash, Token: token},
 //		Group:  "meals-1", Write: true, Statement: driver.Statement{SQL: "UPDATE ..."},
@@ -27,17 +27,19 @@
 	"github.com/google/uuid"
 
 	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/group"
 	"tanagercross/internal/request/retry"
 	"tanagercross/internal/session/outcome"
+	"tanagercross/internal/session/token"
 )
 
 // Defaults of Options.
 const (
 	DefaultDeadline    = 10 * time.Second
-	DefaultLongest     = 60 * time.Second // deadline that a caller may ask for
-	DefaultPrimaryWait = 5 * time.Second  // longest wait for a change of primary
-	DefaultShortWait   = time.Second      // wait for a change when the primary may still be alive
-	DefaultPoll        = 10 * time.Millisecond
+	DefaultLongest     = 60 * time.Second       // deadline that a caller may ask for
+	DefaultPrimaryWait = 5 * time.Second        // longest wait for a change of primary
+	DefaultShortWait   = time.Second            // wait for a change when the primary may still be alive
+	DefaultPoll        = 10 * time.Millisecond  // between two looks for a newer term
 	DefaultLookup      = 25 * time.Millisecond  // first interval of lookups
 	DefaultLookupMost  = 400 * time.Millisecond // longest interval of lookups
 )
@@ -93,7 +95,8 @@
 	caller       Caller
 	requestID    string
 	organisation string
-	session      Session
+	session      token.Token
+	transaction  token.Transaction // for a step of a transaction
 	deadline     time.Time
 }
 
@@ -115,17 +118,27 @@
 	reply := x.guarded(ctx, now, r)
 	reply.RequestID = x.requestID
 	if reply.Verdict.Outcome == outcome.Unknown {
-		reply.Group = recordedGroup(r)
+		reply.Group = x.recordedGroup(r)
 	}
 	if reply.Verdict.Outcome != outcome.Done {
 		e.ports.Counter.Refused(reply.Verdict.Outcome, reply.Verdict.Reason)
 	}
-	if reply.Token == "" && x.session.ID != "" {
-		reply.Token = e.ports.Tokens.Issue(x.session)
-	}
+	reply.Token = x.issue()
 	return reply
 }
 
+// issue returns the text of the session token, or "" if the session is not known.
+func (x *execution) issue() string {
+	if x.session.Session() == "" {
+		return ""
+	}
+	text, err := x.ports.Signer.Encode(x.session)
+	if err != nil {
+		return "" // check refuses a request that would make the token too large
+	}
+	return text
+}
+
 // guarded checks freshness and the key before and after the request uses a database. A process that was paused in
 // between must not answer from expired state.
 func (x *execution) guarded(ctx context.Context, now time.Time, r Request) Reply {
@@ -161,7 +174,9 @@
 	}
 	switch r := r.(type) {
 	case Begin:
-		x.abandon(ctx, reply.Transaction)
+		if t, err := x.ports.Signer.DecodeTransaction(reply.Transaction); err == nil {
+			x.abandon(ctx, t)
+		}
 		return Reply{Verdict: outcome.NotRun(lapsed)}
 	case Statement:
 		if !r.Write {
@@ -223,23 +238,24 @@
 // open verifies the session token, or starts a session.
 func (x *execution) open(ctx context.Context) outcome.Reason {
 	if x.caller.Token == "" {
-		x.session = Session{
-			Organisation: x.organisation, ID: uuid.NewString(), Configuration: x.ports.Configuration.Version(),
+		id, err := token.NewSession()
+		if err != nil {
+			return outcome.RequestInvalid
 		}
+		x.session = token.New(x.organisation, id).WithConfiguration(x.ports.Configuration.Version())
 		return ""
 	}
-	session, err := x.ports.Tokens.Verify(x.caller.Token)
+	session, err := x.ports.Signer.Decode(x.caller.Token)
 	if err != nil {
 		return outcome.TokenInvalid
 	}
-	if session.Organisation != x.organisation {
+	if session.Organisation() != x.organisation {
 		return outcome.TokenForeign
 	}
-	if !x.ports.Configuration.Reach(ctx, session.Configuration) {
+	if !x.ports.Configuration.Reach(ctx, session.Configuration()) {
 		return outcome.ConfigurationBehind
 	}
-	session.Configuration = max(session.Configuration, x.ports.Configuration.Version())
-	x.session = session
+	x.session = session.WithConfiguration(x.ports.Configuration.Version())
 	return ""
 }
 
@@ -263,19 +279,37 @@
 		}
 		group = r.Group
 	}
-	if id := transactionOf(r); id != "" {
-		h, err := parseHandle(id)
+	if id, ok := transactionOf(r); ok {
+		t, err := x.ports.Signer.DecodeTransaction(id)
 		if err != nil {
 			return outcome.NotRun(outcome.TransactionUnknown)
 		}
-		group = h.Group
+		if t.Organisation != x.organisation || t.Session != x.session.Session() {
+			return outcome.NotRun(outcome.TransactionForeign)
+		}
+		x.transaction, group = t, t.Group
 	}
-	if !x.ports.Router.Known(group) {
+	if _, ok := x.group(group); !ok {
 		return outcome.NotRun(outcome.GroupUnknown)
 	}
+	if x.session.Full(group) {
+		return outcome.NotRun(outcome.RequestTooLarge).WithMessage("the session covers too many groups; start a new one")
+	}
 	return outcome.Verdict{Outcome: outcome.Done}
 }
 
+// group returns what the instance knows of a group now.
+func (x *execution) group(name string) (*group.State, bool) { return x.ports.Groups.View().Group(name) }
+
+// term returns the newest term known of a group, whether or not its primary is known.
+func (x *execution) term(name string) uint64 {
+	g, ok := x.group(name)
+	if !ok {
+		return 0
+	}
+	return g.Term
+}
+
 func (x *execution) dispatch(ctx context.Context, r Request) Reply {
 	switch r := r.(type) {
 	case Statement:
@@ -290,7 +324,7 @@
 	case Commit:
 		return x.commit(ctx, r)
 	case Rollback:
-		return x.rollback(ctx, r)
+		return x.rollback(ctx)
 	case Outcome:
 		return x.outcome(ctx, r)
 	}
@@ -305,8 +339,8 @@
 	return x.ports.Clock.Sleep(ctx, d)
 }
 
-// seen moves the session to a position that the caller's answer covers.
-func (x *execution) seen(group, server string, p driver.Position) {
+// seen moves the session to a position that the caller's answer covers. The question was sent at asked.
+func (x *execution) seen(group, server string, p driver.Position, asked time.Time) {
 	x.session = x.session.WithPosition(group, p)
-	x.ports.Router.Observe(group, server, p)
+	x.ports.Groups.Observe(server, p, asked)
 }
--- a/internal/request/execution/execution_test.go
+++ b/internal/request/execution/execution_test.go
@@ -9,6 +9,7 @@
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/operation"
 	"tanagercross/internal/session/outcome"
+	"tanagercross/internal/session/token"
 )
 
 var insert = driver.Statement{SQL: "INSERT INTO booking VALUES (1)"}
@@ -30,8 +31,8 @@
 				caller := Caller{KeyHash: "k", RequestID: id, Deadline: w.now.Add(2 * time.Second)}
 				r := Request(Statement{Caller: caller, Group: "g", Write: true, Statement: insert})
 				if n%5 == 0 {
-					h := handle{Group: "g", Server: w.view.Server, Term: w.view.Term, Local: "x"}
-					r = Commit{Caller: caller, Transaction: h.encode()}
+					caller.Token = issue(token.New("a", "s"))
+					r = Commit{Caller: caller, Transaction: w.transaction("a", "s")}
 				}
 				reply := e.Execute(t.Context(), r)
 				if !w.fresh && reply.Verdict.Outcome == outcome.Done {
@@ -91,8 +92,8 @@
 		return made.String()
 	}
 	w := newWorld(1)
-	foreign := w.Issue(Session{Organisation: "b", ID: "x"})
-	ahead := w.Issue(Session{Organisation: "a", ID: "x", Configuration: 2})
+	foreign := issue(token.New("b", "x"))
+	ahead := issue(token.New("a", "x").WithConfiguration(2))
 	for _, c := range []struct {
 		caller Caller
 		group  string
@@ -137,8 +138,8 @@
 	}
 	read := Statement{Caller: Caller{KeyHash: "k"}, Group: "g", Statement: driver.Statement{SQL: "SELECT 1"}}
 	r := w.engine().Execute(t.Context(), read)
-	session, _ := w.Verify(r.Token)
-	if r.Verdict.Outcome != outcome.Done || session.Positions["g"] != position || w.retried != 2 ||
+	session, _ := testSigner.Decode(r.Token)
+	if r.Verdict.Outcome != outcome.Done || session.Position("g") != position || w.retried != 2 ||
 		w.servers[0] == w.servers[1] || w.servers[1] == w.servers[2] {
 		t.Errorf("%v, token %v, servers %v", r.Verdict, session, w.servers)
 	}
@@ -221,3 +222,60 @@
 		t.Errorf("%d different fingerprints of 8", len(seen))
 	}
 }
+
+// Guards P3: a step of a transaction of another organisation or session must reach no database.
+func TestForeignTransactions(t *testing.T) {
+	w := newWorld(1)
+	for _, c := range []struct {
+		transaction string
+		want        outcome.Reason
+	}{
+		{w.transaction("b", "s"), outcome.TransactionForeign},
+		{w.transaction("a", "other"), outcome.TransactionForeign},
+		{w.transaction("a", "s")[1:], outcome.TransactionUnknown},
+		{issue(token.New("a", "s")), outcome.TransactionUnknown},
+	} {
+		caller := Caller{KeyHash: "k", Token: issue(token.New("a", "s"))}
+		for _, r := range []Request{
+			Run{Caller: caller, Transaction: c.transaction, Statement: insert},
+			Commit{Caller: caller, Transaction: c.transaction},
+			Rollback{Caller: caller, Transaction: c.transaction},
+		} {
+			if reply := w.engine().Execute(t.Context(), r); reply.Verdict != outcome.NotRun(c.want) {
+				t.Errorf("%T: %v, want %s", r, reply.Verdict, c.want)
+			}
+		}
+	}
+	if len(w.ops) != 0 {
+		t.Errorf("%d operations", len(w.ops))
+	}
+}
+
+// Guards the stated age of a read and reads at the primary: an answer that arrives after its data has become too old, or
+// after the primary that gave it was replaced, must not be given.
+func TestLateAnswers(t *testing.T) {
+	done := operation.Reply{Verdict: outcome.Verdict{Outcome: outcome.Done}}
+	w := newWorld(1)
+	w.replies = []operation.Reply{done, done}
+	w.onReply = func() {
+		if len(w.servers) == 1 {
+			w.now = w.now.Add(300 * time.Millisecond)
+		}
+	}
+	aged := Statement{Caller: Caller{KeyHash: "k"}, Group: "g", Statement: driver.Statement{SQL: "SELECT 1"}, MaxAge: 200 * time.Millisecond}
+	if r := w.engine().Execute(t.Context(), aged); r.Verdict.Outcome != outcome.Done || len(w.servers) != 2 || w.servers[0] == w.servers[1] {
+		t.Errorf("aged read: %v at %v", r.Verdict, w.servers)
+	}
+	w = newWorld(1)
+	w.replies = []operation.Reply{done, done}
+	w.onReply = func() {
+		if len(w.servers) == 1 {
+			w.term, w.primary = 2, 1
+			w.learn()
+		}
+	}
+	asked := Statement{Caller: Caller{KeyHash: "k"}, Group: "g", Statement: driver.Statement{SQL: "SELECT 1"}, Primary: true}
+	if r := w.engine().Execute(t.Context(), asked); r.Verdict.Outcome != outcome.Done || len(w.servers) != 2 || w.servers[1] != "s1" {
+		t.Errorf("read at the primary: %v at %v", r.Verdict, w.servers)
+	}
+}
--- a/internal/request/execution/fake_test.go
+++ b/internal/request/execution/fake_test.go
@@ -2,16 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/group"
 	"tanagercross/internal/database/operation"
 	"tanagercross/internal/session/outcome"
 	"tanagercross/internal/session/route"
+	"tanagercross/internal/session/token"
 )
 
 // world is a group of three servers with a lagging view, in one thread of execution. A reign lasts while the same server
@@ -23,7 +23,8 @@
 	primary int
 	reign   int
 	index   uint64
-	view    Choice
+	view    known
+	table   *group.Table
 	lag     time.Time // the view learns nothing before
 	records map[string]driver.Record
 	runs    map[string]int
@@ -36,26 +37,42 @@
 	replies []operation.Reply
 	retried int
 	rate    outcome.Reason
+	onReply func() // called before an operation answers
 }
 
+// known is the primary that the view names.
+type known struct {
+	server string
+	term   uint64
+}
+
+// testSigner signs the tokens of all tests.
+var testSigner, _ = token.NewSigner([]byte("a secret of the tests"))
+
 func newWorld(seed uint64) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 3)), now: time.Now(), term: 1, fresh: true,
 		records: make(map[string]driver.Record), runs: make(map[string]int), keys: map[string]string{"k": "a", "k2": "b"},
 	}
+	var servers []driver.Server
+	for n := range 3 {
+		servers = append(servers, driver.Server{Name: w.name(n), Group: "g"})
+	}
+	w.table = group.NewTable()
+	w.table.SetList([]group.Group{{Name: "g", Servers: servers}})
 	w.learn()
 	return w
 }
 
 func (w *world) engine() *Engine {
 	return New(Ports{
-		Keys: w, Freshness: w, Rates: w, Configuration: w, Tokens: w, Router: router{w}, Performer: w, Clock: w, Counter: counter{w},
+		Keys: w, Freshness: w, Rates: w, Configuration: w, Signer: testSigner, Groups: w, Performer: w, Clock: w, Counter: counter{w},
 	}, Options{Random: w.random.Int64N})
 }
 
 func (w *world) name(n int) string { return fmt.Sprintf("s%d", n) }
 func (w *world) learn() {
-	w.view = Choice{Server: w.name(w.primary), Role: driver.Primary, Term: w.term}
+	w.view = known{server: w.name(w.primary), term: w.term}
 }
 
 func (w *world) failover() {
@@ -76,18 +93,35 @@
 func (w *world) Take(context.Context, string) outcome.Reason { return w.rate }
 func (w *world) Version() uint64                             { return 1 }
 func (w *world) Reach(_ context.Context, v uint64) bool      { return v <= 1 }
-func (w *world) Known(group string) bool                     { return group == "g" }
-func (w *world) Write(string) (Choice, outcome.Reason)       { return w.view, "" }
-func (w *world) Term(string) uint64                          { return w.view.Term }
-func (w *world) Observe(string, string, driver.Position)     {}
 func (w *world) Now() time.Time                              { return w.now }
-func (w *world) Issue(s Session) string                      { data, _ := json.Marshal(s); return string(data) }
 
-func (w *world) Verify(token string) (s Session, err error) {
-	err = json.Unmarshal([]byte(token), &s)
-	return s, err
+func (w *world) Observe(string, driver.Position, time.Time) {}
+
+// View shows three servers that answer now and follow the known primary.
+func (w *world) View() *group.View {
+	for n := range 3 {
+		status := driver.Status{
+			Server: w.name(n), Role: driver.Replica, Term: w.view.term, Primary: w.view.server,
+			Last: driver.Position{Term: w.view.term, Index: 1 << 30},
+		}
+		if status.Server == w.view.server {
+			status.Role = driver.Primary
+		}
+		w.table.Observe(status, w.now, w.now)
+	}
+	return w.table.View()
+}
+
+// transaction returns the id of a transaction at the known primary.
+func (w *world) transaction(organisation, session string) string {
+	text, _ := testSigner.EncodeTransaction(token.Transaction{
+		Organisation: organisation, Session: session, Group: "g", Server: w.view.server, Term: w.view.term, LocalID: "x",
+	})
+	return text
 }
 
+func issue(t token.Token) string { text, _ := testSigner.Encode(t); return text }
+
 func (w *world) Sleep(_ context.Context, d time.Duration) bool {
 	w.now = w.now.Add(d)
 	if w.random.IntN(4) == 0 && w.now.After(w.lag) {
@@ -113,19 +147,6 @@
 func (c counter) Retried(outcome.Reason)                  { c.retried++ }
 func (c counter) Read(driver.Role, route.Reason)          {}
 
-type router struct{ *world }
-
-func (r router) Read(q Query) (Choice, outcome.Reason) {
-	for n := range 3 {
-		if !slices.Contains(q.Excluded, r.name(n)) && (q.Mode == route.Session || q.Mode == route.MaxAge) {
-			return Choice{Server: r.name(n), Role: driver.Replica, AtLeast: q.AtLeast}, ""
-		}
-	}
-	view := r.view
-	view.AtLeast = q.AtLeast
-	return view, ""
-}
-
 func (w *world) store(r driver.Record) bool {
 	if _, ok := w.records[r.RequestID]; ok {
 		return false
@@ -139,6 +160,9 @@
 func (w *world) Perform(_ context.Context, server string, op operation.Operation) (operation.Reply, string) {
 	w.ops = append(w.ops, op)
 	w.servers = append(w.servers, server)
+	if w.onReply != nil {
+		w.onReply()
+	}
 	if len(w.replies) > 0 {
 		r := w.replies[0]
 		w.replies = w.replies[1:]
--- a/internal/request/execution/identity.go
+++ b/internal/request/execution/identity.go
@@ -2,16 +2,13 @@
 
 import (
 	"crypto/sha256"
-	"encoding/base64"
 	"encoding/binary"
 	"encoding/hex"
-	"encoding/json"
 	"strings"
 	"time"
 	"unicode"
 
 	"github.com/google/uuid"
-	"github.com/rotisserie/eris"
 
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/session/outcome"
@@ -74,32 +71,6 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
-// handle is the content of a caller's transaction id. The holder checks organisation and session against its local id,
-// which is random, so that a changed handle reaches no other transaction.
-type handle struct {
-	Group  string `json:"group"`
-	Server string `json:"server"`
-	Holder string `json:"holder"`
-	Term   uint64 `json:"term"`
-	Local  string `json:"local"`
-}
-
-func (h handle) encode() string {
-	data, err := json.Marshal(h)
-	if err != nil {
-		return ""
-	}
-	return base64.RawURLEncoding.EncodeToString(data)
-}
-
-func parseHandle(id string) (h handle, err error) {
-	data, err := base64.RawURLEncoding.DecodeString(id)
-	if err == nil {
-		err = json.Unmarshal(data, &h)
-	}
-	return h, eris.Wrap(err, "transaction id")
-}
-
 // checkStatement refuses statements that act on the connection instead of the organisation's data. The proxy itself
 // sets the organisation and controls transactions.
 func checkStatement(s driver.Statement) outcome.Reason {
--- a/internal/request/execution/interactive.go
+++ b/internal/request/execution/interactive.go
@@ -6,18 +6,22 @@
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/operation"
 	"tanagercross/internal/session/outcome"
+	"tanagercross/internal/session/route"
+	"tanagercross/internal/session/token"
 )
 
 func (x *execution) begin(ctx context.Context, r Begin) Reply {
-	return x.atPrimary(ctx, r.Group, func(c Choice) Reply {
+	return x.atPrimary(ctx, r.Group, func(c route.Serve) Reply {
 		op := operation.Begin{
-			Organisation: x.organisation, Session: x.session.ID, Term: c.Term, KeyHash: x.caller.KeyHash,
+			Organisation: x.organisation, Session: x.session.Session(), Term: c.Term, KeyHash: x.caller.KeyHash,
 		}
 		reply, holder := x.ports.Performer.Perform(ctx, c.Server, op)
 		switch reply.Verdict.Outcome {
 		case outcome.Done:
-			h := handle{Group: r.Group, Server: c.Server, Holder: holder, Term: c.Term, Local: reply.Transaction}
-			return Reply{Verdict: reply.Verdict, Transaction: h.encode(), ServedBy: driver.Primary}
+			return x.begun(ctx, reply.Verdict, token.Transaction{
+				Organisation: x.organisation, Session: x.session.Session(), Group: r.Group, Server: c.Server,
+				Holder: holder, LocalID: reply.Transaction, Term: c.Term,
+			})
 		case outcome.Unknown:
 			// A transaction that nobody knows the id of is rolled back at its idle limit.
 			return Reply{Verdict: outcome.NotRun(outcome.ServerUnreachable)}
@@ -26,25 +30,28 @@
 	})
 }
 
-// abandon rolls back a transaction whose id is withheld from the caller.
-func (x *execution) abandon(ctx context.Context, id string) {
-	h, err := parseHandle(id)
+// begun returns the signed id of a transaction, or rolls the transaction back if it has none.
+func (x *execution) begun(ctx context.Context, v outcome.Verdict, t token.Transaction) Reply {
+	id, err := x.ports.Signer.EncodeTransaction(t)
 	if err != nil {
-		return
+		x.abandon(ctx, t)
+		return Reply{Verdict: outcome.NotRun(outcome.RequestTooLarge).WithMessage("the transaction id would be too long")}
 	}
-	op := operation.Rollback{Organisation: x.organisation, Session: x.session.ID, Transaction: h.Local}
-	x.ports.Performer.PerformAt(ctx, h.Holder, h.Server, op)
+	return Reply{Verdict: v, Transaction: id, ServedBy: driver.Primary}
+}
+
+// abandon rolls back a transaction whose id is withheld from the caller.
+func (x *execution) abandon(ctx context.Context, t token.Transaction) {
+	op := operation.Rollback{Organisation: t.Organisation, Session: t.Session, Transaction: t.LocalID}
+	x.ports.Performer.PerformAt(ctx, t.Holder, t.Server, op)
 }
 
 func (x *execution) run(ctx context.Context, r Run) Reply {
-	h, err := parseHandle(r.Transaction)
-	if err != nil {
-		return Reply{Verdict: outcome.NotRun(outcome.TransactionUnknown)}
-	}
+	t := x.transaction
 	op := operation.Run{
-		Organisation: x.organisation, Session: x.session.ID, Transaction: h.Local, Statement: r.Statement,
+		Organisation: x.organisation, Session: t.Session, Transaction: t.LocalID, Statement: r.Statement,
 	}
-	reply := x.ports.Performer.PerformAt(ctx, h.Holder, h.Server, op)
+	reply := x.ports.Performer.PerformAt(ctx, t.Holder, t.Server, op)
 	if reply.Verdict.Outcome != outcome.Done {
 		return Reply{Verdict: reply.Verdict}
 	}
@@ -53,19 +60,16 @@
 }
 
 func (x *execution) commit(ctx context.Context, r Commit) Reply {
-	h, err := parseHandle(r.Transaction)
-	if err != nil {
-		return Reply{Verdict: outcome.NotRun(outcome.TransactionUnknown)}
-	}
+	t := x.transaction
 	record := driver.Record{
 		RequestID:   x.requestID,
-		Fingerprint: fingerprint(x.organisation, h.Group, "commit "+r.Transaction, nil),
+		Fingerprint: fingerprint(x.organisation, t.Group, "commit "+r.Transaction, nil),
 	}
 	op := operation.Commit{
-		Organisation: x.organisation, Session: x.session.ID, Transaction: h.Local, Record: record,
+		Organisation: x.organisation, Session: t.Session, Transaction: t.LocalID, Record: record,
 	}
-	a := attempted{group: h.Group, server: h.Server, term: h.Term, record: record}
-	reply := x.ports.Performer.PerformAt(ctx, h.Holder, h.Server, op)
+	a := attempted{group: t.Group, server: t.Server, term: t.Term, record: record, asked: x.ports.Clock.Now()}
+	reply := x.ports.Performer.PerformAt(ctx, t.Holder, t.Server, op)
 	if reply.Verdict.Outcome != outcome.NotRunOutcome {
 		return x.concluded(ctx, a, reply)
 	}
@@ -93,12 +97,9 @@
 	return Reply{Verdict: v}
 }
 
-func (x *execution) rollback(ctx context.Context, r Rollback) Reply {
-	h, err := parseHandle(r.Transaction)
-	if err != nil {
-		return Reply{Verdict: outcome.NotRun(outcome.TransactionUnknown)}
-	}
-	op := operation.Rollback{Organisation: x.organisation, Session: x.session.ID, Transaction: h.Local}
-	reply := x.ports.Performer.PerformAt(ctx, h.Holder, h.Server, op)
+func (x *execution) rollback(ctx context.Context) Reply {
+	t := x.transaction
+	op := operation.Rollback{Organisation: x.organisation, Session: t.Session, Transaction: t.LocalID}
+	reply := x.ports.Performer.PerformAt(ctx, t.Holder, t.Server, op)
 	return Reply{Verdict: reply.Verdict}
 }
--- a/internal/request/execution/ports.go
+++ b/internal/request/execution/ports.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/group"
 	"tanagercross/internal/database/operation"
 	"tanagercross/internal/session/outcome"
 	"tanagercross/internal/session/route"
+	"tanagercross/internal/session/token"
 )
 
 // Ports are what the entry path needs from the rest of the instance. All are safe for concurrent use.
@@ -17,11 +18,12 @@
 	Freshness     Freshness
 	Rates         Rates
 	Configuration Configuration
-	Tokens        Tokens
-	Router        Router
+	Signer        *token.Signer
+	Groups        Groups
 	Performer     Performer
 	Clock         Clock
 	Counter       Counter
+	Place         string // of the instance; replicas of the same place come first
 }
 
 // Keys finds the organisation of a key by the hex SHA-256 of the key.
@@ -48,69 +50,11 @@
 	Reach(ctx context.Context, version uint64) bool
 }
 
-// Positions holds one position per group.
-type Positions map[string]driver.Position
-
-// Session is the content of a session token. It is not changed in place.
-type Session struct {
-	Organisation  string
-	ID            string
-	Positions     Positions
-	Configuration uint64
-}
-
-// WithPosition returns a copy that is at least at a position in a group.
-func (s Session) WithPosition(group string, p driver.Position) Session {
-	if s.Positions[group].Compare(p) >= 0 {
-		return s
-	}
-	positions := maps.Clone(s.Positions)
-	if positions == nil {
-		positions = make(Positions)
-	}
-	positions[group] = p
-	s.Positions = positions
-	return s
-}
-
-// Tokens reads and writes session tokens.
-type Tokens interface {
-	// Verify fails for a token whose tag or form is wrong.
-	Verify(token string) (Session, error)
-	Issue(s Session) string
-}
-
-// Query asks for a server for a read.
-type Query struct {
-	Group    string
-	Mode     route.Mode
-	AtLeast  driver.Position
-	MaxAge   time.Duration // for mode MaxAge
-	Excluded []string      // servers that were tried for this request
-	Waited   bool          // the bounded wait for a replica has been used
-}
-
-// Choice is a server for one attempt.
-type Choice struct {
-	Server  string
-	Role    driver.Role
-	Term    uint64          // term of the group
-	AtLeast driver.Position // for a read: to check on the connection
-	Wait    time.Duration   // if positive, ask again after this time; a replica is about to catch up
-	Cause   route.Reason
-}
-
-// Router chooses servers from what the instance knows of the groups.
-type Router interface {
-	Known(group string) bool
-	// Read returns no_server or no_primary as the reason if there is no choice.
-	Read(q Query) (Choice, outcome.Reason)
-	// Write returns the primary and its term, or no_primary as the reason.
-	Write(group string) (Choice, outcome.Reason)
-	// Term returns the highest term known of a group, whether or not its primary is known.
-	Term(group string) uint64
-	// Observe records a position that a server was seen at.
-	Observe(group, server string, p driver.Position)
+// Groups tells what the instance knows of the database groups.
+type Groups interface {
+	View() *group.View
+	// Observe records the position that a server answered with to a question that was sent at asked.
+	Observe(server string, p driver.Position, asked time.Time)
 }
 
 // Performer runs operations on a server through any instance that holds a lane of it. A verdict not_run says that the
--- a/internal/request/execution/read.go
+++ b/internal/request/execution/read.go
@@ -2,19 +2,27 @@
 
 import (
 	"context"
+	"time"
 
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/operation"
 	"tanagercross/internal/request/retry"
 	"tanagercross/internal/session/outcome"
+	"tanagercross/internal/session/route"
 )
 
 // read tries servers until one answers. A read has no effect, so an attempt whose answer was lost may be repeated.
 func (x *execution) read(ctx context.Context, r Statement) Reply {
-	query := Query{Group: r.Group, Mode: r.mode(), MaxAge: r.MaxAge, AtLeast: x.session.Positions[r.Group]}
+	query := x.query(r)
 	attempts := retry.NewAttempts(x.options.Retry, x.deadline)
 	for {
-		choice, reason := x.chooseRead(ctx, &query)
+		choice, reason := x.choose(ctx, func(now time.Time) route.Choice {
+			g, ok := x.group(r.Group)
+			if !ok {
+				return route.Refuse{Reason: outcome.GroupUnknown}
+			}
+			return route.ChooseRead(g, query, now)
+		})
 		verdict := outcome.NotRun(reason)
 		if reason == "" {
 			reply := x.readAt(ctx, r, choice)
@@ -29,45 +37,54 @@
 		if denied := x.again(ctx, attempts, reason); denied != "" {
 			return refusedBy(verdict, denied)
 		}
-		if choice.Server == "" || choice.Role == driver.Primary {
+		if choice.Server == "" || !choice.Reason.ByReplica() {
 			// No other server is left to try, so that the next attempt waits for a newer view and starts over.
 			x.awaitChange(ctx, r.Group, choice.Term, x.changeWait(reason, attempts.Made()))
-			query.Excluded = nil
+			query = x.query(r)
 			continue
 		}
-		query.Excluded = append(query.Excluded, choice.Server)
+		query.Exclude = append(query.Exclude, choice.Server)
 	}
 }
 
-// chooseRead waits for a replica that is about to catch up, or for a primary if the read needs one.
-func (x *execution) chooseRead(ctx context.Context, q *Query) (Choice, outcome.Reason) {
-	end := x.ports.Clock.Now().Add(x.options.PrimaryWait)
-	for {
-		choice, reason := x.ports.Router.Read(*q)
-		wait := x.options.Poll
-		switch {
-		case reason == "" && choice.Wait > 0 && !q.Waited:
-			q.Waited, wait = true, choice.Wait
-		case reason != outcome.NoPrimary || !x.ports.Clock.Now().Before(end):
-			return choice, reason
-		}
-		if !x.pause(ctx, wait) {
-			return choice, reason
-		}
+// query describes a read to the choice of a server. The bounds of its waits count from now.
+func (x *execution) query(r Statement) route.Read {
+	now := x.ports.Clock.Now()
+	return route.Read{
+		Mode: r.mode(), MaxAge: r.MaxAge, AtLeast: x.session.Position(r.Group), Place: x.ports.Place,
+		Started: now, PrimaryUntil: now.Add(x.options.PrimaryWait),
 	}
 }
 
-func (x *execution) readAt(ctx context.Context, r Statement, c Choice) Reply {
-	op := operation.Read{
-		Organisation: x.organisation, AtLeast: c.AtLeast, Statement: r.Statement, Durable: c.Role == driver.Primary,
-	}
+func (x *execution) readAt(ctx context.Context, r Statement, c route.Serve) Reply {
+	asked := x.ports.Clock.Now()
+	op := operation.Read{Organisation: x.organisation, AtLeast: c.AtLeast, Statement: r.Statement, Durable: c.Durable}
 	reply, _ := x.ports.Performer.Perform(ctx, c.Server, op)
 	if reply.Verdict.Outcome != outcome.Done {
 		return Reply{Verdict: reply.Verdict}
 	}
-	x.seen(r.Group, c.Server, reply.Result.Position)
-	x.ports.Counter.Read(c.Role, c.Cause)
-	return Reply{Verdict: reply.Verdict, Result: reply.Result, ServedBy: c.Role}
+	if reason := x.outdated(r, c); reason != "" {
+		return Reply{Verdict: outcome.NotRun(reason)}
+	}
+	x.seen(r.Group, c.Server, reply.Result.Position, asked)
+	role := driver.Primary
+	if c.Reason.ByReplica() {
+		role = driver.Replica
+	}
+	x.ports.Counter.Read(role, c.Reason)
+	return Reply{Verdict: reply.Verdict, Result: reply.Result, ServedBy: role}
+}
+
+// outdated returns why an answer that has arrived may not be given, or "". While the read waited for its turn, its data
+// may have become older than the stated age, or the primary that served it may have been replaced.
+func (x *execution) outdated(r Statement, c route.Serve) outcome.Reason {
+	switch {
+	case !c.DataTime.IsZero() && x.ports.Clock.Now().Sub(c.DataTime) > r.MaxAge:
+		return outcome.ServerBehind
+	case c.Durable && x.term(r.Group) > c.Term:
+		return outcome.PrimaryReplaced
+	}
+	return ""
 }
 
 // again waits before the next attempt, or says why there is none.
--- a/internal/request/execution/request.go
+++ b/internal/request/execution/request.go
@@ -89,30 +89,29 @@
 }
 
 // recordedGroup returns the group that holds the record of a request, or "" if the request leaves none.
-func recordedGroup(r Request) string {
+func (x *execution) recordedGroup(r Request) string {
 	switch r := r.(type) {
 	case Statement:
 		if r.Write {
 			return r.Group
 		}
 	case Commit:
-		if h, err := parseHandle(r.Transaction); err == nil {
-			return h.Group
-		}
+		return x.transaction.Group
 	case Outcome:
 		return r.Group
 	}
 	return ""
 }
 
-func transactionOf(r Request) string {
+// transactionOf returns the transaction id of a step, and false for other requests.
+func transactionOf(r Request) (string, bool) {
 	switch r := r.(type) {
 	case Run:
-		return r.Transaction
+		return r.Transaction, true
 	case Commit:
-		return r.Transaction
+		return r.Transaction, true
 	case Rollback:
-		return r.Transaction
+		return r.Transaction, true
 	}
-	return ""
+	return "", false
 }
--- a/internal/request/execution/settle.go
+++ b/internal/request/execution/settle.go
@@ -33,13 +33,14 @@
 // proves that the write was not run only in a newer term and on another server: the branch of the old term has then been
 // left without it. A transaction that hangs on the same server could commit after that server was promoted again.
 func (x *execution) lookUp(ctx context.Context, a attempted) (Reply, bool) {
-	choice, reason := x.ports.Router.Write(a.group)
+	choice, reason := x.choosePrimary(a.group)
 	if reason != "" {
 		return Reply{}, false
 	}
+	asked := x.ports.Clock.Now()
 	op := operation.Lookup{Organisation: x.organisation, Term: choice.Term, RequestID: a.record.RequestID}
 	reply, _ := x.ports.Performer.Perform(ctx, choice.Server, op)
-	if reply.Verdict.Outcome != outcome.Done || x.ports.Router.Term(a.group) > choice.Term {
+	if reply.Verdict.Outcome != outcome.Done || x.term(a.group) > choice.Term {
 		return Reply{}, false
 	}
 	if !reply.Record.Found {
@@ -52,7 +53,7 @@
 	result := reply.Record.Result
 	result.Position = reply.Record.Position
 	result.Replayed = true
-	x.seen(a.group, choice.Server, result.Position)
+	x.seen(a.group, choice.Server, result.Position, asked)
 	return Reply{Verdict: reply.Verdict, Result: result, ServedBy: driver.Primary}, true
 }
 
--- a/internal/request/execution/write.go
+++ b/internal/request/execution/write.go
@@ -8,6 +8,7 @@
 	"tanagercross/internal/database/operation"
 	"tanagercross/internal/request/retry"
 	"tanagercross/internal/session/outcome"
+	"tanagercross/internal/session/route"
 )
 
 // write tries the primary until the write is done, refused for good, or unknown.
@@ -16,15 +17,18 @@
 		RequestID:   x.requestID,
 		Fingerprint: fingerprint(x.organisation, r.Group, r.Statement.SQL, r.Statement.Arguments),
 	}
-	return x.atPrimary(ctx, r.Group, func(c Choice) Reply {
+	return x.atPrimary(ctx, r.Group, func(c route.Serve) Reply {
+		asked := x.ports.Clock.Now()
 		op := operation.Write{Organisation: x.organisation, Term: c.Term, Record: record, Statement: r.Statement}
 		reply, _ := x.ports.Performer.Perform(ctx, c.Server, op)
-		return x.concluded(ctx, attempted{group: r.Group, server: c.Server, term: c.Term, record: record}, reply)
+		return x.concluded(ctx, attempted{
+			group: r.Group, server: c.Server, term: c.Term, record: record, asked: asked,
+		}, reply)
 	})
 }
 
 // atPrimary makes attempts at the current primary and waits for a change of primary in between.
-func (x *execution) atPrimary(ctx context.Context, group string, attempt func(Choice) Reply) Reply {
+func (x *execution) atPrimary(ctx context.Context, group string, attempt func(route.Serve) Reply) Reply {
 	attempts := retry.NewAttempts(x.options.Retry, x.deadline)
 	for {
 		choice, reason := x.awaitPrimary(ctx, group)
@@ -42,16 +46,46 @@
 	}
 }
 
-// awaitPrimary waits until the view names a primary. Nothing has been sent, so this is no attempt.
-func (x *execution) awaitPrimary(ctx context.Context, group string) (Choice, outcome.Reason) {
-	end := x.ports.Clock.Now().Add(x.options.PrimaryWait)
-	for {
-		choice, reason := x.ports.Router.Write(group)
-		if reason != outcome.NoPrimary || !x.ports.Clock.Now().Before(end) {
-			return choice, reason
+// awaitPrimary waits until the view names a primary that answers. Nothing has been sent, so this is no attempt.
+func (x *execution) awaitPrimary(ctx context.Context, group string) (route.Serve, outcome.Reason) {
+	until := x.ports.Clock.Now().Add(x.options.PrimaryWait)
+	return x.choose(ctx, func(now time.Time) route.Choice {
+		g, ok := x.group(group)
+		if !ok {
+			return route.Refuse{Reason: outcome.GroupUnknown}
 		}
-		if !x.pause(ctx, x.options.Poll) {
-			return choice, reason
+		return route.ChooseWrite(g, route.Write{PrimaryUntil: until}, now)
+	})
+}
+
+// choosePrimary returns the primary if it is known and answers now.
+func (x *execution) choosePrimary(group string) (route.Serve, outcome.Reason) {
+	g, ok := x.group(group)
+	if !ok {
+		return route.Serve{}, outcome.GroupUnknown
+	}
+	switch c := route.ChooseWrite(g, route.Write{}, x.ports.Clock.Now()).(type) {
+	case route.Serve:
+		return c, ""
+	case route.Refuse:
+		return route.Serve{}, c.Reason
+	}
+	return route.Serve{}, outcome.NoPrimary
+}
+
+// choose asks for a server until there is one or the request is refused. The choice bounds the waits.
+func (x *execution) choose(ctx context.Context, ask func(now time.Time) route.Choice) (route.Serve, outcome.Reason) {
+	for {
+		now := x.ports.Clock.Now()
+		switch c := ask(now).(type) {
+		case route.Serve:
+			return c, ""
+		case route.Wait:
+			if !x.pause(ctx, c.Until.Sub(now)) {
+				return route.Serve{}, c.Reason
+			}
+		case route.Refuse:
+			return route.Serve{}, c.Reason
 		}
 	}
 }
@@ -77,7 +111,7 @@
 	if last := x.deadline.Add(-x.options.Poll); last.Before(end) {
 		end = last
 	}
-	for x.ports.Clock.Now().Before(end) && x.ports.Router.Term(group) <= term {
+	for x.ports.Clock.Now().Before(end) && x.term(group) <= term {
 		if !x.pause(ctx, x.options.Poll) {
 			return
 		}
@@ -90,6 +124,7 @@
 	server string
 	term   uint64
 	record driver.Record
+	asked  time.Time // before it was given
 }
 
 // concluded turns the reply of an attempt into the caller's. An acknowledgement of a term that is known to be over is not
@@ -98,8 +133,8 @@
 	switch {
 	case reply.Verdict.Outcome == outcome.NotRunOutcome:
 		return Reply{Verdict: reply.Verdict}
-	case reply.Verdict.Outcome == outcome.Done && x.ports.Router.Term(a.group) <= a.term:
-		x.seen(a.group, a.server, reply.Result.Position)
+	case reply.Verdict.Outcome == outcome.Done && x.term(a.group) <= a.term:
+		x.seen(a.group, a.server, reply.Result.Position, a.asked)
 		return Reply{Verdict: reply.Verdict, Result: reply.Result, ServedBy: driver.Primary}
 	case reply.Verdict.Outcome == outcome.Done:
 		return x.settle(ctx, a, outcome.NotKnown(outcome.NotReplicated))
--- a/internal/session/token/token.go
+++ b/internal/session/token/token.go
@@ -89,6 +89,12 @@
 	return t
 }
 
+// Full reports whether the token has no room for a position of another group.
+func (t Token) Full(group string) bool {
+	_, ok := t.find(group)
+	return !ok && len(t.positions) >= MaxGroups
+}
+
 // WithConfiguration returns a token that has seen the configuration version. An older version changes nothing.
 func (t Token) WithConfiguration(version uint64) Token {
 	t.configuration = max(t.configuration, version)
