End queued statements of a withdrawn key

Cause: operation.Read and operation.Write carried no key hash, so that a single statement that was queued when its key was withdrawn still ran, and only its answer was withheld at the entry.

Change: both carry the key hash, also between instances. EndByKey removes them from the queues, and the pool refuses a statement whose key was withdrawn before it got its connection.

Result: TestKeyWithdrawnWhileQueued hangs on the queued statements without the change in the pool, and passes with it.

--- a/internal/database/operation/operation.go
+++ b/internal/database/operation/operation.go
@@ -29,6 +29,7 @@
 	Statement    driver.Statement
 	// Durable asks for an answer only once the position seen is held by a majority; set for reads at the primary.
 	Durable bool
+	KeyHash string // hex SHA-256 of the key, so that a withdrawal ends the read while it is queued
 }
 
 // Write runs one statement with its record and waits until a majority holds it in Term.
@@ -37,6 +38,7 @@
 	Term         uint64
 	Record       driver.Record
 	Statement    driver.Statement
+	KeyHash      string // as for Read
 }
 
 // Begin opens an interactive transaction on the primary of Term.
--- a/internal/database/pool/pool_test.go
+++ b/internal/database/pool/pool_test.go
@@ -341,3 +341,33 @@
 	other.Drain(t.Context())
 	want(t, p.Perform(t.Context(), server, commit), outcome.NotKnown(outcome.AnswerLost))
 }
+
+// Guards P6 for single statements: queued reads and writes of a withdrawn key, and those that arrive after the withdrawal,
+// must not be sent.
+func TestKeyWithdrawnWhileQueued(t *testing.T) {
+	s := newFakeServer()
+	entered, unblock := block(s, "read")
+	defer unblock()
+	p := hold(t, s, Options{}, 10, 1)
+	go p.Perform(t.Context(), server, operation.Read{Organisation: "b", KeyHash: "other"})
+	<-entered
+	read := operation.Read{Organisation: "a", KeyHash: "key"}
+	write := operation.Write{Organisation: "a", Term: 1, Record: driver.Record{RequestID: "1"}, KeyHash: "key"}
+	replies := make(chan operation.Reply, 2)
+	for _, op := range []operation.Operation{read, write} {
+		go func() { replies <- p.Perform(t.Context(), server, op) }()
+	}
+	for p.lanes[Holding{server, 0}].scheduler.Load() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	p.EndByKey("key")
+	for range 2 {
+		want(t, <-replies, outcome.NotRun(outcome.KeyWithdrawn))
+	}
+	unblock()
+	want(t, p.Perform(t.Context(), server, read), outcome.NotRun(outcome.KeyWithdrawn))
+	want(t, p.Perform(t.Context(), server, write), outcome.NotRun(outcome.KeyWithdrawn))
+	if s.executions["1"] != 0 || s.started.Load() != 1 {
+		t.Errorf("executions %v, statements %d", s.executions, s.started.Load())
+	}
+}
--- a/internal/database/pool/statement.go
+++ b/internal/database/pool/statement.go
@@ -46,6 +46,10 @@
 		u.done()
 		return nil, refused(outcome.QueueTimeout)
 	}
+	if k.keyHash != "" && l.pool.isWithdrawn(k.keyHash) { // withdrawn after the turn came, or before the work arrived
+		u.done()
+		return nil, refused(outcome.KeyWithdrawn)
+	}
 	return u, operation.Reply{}
 }
 
@@ -108,7 +112,7 @@
 }
 
 func (l *lane) read(ctx context.Context, op operation.Read) operation.Reply {
-	u, reply := l.use(ctx, op.Organisation, tag{})
+	u, reply := l.use(ctx, op.Organisation, tag{keyHash: op.KeyHash})
 	if u == nil {
 		return reply
 	}
@@ -128,7 +132,7 @@
 }
 
 func (l *lane) write(ctx context.Context, op operation.Write) operation.Reply {
-	u, reply := l.use(ctx, op.Organisation, tag{})
+	u, reply := l.use(ctx, op.Organisation, tag{keyHash: op.KeyHash})
 	if u == nil {
 		return reply
 	}
--- a/internal/fleet/peer/operation.go
+++ b/internal/fleet/peer/operation.go
@@ -18,12 +18,13 @@
 		r.Organisation = o.Organisation
 		r.Operation = &peerv1.PerformRequest_Read{Read: &peerv1.Read{
 			AtLeastTerm: o.AtLeast.Term, AtLeastIndex: o.AtLeast.Index,
-			Statement: encodeStatement(o.Statement), Durable: o.Durable,
+			Statement: encodeStatement(o.Statement), Durable: o.Durable, KeyHash: o.KeyHash,
 		}}
 	case operation.Write:
 		r.Organisation = o.Organisation
 		r.Operation = &peerv1.PerformRequest_Write{Write: &peerv1.Write{
 			Term: o.Term, Record: encodeRecord(o.Record), Statement: encodeStatement(o.Statement),
+			KeyHash: o.KeyHash,
 		}}
 	case operation.Begin:
 		r.Organisation = o.Organisation
@@ -60,12 +61,13 @@
 		return operation.Read{
 			Organisation: r.Organisation,
 			AtLeast:      driver.Position{Term: o.Read.AtLeastTerm, Index: o.Read.AtLeastIndex},
-			Statement:    decodeStatement(o.Read.Statement), Durable: o.Read.Durable,
+			Statement:    decodeStatement(o.Read.Statement), Durable: o.Read.Durable, KeyHash: o.Read.KeyHash,
 		}, nil
 	case *peerv1.PerformRequest_Write:
 		return operation.Write{
 			Organisation: r.Organisation, Term: o.Write.Term,
 			Record: decodeRecord(o.Write.Record), Statement: decodeStatement(o.Write.Statement),
+			KeyHash: o.Write.KeyHash,
 		}, nil
 	case *peerv1.PerformRequest_Begin:
 		return operation.Begin{
--- a/internal/fleet/peer/peer_test.go
+++ b/internal/fleet/peer/peer_test.go
@@ -89,8 +89,8 @@
 func operations() []operation.Operation {
 	record := driver.Record{RequestID: "id", Fingerprint: "f"}
 	return []operation.Operation{
-		operation.Read{Organisation: "o", AtLeast: driver.Position{Term: 2, Index: 3}, Statement: statement, Durable: true},
-		operation.Write{Organisation: "o", Term: 4, Record: record, Statement: statement},
+		operation.Read{Organisation: "o", AtLeast: driver.Position{Term: 2, Index: 3}, Statement: statement, Durable: true, KeyHash: "k"},
+		operation.Write{Organisation: "o", Term: 4, Record: record, Statement: statement, KeyHash: "k"},
 		operation.Begin{Organisation: "o", Session: "s", Term: 4, KeyHash: "h"},
 		operation.Run{Organisation: "o", Session: "s", Transaction: "t", Statement: statement},
 		operation.Commit{Organisation: "o", Session: "s", Transaction: "t", Record: record},
--- a/internal/request/execution/read.go
+++ b/internal/request/execution/read.go
@@ -58,7 +58,10 @@
 
 func (x *execution) readAt(ctx context.Context, r Statement, c route.Serve) Reply {
 	asked := x.ports.Clock.Now()
-	op := operation.Read{Organisation: x.organisation, AtLeast: c.AtLeast, Statement: r.Statement, Durable: c.Durable}
+	op := operation.Read{
+		Organisation: x.organisation, AtLeast: c.AtLeast, Statement: r.Statement, Durable: c.Durable,
+		KeyHash: x.caller.KeyHash,
+	}
 	reply, _ := x.ports.Performer.Perform(ctx, c.Server, op)
 	if reply.Verdict.Outcome != outcome.Done {
 		return Reply{Verdict: reply.Verdict}
--- a/internal/request/execution/write.go
+++ b/internal/request/execution/write.go
@@ -19,7 +19,10 @@
 	}
 	return x.atPrimary(ctx, r.Group, func(c route.Serve) Reply {
 		asked := x.ports.Clock.Now()
-		op := operation.Write{Organisation: x.organisation, Term: c.Term, Record: record, Statement: r.Statement}
+		op := operation.Write{
+			Organisation: x.organisation, Term: c.Term, Record: record, Statement: r.Statement,
+			KeyHash: x.caller.KeyHash,
+		}
 		reply, _ := x.ports.Performer.Perform(ctx, c.Server, op)
 		return x.concluded(ctx, attempted{
 			group: r.Group, server: c.Server, term: c.Term, record: record, asked: asked,
