Remove request records that are older than 24 h

Cause: records of requests were never removed, so that the table of each organisation grew with every write.

The bound is the id's time, not the time of the write: ids older than 23 h are refused, so that a removed record can no longer be asked for. One look-up by the primary key comes first, so that nothing is written when nothing is due.

--- a/internal/database/driver/driver.go
+++ b/internal/database/driver/driver.go
@@ -121,6 +121,9 @@
 	Rollback(ctx context.Context) error
 	// Recorded looks up a request id for an organisation.
 	Recorded(ctx context.Context, organisation, requestID string) (RecordState, error)
+	// RemoveRecords removes up to limit records of an organisation whose ids sort before an id, in one transaction, and
+	// returns their number. Nothing is written if there are none.
+	RemoveRecords(ctx context.Context, organisation, before string, limit int) (int64, error)
 	// Await returns nil once a majority holds the position in that term. It fails with kind NotReplicated at the
 	// timeout and with kind NotPrimary if the server is not primary in the term.
 	Await(ctx context.Context, p Position, timeout time.Duration) error
--- a/internal/database/pool/fake_test.go
+++ b/internal/database/pool/fake_test.go
@@ -153,6 +153,19 @@
 	return st, err
 }
 
+func (c *fakeConn) RemoveRecords(ctx context.Context, _, before string, limit int) (n int64, err error) {
+	err = c.call(ctx, "remove", func() error {
+		for id := range c.server.records {
+			if id < before && n < int64(limit) {
+				delete(c.server.records, id)
+				n++
+			}
+		}
+		return nil
+	})
+	return n, err
+}
+
 func (c *fakeConn) Await(ctx context.Context, p driver.Position, _ time.Duration) error {
 	return c.call(ctx, "await", func() error {
 		if p.Term != c.server.term {
--- a/internal/database/pool/pool.go
+++ b/internal/database/pool/pool.go
@@ -179,6 +179,13 @@
 	return held
 }
 
+// Holds reports whether a lane is held.
+func (p *Pool) Holds(h Holding) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lanes[h] != nil
+}
+
 // EndByKey ends the transactions and the queued work of a withdrawn key, and returns the number of transactions.
 func (p *Pool) EndByKey(keyHash string) int {
 	if keyHash == "" {
--- a/internal/database/postgres/conn_test.go
+++ b/internal/database/postgres/conn_test.go
@@ -220,3 +220,37 @@
 	s.Stop()
 	wantKind(t, c.Ping(ctx), driver.Unreachable)
 }
+
+// Guards against records that stay for ever, against the removal of records that a retry may still need, and against a
+// removal that writes to the log when there is nothing to remove.
+func TestRemoveRecords(t *testing.T) {
+	s := serve(t, database.Config{})
+	c := dial(t, s)
+	remove := func(before string, limit int) int64 {
+		t.Helper()
+		n, err := c.RemoveRecords(context.Background(), coop, before, limit)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return n
+	}
+	if n := remove("9", 10); n != 0 {
+		t.Errorf("%d records removed without a table", n)
+	}
+	mustWrite(t, c, "00", "CREATE TABLE t (a text)")
+	for _, id := range []string{"01", "02", "03", "04"} {
+		mustWrite(t, c, id, "INSERT INTO t VALUES ('"+id+"')")
+	}
+	if first, second := remove("03", 2), remove("03", 2); first != 2 || second != 1 {
+		t.Errorf("batches of %d and %d", first, second)
+	}
+	last := s.Status().Last
+	if n := remove("03", 2); n != 0 || s.Status().Last != last {
+		t.Errorf("%d records removed, position %s after %s", n, s.Status().Last, last)
+	}
+	for id, found := range map[string]bool{"02": false, "03": true, "04": true} {
+		if state, err := c.Recorded(context.Background(), coop, id); err != nil || state.Found != found {
+			t.Errorf("record %s: %v, %v", id, state.Found, err)
+		}
+	}
+}
--- a/internal/database/postgres/record.go
+++ b/internal/database/postgres/record.go
@@ -1,6 +1,7 @@
 package postgres
 
 import (
+	"context"
 	"encoding/json"
 	"strconv"
 	"time"
@@ -17,6 +18,9 @@
 	insertRecord = "INSERT INTO tanagercross_request (id, fingerprint, result, created_ms) VALUES ($1, $2, $3, $4)"
 	updateRecord = "UPDATE tanagercross_request SET result = $2 WHERE id = $1"
 	selectRecord = "SELECT fingerprint, result FROM tanagercross_request WHERE id = $1"
+	selectOld    = "SELECT 1 FROM tanagercross_request WHERE id < $1 LIMIT 1"
+	deleteOld    = "DELETE FROM tanagercross_request WHERE id IN " +
+		"(SELECT id FROM tanagercross_request WHERE id < $1 ORDER BY id LIMIT $2)"
 )
 
 // stored is a result as it is kept in a record.
@@ -68,6 +72,27 @@
 	return s, nil
 }
 
+// RemoveRecords implements driver.Conn. Ids are ordered by time, so that the primary key finds the old ones.
+func (c *Conn) RemoveRecords(ctx context.Context, organisation, before string, limit int) (int64, error) {
+	const operation = "remove_records"
+	a, err := c.exchange(ctx, operation, setOrganisation(organisation), statement(selectOld, before))
+	switch {
+	case err != nil:
+		return 0, err
+	case a.refused != nil && a.refused.Code == codeNoTable:
+		return 0, nil
+	case a.refused != nil:
+		return 0, refusal(operation, a.refused)
+	case len(a.results[1].Rows) == 0:
+		return 0, nil
+	}
+	results, err := c.run(ctx, operation, beginWrite, statement(deleteOld, before, strconv.Itoa(limit)), statement("COMMIT"))
+	if err != nil {
+		return 0, err
+	}
+	return results[1].CommandTag.RowsAffected(), committed(operation, answers{results: results})
+}
+
 // replay decides a duplicate request id from its record.
 func replay(operation string, r driver.Record, s driver.RecordState) (driver.Result, error) {
 	switch {
--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -115,6 +115,7 @@
 	ctx, d.stop = context.WithCancel(context.WithoutCancel(ctx))
 	loops := []func(context.Context){
 		d.runExchange, d.runPoll, d.runTable, d.runWatches, d.runLanes, d.runLeases, d.runJoin, d.runRemoval,
+		d.runRecords,
 	}
 	for _, loop := range loops {
 		d.spawn(func() { loop(ctx) })
--- a/internal/instance/daemon/fleet.go
+++ b/internal/instance/daemon/fleet.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	configurationVersion uint64
 	keys                 key.Table
 	keysVersion          uint64
+	organisations        []string // that have had a key, sorted
 	groups               []store.Group
 	groupsVersion        uint64
 }
@@ -101,6 +103,7 @@
 	})
 	take(document.Keys, &s.keysVersion, func(content []byte) (err error) {
 		s.keys, err = key.ParseTable(content)
+		s.organisations = organisationsOf(s.keys)
 		return err
 	})
 	take(document.Groups, &s.groupsVersion, func(content []byte) (err error) {
@@ -110,6 +113,15 @@
 	return changed
 }
 
+func organisationsOf(t key.Table) []string {
+	var names []string
+	for _, e := range t.Entries() {
+		names = append(names, e.Organisation)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // Fresh implements execution.Freshness.
 func (f *fleet) Fresh(now time.Time) bool { return now.Before(f.view().deadline) }
 
--- a/internal/request/execution/execution_test.go
+++ b/internal/request/execution/execution_test.go
@@ -279,3 +279,20 @@
 		t.Errorf("read at the primary: %v at %v", r.Verdict, w.servers)
 	}
 }
+
+// Guards the removal of records: no id that is accepted, now or up to a deadline later, may sort before the oldest record.
+func TestOldestRecord(t *testing.T) {
+	now := time.Now()
+	for _, age := range []time.Duration{RequestIDAge - time.Second, RecordAge - time.Second, RecordAge + time.Second} {
+		made := uuid.Must(uuid.NewV7())
+		ms := uint64(now.Add(-age).UnixMilli())
+		for i := range 6 {
+			made[i] = byte(ms >> (40 - 8*i))
+		}
+		_, reason := identify(made.String(), now)
+		removed := made.String() < OldestRecord(now)
+		if removed != (age > RecordAge) || removed && reason != outcome.RequestExpired {
+			t.Errorf("age %s: reason %q, removed %v", age, reason, removed)
+		}
+	}
+}
--- a/internal/request/execution/identity.go
+++ b/internal/request/execution/identity.go
@@ -14,12 +14,23 @@
 	"tanagercross/internal/session/outcome"
 )
 
-// Bounds of a request id's age. Records live 24 h, so that a younger id cannot have lost its record.
+// Bounds of a request id's age. A record is removed once its id is older than RecordAge. Ids are refused an hour before,
+// which covers the longest deadline and the differences between clocks, so that no accepted id can have lost its record.
 const (
 	RequestIDAge    = 23 * time.Hour
 	RequestIDFuture = 5 * time.Minute
+	RecordAge       = 24 * time.Hour
 )
 
+// OldestRecord returns the id before which records are removed. Ids begin with their time, in milliseconds.
+func OldestRecord(now time.Time) string {
+	var id uuid.UUID
+	var milliseconds [8]byte
+	binary.BigEndian.PutUint64(milliseconds[:], uint64(now.Add(-RecordAge).UnixMilli()))
+	copy(id[:6], milliseconds[2:])
+	return id.String()
+}
+
 // identify checks a request id, or makes one.
 func identify(id string, now time.Time) (string, outcome.Reason) {
 	if id == "" {
