Refuse work of an earlier term at a primary that leads again

Cause: the stand-in ended transactions with writes when it stopped being primary, but a transaction that had only read, and a write that was waiting, could go on after the server was promoted again. The proxy checked the term of a write in a round trip of its own before the write, so that a change in between went unnoticed. Both break the conclusion that a record which is absent at a newer primary proves that the write was not run.

Change: the stand-in counts the promises it took and refuses writes of transactions and cycles that began before the last one. Conn.Write and Conn.Begin take the term and check it inside the transaction, which also saves one round trip per write and per begin.

Result: TestOpenWorkEndsWithTheRole fails without the count ("transaction 1 committed after a change of primary") and without the check of the term, and passes with both.

--- a/internal/database/driver/driver.go
+++ b/internal/database/driver/driver.go
@@ -108,11 +108,13 @@
 	// Read runs a read for an organisation if the server's last position is not below at least; otherwise it fails
 	// with kind Behind. The check and the read use the same connection.
 	Read(ctx context.Context, organisation string, atLeast Position, s Statement) (Result, error)
-	// Write runs the statement and its record in one database transaction. A record that already exists with the same
+	// Write runs the statement and its record in one database transaction of the primary of a term; at any other server it
+	// has no effect and fails with kind NotPrimary. A record that already exists with the same
 	// fingerprint gives the stored result with Replayed set; with another fingerprint it fails with kind Reused.
-	Write(ctx context.Context, organisation string, r Record, s Statement) (Result, error)
-	// Begin starts an interactive transaction for an organisation.
-	Begin(ctx context.Context, organisation string) error
+	Write(ctx context.Context, organisation string, term uint64, r Record, s Statement) (Result, error)
+	// Begin starts an interactive transaction for an organisation at the primary of a term; at any other server it fails
+	// with kind NotPrimary.
+	Begin(ctx context.Context, organisation string, term uint64) error
 	// Run runs a statement inside the transaction.
 	Run(ctx context.Context, s Statement) (Result, error)
 	// Commit stores the record and commits the transaction.
--- a/internal/database/pool/fake_test.go
+++ b/internal/database/pool/fake_test.go
@@ -110,9 +110,12 @@
 	return r, err
 }
 
-func (c *fakeConn) Write(ctx context.Context, _ string, rec driver.Record, _ driver.Statement) (r driver.Result, err error) {
-	c.server.started.Add(1)
+func (c *fakeConn) Write(ctx context.Context, _ string, term uint64, rec driver.Record, _ driver.Statement) (r driver.Result, err error) {
 	err = c.call(ctx, "write", func() error {
+		if term != c.server.term {
+			return fail(driver.NotPrimary)
+		}
+		c.server.started.Add(1)
 		err := c.server.commit(rec, &r.Replayed)
 		r.Position = c.server.position()
 		return err
@@ -120,7 +123,7 @@
 	return r, err
 }
 
-func (c *fakeConn) Begin(ctx context.Context, _ string) error {
+func (c *fakeConn) Begin(ctx context.Context, _ string, _ uint64) error {
 	return c.call(ctx, "begin", func() error { c.inside = true; return nil })
 }
 
--- a/internal/database/pool/pool_test.go
+++ b/internal/database/pool/pool_test.go
@@ -140,7 +140,7 @@
 func TestReplacedPrimary(t *testing.T) {
 	s := newFakeServer()
 	s.fault = func(_ context.Context, call string, after bool) error {
-		if call == "write" && after {
+		if call == "write" && after && s.started.Load() > 0 { // not for the refused write
 			s.mu.Lock()
 			s.term++
 			s.mu.Unlock()
--- a/internal/database/pool/statement.go
+++ b/internal/database/pool/statement.go
@@ -137,10 +137,7 @@
 		return reply
 	}
 	defer u.done()
-	if v, ok := u.primaryIn(op.Term); !ok {
-		return u.answer(v)
-	}
-	result, err := u.conn.Write(u.ctx, op.Organisation, op.Record, op.Statement)
+	result, err := u.conn.Write(u.ctx, op.Organisation, op.Term, op.Record, op.Statement)
 	u.served()
 	if err != nil {
 		return u.answer(u.failed(err))
--- a/internal/database/pool/transaction.go
+++ b/internal/database/pool/transaction.go
@@ -60,18 +60,14 @@
 		l.unpin(op.Organisation)
 		return reply
 	}
-	v, ok := u.primaryIn(op.Term)
-	if ok {
-		if err := u.conn.Begin(u.ctx, op.Organisation); err != nil {
-			// No statement was sent, and without a commit the transaction has no effect.
-			if v = u.failed(err); v.Outcome == outcome.Unknown {
-				v = outcome.NotRun(outcome.ServerUnreachable)
-			}
-			ok = false
-		}
-	}
+	err := u.conn.Begin(u.ctx, op.Organisation, op.Term)
 	u.served()
-	if !ok {
+	if err != nil {
+		// No statement was sent, and without a commit the transaction has no effect.
+		v := u.failed(err)
+		if v.Outcome == outcome.Unknown {
+			v = outcome.NotRun(outcome.ServerUnreachable)
+		}
 		u.done()
 		l.unpin(op.Organisation)
 		return u.answer(v)
--- a/internal/database/postgres/conn.go
+++ b/internal/database/postgres/conn.go
@@ -82,7 +82,7 @@
 	if err := check(operation, s); err != nil {
 		return driver.Result{}, err
 	}
-	a, err := c.exchange(ctx, operation, setOrganisation(organisation), readOnly, statement("SHOW group_status"), s)
+	a, err := c.exchange(ctx, operation, setOrganisation(organisation), readOnly, showStatus, s)
 	if err != nil {
 		return driver.Result{}, err
 	}
--- a/internal/database/postgres/conn_test.go
+++ b/internal/database/postgres/conn_test.go
@@ -41,7 +41,7 @@
 }
 
 func write(c driver.Conn, id, sql string) (driver.Result, error) {
-	return c.Write(context.Background(), coop, driver.Record{RequestID: id, Fingerprint: sql}, driver.Statement{SQL: sql})
+	return c.Write(context.Background(), coop, 1, driver.Record{RequestID: id, Fingerprint: sql}, driver.Statement{SQL: sql})
 }
 
 func mustWrite(t *testing.T, c driver.Conn, id, sql string) driver.Result {
@@ -107,7 +107,7 @@
 	}
 	_, err := write(c, "2", "INSERT INTO meal VALUES ('rice')")
 	wantKind(t, err, driver.Reused)
-	if err := c.Begin(ctx, coop); err != nil {
+	if err := c.Begin(ctx, coop, 1); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := c.Run(ctx, driver.Statement{SQL: "INSERT INTO meal VALUES ('rice')"}); err != nil {
@@ -145,7 +145,7 @@
 		_, err = c.Read(ctx, coop, driver.Position{}, driver.Statement{SQL: sql})
 		wantKind(t, err, driver.Failed)
 	}
-	if err := other.Begin(ctx, coop); err != nil {
+	if err := other.Begin(ctx, coop, 1); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := other.Run(ctx, driver.Statement{SQL: "DELETE FROM meal"}); err != nil {
--- a/internal/database/postgres/statement.go
+++ b/internal/database/postgres/statement.go
@@ -37,6 +37,7 @@
 var (
 	readOnly   = statement("SET default_transaction_read_only = on")
 	beginWrite = statement("BEGIN READ WRITE")
+	showStatus = statement("SHOW group_status")
 )
 
 func number(n uint64) string { return strconv.FormatUint(n, 10) }
--- a/internal/database/postgres/write.go
+++ b/internal/database/postgres/write.go
@@ -8,13 +8,16 @@
 )
 
 // Write implements driver.Conn. The first round trip ends with the caller's statement, the second stores its result and
-// commits. The table of records is created only when it is missing, to keep DDL out of the log of every write.
-func (c *Conn) Write(ctx context.Context, organisation string, r driver.Record, s driver.Statement) (driver.Result, error) {
+// commits. The term is read inside the transaction, which the server ends when it stops being primary, so that a commit
+// never happens in another term. The table of records is created only when it is missing, to keep DDL out of the log of every write.
+func (c *Conn) Write(
+	ctx context.Context, organisation string, term uint64, r driver.Record, s driver.Statement,
+) (driver.Result, error) {
 	const operation = "write"
 	if err := check(operation, s); err != nil {
 		return driver.Result{}, err
 	}
-	begin := []driver.Statement{setOrganisation(organisation), beginWrite}
+	begin := []driver.Statement{setOrganisation(organisation), beginWrite, showStatus}
 	body := []driver.Statement{insert(r, "{}"), s}
 	a, err := c.exchange(ctx, operation, append(begin, body...)...)
 	if err != nil {
@@ -22,12 +25,16 @@
 	}
 	record := len(begin)
 	if a.refused != nil && a.refused.Code == codeNoTable && len(a.results) == record {
-		begin = []driver.Statement{statement("ROLLBACK"), beginWrite, statement(createRecords)}
+		begin = []driver.Statement{statement("ROLLBACK"), beginWrite, showStatus, statement(createRecords)}
 		record = len(begin)
 		if a, err = c.exchange(ctx, operation, append(begin, body...)...); err != nil {
 			return driver.Result{}, begun(err)
 		}
 	}
+	if err := leads(operation, a, term); err != nil {
+		c.abandon(ctx)
+		return driver.Result{}, err
+	}
 	if a.refused != nil {
 		return c.undo(ctx, operation, r, a, len(a.results) == record)
 	}
@@ -70,10 +77,7 @@
 func (c *Conn) undo(ctx context.Context, operation string, r driver.Record, a answers, atRecord bool) (driver.Result, error) {
 	refused := refusal(operation, a.refused)
 	if !atRecord || a.refused.Code != codeUnique {
-		_, err := c.run(ctx, operation, statement("ROLLBACK"))
-		if err != nil {
-			c.Close()
-		}
+		c.abandon(ctx)
 		return driver.Result{}, refused
 	}
 	a, err := c.exchange(ctx, operation, statement("ROLLBACK"), statement(selectRecord, r.RequestID))
@@ -90,21 +94,40 @@
 	return replay(operation, r, state)
 }
 
-// Begin implements driver.Conn. It fails with kind NotPrimary at a server that could not commit.
-func (c *Conn) Begin(ctx context.Context, organisation string) error {
+// abandon ends the open transaction, at the latest with the connection.
+func (c *Conn) abandon(ctx context.Context) {
+	if c.Rollback(ctx) != nil {
+		c.Close()
+	}
+}
+
+// stepLeads is the index of the status in the pipelines that begin a transaction.
+const stepLeads = 2
+
+// leads checks that the server is the primary of a term and has begun it, if it answered that far.
+func leads(operation string, a answers, term uint64) error {
+	if len(a.results) <= stepLeads {
+		return nil
+	}
+	status, err := statusOf(operation, a.results[stepLeads])
+	if err == nil && (status.Role != driver.Primary || status.Term != term || status.Last.Term != term) {
+		err = fault(operation, driver.NotPrimary, "server is %s in term %d, term %d expected", status.Role, status.Term, term)
+	}
+	return err
+}
+
+// Begin implements driver.Conn.
+func (c *Conn) Begin(ctx context.Context, organisation string, term uint64) error {
 	const operation = "begin"
-	results, err := c.run(ctx, operation, setOrganisation(organisation), beginWrite, statement("SHOW group_status"))
+	results, err := c.run(ctx, operation, setOrganisation(organisation), beginWrite, showStatus)
 	if err != nil {
 		return err
 	}
-	status, err := statusOf(operation, results[2])
-	if err == nil && status.Role != driver.Primary {
-		err = fault(operation, driver.NotPrimary, "server is %s", status.Role)
-	}
-	if err != nil && c.Rollback(ctx) != nil {
-		c.Close()
+	if err := leads(operation, answers{results: results}, term); err != nil {
+		c.abandon(ctx)
+		return err
 	}
-	return err
+	return nil
 }
 
 // Run implements driver.Conn. After a refused statement only Rollback is useful.
--- a/internal/standin/database/execute.go
+++ b/internal/standin/database/execute.go
@@ -60,7 +60,7 @@
 	}
 	if cmd.class == classWrite && t == nil {
 		var err error
-		if t, err = c.server.beginWrite(c.organisation); err != nil {
+		if t, err = c.server.beginWrite(c.organisation, c.demotions); err != nil {
 			return result{}, err
 		}
 		if c.open {
--- a/internal/standin/database/fault_test.go
+++ b/internal/standin/database/fault_test.go
@@ -43,7 +43,7 @@
 
 func (r *run) save(name string) {
 	saved := r.attempt(r.primary, func(ctx context.Context, c driver.Conn) error {
-		result, err := c.Write(ctx, coop, driver.Record{RequestID: name}, driver.Statement{
+		result, err := c.Write(ctx, coop, 1, driver.Record{RequestID: name}, driver.Statement{
 			SQL: "INSERT INTO meal VALUES ($1)", Arguments: []*string{&name},
 		})
 		if err != nil {
--- a/internal/standin/database/group.go
+++ b/internal/standin/database/group.go
@@ -65,7 +65,8 @@
 	}
 }
 
-// take stores a promise and gives up the primary role. It needs the mutex.
+// take stores a promise and gives up the primary role. It ends all open transactions: the proxy concludes from an absent
+// record at a newer primary that a write was not run, so that none may commit later. It needs the mutex.
 func (s *Server) take(p promise, role driver.Role) error {
 	if err := p.save(s.promisePath(), s.config.Sync); err != nil {
 		return &Error{Operation: "promise", Kind: codeInternal, Err: err}
@@ -76,6 +77,7 @@
 		t.mu.Unlock()
 	}
 	s.promise, s.role, s.replicated = p, role, 0
+	s.demotions++
 	s.announce()
 	return nil
 }
--- a/internal/standin/database/group_test.go
+++ b/internal/standin/database/group_test.go
@@ -94,7 +94,11 @@
 
 func (g *group) write(c driver.Conn, id, sql string) driver.Position {
 	g.t.Helper()
-	r, err := c.Write(context.Background(), coop, driver.Record{RequestID: id, Fingerprint: id}, driver.Statement{SQL: sql})
+	status, err := c.Status(context.Background())
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	r, err := c.Write(context.Background(), coop, status.Term, driver.Record{RequestID: id, Fingerprint: id}, driver.Statement{SQL: sql})
 	if err != nil {
 		g.t.Fatal(err)
 	}
@@ -213,7 +217,7 @@
 	ctx := context.Background()
 	c, open := g.connect(0), g.connect(0)
 	g.await(c, g.write(c, "1", "CREATE TABLE meal (name TEXT)"))
-	if err := open.Begin(ctx, coop); err != nil {
+	if err := open.Begin(ctx, coop, 1); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := open.Run(ctx, driver.Statement{SQL: "INSERT INTO meal VALUES ('late')"}); err != nil {
@@ -225,7 +229,7 @@
 	}
 	_, err = open.Commit(ctx, driver.Record{RequestID: "2"})
 	wantKind(t, err, driver.NotPrimary)
-	_, err = c.Write(ctx, coop, driver.Record{RequestID: "3"}, driver.Statement{SQL: "INSERT INTO meal VALUES ('x')"})
+	_, err = c.Write(ctx, coop, 1, driver.Record{RequestID: "3"}, driver.Statement{SQL: "INSERT INTO meal VALUES ('x')"})
 	wantKind(t, err, driver.NotPrimary)
 	if !c.Clean() || !open.Clean() {
 		t.Fatal("a refused write left its connection unclean")
@@ -238,6 +242,43 @@
 	g.meals(0)
 }
 
+// Guards the conclusion "not run" from a record that is absent at a newer primary: work that was open or waiting when a
+// server stopped being primary must not commit after the server was promoted again.
+func TestOpenWorkEndsWithTheRole(t *testing.T) {
+	g := newGroup(t)
+	ctx := context.Background()
+	c, writer, reader, waiting := g.connect(0), g.connect(0), g.connect(0), g.connect(0)
+	g.await(c, g.write(c, "1", "CREATE TABLE meal (name TEXT)"))
+	for i, open := range []driver.Conn{writer, reader} {
+		if err := open.Begin(ctx, coop, 1); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := open.Run(ctx, driver.Statement{SQL: []string{"INSERT INTO meal VALUES ('open')", "SELECT 1"}[i]}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	late := make(chan error, 1)
+	go func() {
+		_, err := waiting.Write(ctx, coop, 1, driver.Record{RequestID: "4"}, driver.Statement{SQL: "INSERT INTO meal VALUES ('late')"})
+		late <- err
+	}()
+	time.Sleep(50 * time.Millisecond) // the write waits for the open one
+	g.change(2, 1, 2)
+	g.until("the old primary follows", func() bool { return g.servers[0].Status().Last.Term == 2 })
+	g.change(3, 0, 1)
+	g.until("the first primary leads again", func() bool { return g.servers[0].Status().Role == driver.Primary })
+	wantKind(t, <-late, driver.NotPrimary)
+	for i, open := range []driver.Conn{writer, reader} {
+		if _, err := open.Commit(ctx, driver.Record{RequestID: fmt.Sprint(2 + i)}); err == nil {
+			t.Errorf("transaction %d committed after a change of primary", i)
+		}
+	}
+	_, err := c.Write(ctx, coop, 1, driver.Record{RequestID: "5"}, driver.Statement{SQL: "INSERT INTO meal VALUES ('old term')"})
+	wantKind(t, err, driver.NotPrimary)
+	wantKind(t, c.Begin(ctx, coop, 1), driver.NotPrimary)
+	g.meals(0)
+}
+
 // Guards against an old primary that keeps its unreplicated branch when it returns.
 func TestDivergentBranchTruncated(t *testing.T) {
 	g := newGroup(t)
@@ -307,7 +348,7 @@
 	g.servers[0].Freeze()
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
-	_, err := c.Write(ctx, coop, driver.Record{RequestID: "2"}, driver.Statement{SQL: "INSERT INTO meal VALUES ('x')"})
+	_, err := c.Write(ctx, coop, 1, driver.Record{RequestID: "2"}, driver.Statement{SQL: "INSERT INTO meal VALUES ('x')"})
 	wantKind(t, err, driver.Lost)
 	g.change(2, 1, 2)
 	g.servers[0].Thaw()
--- a/internal/standin/database/server.go
+++ b/internal/standin/database/server.go
@@ -40,6 +40,7 @@
 	organisations map[string]*organisation
 	generation    uint64 // counts rebuilds of the SQLite files
 	transactions  map[*transaction]struct{}
+	demotions     uint64 // promises that were taken; each ends what was open
 	followers     map[string]*follower
 	replicated    uint64
 	changed       chan struct{} // closed and replaced when the role or the replicated index changes
--- a/internal/standin/database/session.go
+++ b/internal/standin/database/session.go
@@ -32,7 +32,9 @@
 	failed       bool          // a statement of the open transaction failed
 	write        *transaction  // the open transaction's writes, if any
 	position     driver.Position
-	observed     bool // position belongs to a read or write since the last ReadyForQuery
+	arrived      bool   // a message of a cycle has arrived since the last ReadyForQuery
+	demotions    uint64 // of the server when the open transaction, or else the cycle, began
+	observed     bool   // position belongs to a read or write since the last ReadyForQuery
 	sent         driver.Position
 
 	statements map[string][]command
@@ -164,6 +166,10 @@
 		c.conn.SetReadDeadline(time.Now())
 	}
 	message, err := c.backend.Receive()
+	if !c.arrived && !c.open {
+		c.demotions = c.server.demotionCount()
+	}
+	c.arrived = true
 	c.gates()
 	return message, err
 }
@@ -210,7 +216,7 @@
 	if !c.observed {
 		c.position = c.server.Status().Last
 	}
-	c.observed = false
+	c.observed, c.arrived = false, false
 	if c.position != c.sent {
 		c.sent = c.position
 		c.backend.Send(&pgproto3.ParameterStatus{Name: positionParameter, Value: c.position.String()})
--- a/internal/standin/database/transaction.go
+++ b/internal/standin/database/transaction.go
@@ -27,8 +27,16 @@
 	return s.role == driver.Primary
 }
 
-// beginWrite waits for the organisation's writer place and starts a transaction.
-func (s *Server) beginWrite(name string) (*transaction, error) {
+// demotionCount returns how often the server has taken a promise.
+func (s *Server) demotionCount() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.demotions
+}
+
+// beginWrite waits for the organisation's writer place and starts a transaction. It refuses work that arrived before the
+// server last took a promise, also if the server is primary again.
+func (s *Server) beginWrite(name string, demotions uint64) (*transaction, error) {
 	store, _, err := s.organisation(name)
 	if err != nil {
 		return nil, err
@@ -47,7 +55,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.role != driver.Primary || s.organisations[name] != store {
+	if s.role != driver.Primary || s.organisations[name] != store || s.demotions != demotions {
 		store.place <- struct{}{}
 		return nil, errNotPrimary("write")
 	}
