Let open transactions finish before a leaving primary is replaced

Cause: once the list marked a primary as leaving, the pool refused its writes, the planner gave up its lanes, and the watcher fenced it at once, which ended its open transactions.

Change: a leaving primary is retiring until it is replaced: it gets no new transactions, but keeps its lanes and its single statements, and the watcher replaces it 2 s after the mark. After the change it is leaving like a replica and gets no new operations. A refused begin waits for the new primary.

--- a/internal/database/failover/failover.go
+++ b/internal/database/failover/failover.go
@@ -53,6 +53,7 @@
 	DoubtFor      = 5 * time.Second        // how long a doubted primary is the last choice
 	PauseLimit    = 500 * time.Millisecond // a longer time between two events means that the watcher was paused
 	OrderlyPeriod = 5 * time.Second        // between two attempts to replace a leaving primary
+	OrderlyGrace  = 2 * time.Second        // for the open transactions of a leaving primary, which gets no new ones
 )
 
 // Event is one of Tick, Probed, PeerEvidence, Announced, FenceResult, PromoteResult, Changed and Restarted.
--- a/internal/database/failover/suspicion.go
+++ b/internal/database/failover/suspicion.go
@@ -66,7 +66,7 @@
 	if w.ahead() > 0 && now.Sub(w.promisedAt) >= StrayLimit {
 		return stray
 	}
-	if p.leaving {
+	if p.leaving && now.Sub(p.leavingAt) >= OrderlyGrace {
 		return leaving
 	}
 	return none
--- a/internal/database/failover/watcher.go
+++ b/internal/database/failover/watcher.go
@@ -17,6 +17,7 @@
 type server struct {
 	name       string
 	leaving    bool
+	leavingAt  time.Time // since when
 	status     driver.Status
 	asked      time.Time // when the question behind status was sent
 	answeredAt time.Time // zero if it never answered
@@ -59,7 +60,7 @@
 // New returns a watcher of a group.
 func New(s Settings, servers []driver.Server, now time.Time) *Watcher {
 	w := &Watcher{settings: s, primaryAt: now, promisedAt: now, lastHandled: now}
-	w.setServers(servers)
+	w.setServers(servers, now)
 	return w
 }
 
@@ -86,7 +87,7 @@
 		out = w.promotion(e, now)
 	case Changed:
 		w.settings.Rank = e.Rank
-		w.setServers(e.Servers)
+		w.setServers(e.Servers, now)
 	case Restarted:
 		w.settings.Holder = e.Holder
 		w.resume(now)
@@ -106,13 +107,16 @@
 	w.backOff(now)
 }
 
-func (w *Watcher) setServers(list []driver.Server) {
+func (w *Watcher) setServers(list []driver.Server, now time.Time) {
 	var next []*server
 	for _, s := range list {
 		known := w.find(s.Name)
 		if known == nil {
 			known = &server{name: s.Name}
 		}
+		if s.Leaving && !known.leaving {
+			known.leavingAt = now
+		}
 		known.leaving = s.Leaving
 		next = append(next, known)
 	}
--- a/internal/database/failover/watcher_test.go
+++ b/internal/database/failover/watcher_test.go
@@ -131,3 +131,17 @@
 		})
 	}
 }
+
+// Guards against a leaving primary that is replaced before its open transactions could finish, or that is kept.
+func TestLeavingPrimaryHasGrace(t *testing.T) {
+	s := newScript()
+	s.Handle(Changed{Servers: []driver.Server{{Name: "a", Leaving: true}, {Name: "b"}, {Name: "c"}}}, s.now)
+	for marked := s.now; s.now.Sub(marked) < OrderlyGrace-ProbePeriod; {
+		if got := s.answer(driver.Primary, "a", "b", "c"); count[Fence](got) > 0 {
+			t.Fatalf("fenced after %s", s.now.Sub(marked))
+		}
+	}
+	if got := append(s.answer(driver.Primary, "a", "b", "c"), s.answer(driver.Primary, "a", "b", "c")...); count[Fence](got) == 0 {
+		t.Error("not fenced after the grace")
+	}
+}
--- a/internal/database/pool/pool.go
+++ b/internal/database/pool/pool.go
@@ -46,7 +46,7 @@
 	mu           sync.Mutex
 	lanes        map[Holding]*lane
 	taking       map[Holding]bool
-	leaving      map[string]bool
+	presences    Presences
 	transactions map[string]*transaction
 	endings      map[string]ending
 	withdrawn    map[string]time.Time // key hashes, so that a Begin in progress does not survive the withdrawal
@@ -59,7 +59,7 @@
 func New(c driver.Connector, o Options) *Pool {
 	return &Pool{
 		connector: c, options: o.withDefaults(),
-		lanes: make(map[Holding]*lane), taking: make(map[Holding]bool), leaving: make(map[string]bool),
+		lanes: make(map[Holding]*lane), taking: make(map[Holding]bool),
 		transactions: make(map[string]*transaction), endings: make(map[string]ending),
 		withdrawn: make(map[string]time.Time),
 	}
@@ -151,12 +151,27 @@
 	}
 }
 
-// SetLeaving marks a server as leaving, or as staying again. A leaving server gets no new operations; open transactions
-// finish.
-func (p *Pool) SetLeaving(server string, leaving bool) {
+// Presence says what work a server may get.
+type Presence int
+
+// Presences of a server.
+const (
+	Staying Presence = iota
+	// Retiring is a leaving primary that has not been replaced. It gets no new transactions, so that the open ones can
+	// finish before its replacement ends them.
+	Retiring
+	// Leaving servers get no new operations; open transactions finish.
+	Leaving
+)
+
+// Presences holds the presence of servers by name. A server that is not in it stays.
+type Presences map[string]Presence
+
+// SetPresences replaces all presences. The map must not be changed afterwards.
+func (p *Pool) SetPresences(all Presences) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.leaving[server] = leaving
+	p.presences = all
 }
 
 // SetWeight sets an organisation's weight on all lanes that are held now.
@@ -218,7 +233,8 @@
 	case operation.Rollback:
 		return p.rollback(server, op)
 	}
-	l, reason := p.choose(server)
+	_, begins := op.(operation.Begin)
+	l, reason := p.choose(server, begins)
 	if reason != "" {
 		return refused(reason)
 	}
@@ -236,14 +252,15 @@
 	return refused(outcome.RequestInvalid)
 }
 
-// choose returns the least loaded lane of a server, entered by one operation.
-func (p *Pool) choose(server string) (*lane, outcome.Reason) {
+// choose returns the least loaded lane of a server, entered by one operation. A transaction begins only at a server that
+// stays.
+func (p *Pool) choose(server string, begins bool) (*lane, outcome.Reason) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.draining {
 		return nil, outcome.Draining
 	}
-	if p.leaving[server] {
+	if presence := p.presences[server]; presence == Leaving || begins && presence != Staying {
 		return nil, outcome.ServerLeaving
 	}
 	var best *lane
--- a/internal/database/pool/pool_test.go
+++ b/internal/database/pool/pool_test.go
@@ -276,7 +276,11 @@
 	} {
 		want(t, p.Perform(t.Context(), server, op), outcome.NotRun(outcome.TransactionForeign))
 	}
-	p.SetLeaving(server, true)
+	p.SetPresences(Presences{server: Retiring})
+	b.Organisation = "a"
+	want(t, p.Perform(t.Context(), server, b), outcome.NotRun(outcome.ServerLeaving))
+	want(t, p.Perform(t.Context(), server, operation.Read{Organisation: "d"}), done)
+	p.SetPresences(Presences{server: Leaving})
 	want(t, p.Perform(t.Context(), server, operation.Read{Organisation: "d"}), outcome.NotRun(outcome.ServerLeaving))
 	want(t, p.Perform(t.Context(), server, operation.Run{Organisation: "a", Session: "s", Transaction: first}), done)
 	drained := make(chan struct{})
--- a/internal/database/pool/removal.go
+++ b/internal/database/pool/removal.go
@@ -16,7 +16,7 @@
 func (p *Pool) RemoveRecords(ctx context.Context, h Holding, term uint64, organisation, before string, limit int) operation.Reply {
 	p.mu.Lock()
 	l := p.lanes[h]
-	refusing := p.draining || p.leaving[h.Server]
+	refusing := p.draining || p.presences[h.Server] != Staying
 	p.mu.Unlock()
 	if refusing || l == nil || !l.usable() || !l.enter() {
 		return refused(outcome.LaneUnavailable)
--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -188,11 +188,7 @@
 	d.metric.Version(metric.KeysVersion, after.keysVersion)
 	if after.groupsVersion != before.groupsVersion {
 		d.tableEvents.Put(listed{groups: after.groups})
-		for _, g := range after.groups {
-			for _, s := range g.Servers {
-				d.pool.SetLeaving(s.Name, s.Leaving)
-			}
-		}
+		d.presentServers(after)
 	}
 	if after.keysVersion != before.keysVersion {
 		d.endWithdrawn(after)
--- a/internal/instance/daemon/lanes.go
+++ b/internal/instance/daemon/lanes.go
@@ -99,10 +99,7 @@
 	if _, listed := view.roster.Member(d.settings.Name); !listed {
 		return // without a roster every instance would rank first for every lane
 	}
-	var servers []driver.Server
-	for _, g := range view.groups {
-		servers = append(servers, g.Servers...)
-	}
+	servers := d.presentServers(view)
 	p.SetServers(servers, now)
 	p.SetCandidates(d.candidates(view.roster))
 	if d.draining.Load() {
@@ -121,6 +118,30 @@
 	}
 }
 
+// presentServers tells the pool which servers leave and returns all servers for the planner. A leaving primary keeps its
+// lanes until it is replaced, because only a change of primary moves writes to another server.
+func (d *Daemon) presentServers(view *snapshot) []driver.Server {
+	var servers []driver.Server
+	presences := pool.Presences{}
+	for _, g := range view.groups {
+		primary := ""
+		if state, ok := d.table.View().Group(g.Name); ok {
+			primary = state.Primary
+		}
+		for _, s := range g.Servers {
+			switch {
+			case s.Leaving && s.Name == primary:
+				presences[s.Name], s.Leaving = pool.Retiring, false
+			case s.Leaving:
+				presences[s.Name] = pool.Leaving
+			}
+			servers = append(servers, s)
+		}
+	}
+	d.pool.SetPresences(presences)
+	return servers
+}
+
 // candidates returns the members that are not leaving and that answered lately.
 func (d *Daemon) candidates(r roster.Roster) []lane.Candidate {
 	var candidates []lane.Candidate
--- a/internal/request/execution/write.go
+++ b/internal/request/execution/write.go
@@ -97,9 +97,9 @@
 // replaced, which takes seconds.
 func (x *execution) changeWait(r outcome.Reason, made int) time.Duration {
 	switch r {
-	case outcome.PrimaryReplaced:
+	case outcome.PrimaryReplaced, outcome.ServerLeaving: // a leaving primary is being replaced
 		return x.options.PrimaryWait
-	case outcome.ServerUnreachable, outcome.LaneUnavailable, outcome.ServerLeaving:
+	case outcome.ServerUnreachable, outcome.LaneUnavailable:
 		if made > 2 {
 			return x.options.PrimaryWait
 		}
