Publish what requests read of the fleet on change

Cause: every request resolved the configuration up to three times and built the lists of held lanes and of holders anew; the list of held lanes took the lock of the pool.

The pool publishes the servers of its lanes.

--- a/internal/database/pool/pool.go
+++ b/internal/database/pool/pool.go
@@ -23,6 +23,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -47,6 +48,7 @@
 	lanes        map[Holding]*lane
 	taking       map[Holding]bool
 	presences    Presences
+	held         atomic.Pointer[heldServers]
 	transactions map[string]*transaction
 	endings      map[string]ending
 	withdrawn    map[string]time.Time // key hashes, so that a Begin in progress does not survive the withdrawal
@@ -88,6 +90,7 @@
 	}
 	l := newLane(p, s, number, share, inflight, control)
 	p.lanes[h] = l
+	p.publish()
 	l.start()
 	return nil
 }
@@ -201,6 +204,28 @@
 	return p.lanes[h] != nil
 }
 
+// heldServers holds the names of the servers of which a lane is held. It is not changed once published.
+type heldServers map[string]struct{}
+
+// publish publishes the servers of the lanes. It needs the mutex.
+func (p *Pool) publish() {
+	held := heldServers{}
+	for h := range p.lanes {
+		held[h.Server] = struct{}{}
+	}
+	p.held.Store(&held)
+}
+
+// HoldsAny reports whether a lane of a server is held, without a lock.
+func (p *Pool) HoldsAny(server string) bool {
+	held := p.held.Load()
+	if held == nil {
+		return false
+	}
+	_, ok := (*held)[server]
+	return ok
+}
+
 // EndByKey ends the transactions and the queued work of a withdrawn key, and returns the number of transactions.
 func (p *Pool) EndByKey(keyHash string) int {
 	if keyHash == "" {
@@ -285,6 +310,7 @@
 	h := Holding{Server: l.server.Name, Lane: l.number}
 	if p.lanes[h] == l {
 		delete(p.lanes, h)
+		p.publish()
 	}
 }
 
--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -158,7 +158,7 @@
 	d.rates = rates{holder: lease.NewHolder(s.Name, d.incarnation&(1<<48-1)), voter: lease.NewVoter()}
 	d.fleet = newFleet(exchange.Params{
 		Self: s.Name, Incarnation: d.incarnation, Seed: rand.Uint64(), Check: d.checkChange,
-	}, d.clock.Now)
+	}, s.Place, d.clock.Now)
 	d.fleet.onChange = d.documentsChanged
 	d.fleet.onFault = func(err error) { d.log.Error("document cannot be read", "error", err.Error()) }
 	d.pool = pool.New(d.connector, pool.Options{OnLost: func(h pool.Holding) {
--- a/internal/instance/daemon/executor.go
+++ b/internal/instance/daemon/executor.go
@@ -140,7 +140,7 @@
 
 // valuesOf returns the configuration in force for an organisation.
 func (d *Daemon) valuesOf(organisation string) configuration.Values {
-	return d.fleet.view().configuration.At(time.Now()).Resolve().For(organisation)
+	return d.fleet.view().values.For(organisation)
 }
 
 // keys implements execution.Keys.
--- a/internal/instance/daemon/fleet.go
+++ b/internal/instance/daemon/fleet.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +27,10 @@
 	organisations        []string // that have had a key, sorted
 	groups               []store.Group
 	groupsVersion        uint64
+
+	values      configuration.Resolved // in force
+	valuesUntil time.Time              // when the next exception ends; zero if none does
+	holders     laneHolders
 }
 
 // fleet guards the exchange state and publishes snapshots of it.
@@ -35,15 +38,20 @@
 	mu        sync.Mutex
 	state     *exchange.State
 	now       func() time.Time
+	self      string // name of this instance
+	place     string
 	published atomic.Pointer[snapshot]
 	// onChange is called with the lock held after each change of a document.
 	onChange func(before, after *snapshot)
 	onFault  func(err error)
 }
 
-func newFleet(p exchange.Params, now func() time.Time) *fleet {
-	f := &fleet{state: exchange.New(p, now()), now: now, onChange: func(_, _ *snapshot) {}, onFault: func(error) {}}
-	f.published.Store(&snapshot{})
+func newFleet(p exchange.Params, place string, now func() time.Time) *fleet {
+	f := &fleet{
+		state: exchange.New(p, now()), now: now, self: p.Self, place: place,
+		onChange: func(_, _ *snapshot) {}, onFault: func(error) {},
+	}
+	f.published.Store(&snapshot{values: configuration.Document{}.Resolve()})
 	return f
 }
 
@@ -76,6 +84,7 @@
 		after.rosterSince = now
 	}
 	changed := f.decode(&after)
+	after.derive(before, f.self, f.place, now)
 	f.published.Store(&after)
 	if changed || after.roster.Version() != before.roster.Version() {
 		f.onChange(before, &after)
@@ -113,15 +122,6 @@
 	return changed
 }
 
-func organisationsOf(t key.Table) []string {
-	var names []string
-	for _, e := range t.Entries() {
-		names = append(names, e.Organisation)
-	}
-	slices.Sort(names)
-	return slices.Compact(names)
-}
-
 // Fresh implements execution.Freshness.
 func (f *fleet) Fresh(now time.Time) bool { return now.Before(f.view().deadline) }
 
--- a/internal/instance/daemon/perform.go
+++ b/internal/instance/daemon/perform.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 
 	"tanagercross/internal/database/operation"
-	"tanagercross/internal/fleet/exchange"
 	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/session/outcome"
 )
@@ -22,7 +20,7 @@
 	ctx context.Context, server string, op operation.Operation,
 ) (operation.Reply, string) {
 	reply, holder := refusedNoLane(), p.settings.Name
-	if p.holds(server) {
+	if p.pool.HoldsAny(server) {
 		if reply = p.pool.Perform(ctx, server, op); !noLane(reply) {
 			return reply, holder
 		}
@@ -56,36 +54,22 @@
 	return r.Verdict.Outcome == outcome.NotRunOutcome && r.Verdict.Reason == outcome.LaneUnavailable
 }
 
-func (d *Daemon) holds(server string) bool {
-	for _, h := range d.pool.Held() {
-		if h.Server == server {
-			return true
-		}
-	}
-	return false
-}
-
-// holders returns the other live members that tell that they hold a lane of a server, those of this place first, each
-// part in random order.
+// holders returns other live members that tell that they hold a lane of a server, those of this place first, each part
+// from a random one on.
 func (d *Daemon) holders(server string) []roster.Member {
-	view := d.fleet.view()
-	var near, far []roster.Member
-	for _, state := range view.members {
-		if state.Member == d.settings.Name || !d.liveness.alive(state.Member) {
-			continue
-		}
-		m, listed := view.roster.Member(state.Member)
-		if !listed || !slices.ContainsFunc(state.Lanes, func(l exchange.Lane) bool { return l.Server == server }) {
+	p := d.fleet.view().holders[server]
+	holders := make([]roster.Member, 0, holdersAsked)
+	for _, part := range [][]roster.Member{p.near, p.far} {
+		if len(part) == 0 {
 			continue
 		}
-		if m.Place == d.settings.Place {
-			near = append(near, m)
-		} else {
-			far = append(far, m)
+		first := rand.IntN(len(part))
+		for i := range part {
+			m := part[(first+i)%len(part)]
+			if len(holders) < holdersAsked && d.liveness.alive(m.Name) {
+				holders = append(holders, m)
+			}
 		}
 	}
-	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	rand.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	all := append(near, far...)
-	return all[:min(len(all), holdersAsked)]
+	return holders
 }
