--- a/internal/instance/daemon/hotpath_test.go
+++ b/internal/instance/daemon/hotpath_test.go
@@ -13,7 +13,7 @@
 )
 
 // hotDaemon knows 21 members with 3 lanes each and a configuration with 20 exceptions.
-func hotDaemon(b testing.TB) *Daemon {
+func hotDaemon() *Daemon {
 	d := &Daemon{settings: settings.Settings{Name: "i00", Place: "p0"}, pool: pool.New(nil, pool.Options{})}
 	d.fleet = newFleet(exchange.Params{Self: "i00"}, "p0", time.Now)
 	s := *d.fleet.view()
@@ -39,21 +39,21 @@
 }
 
 func BenchmarkValuesOf(b *testing.B) {
-	d := hotDaemon(b)
+	d := hotDaemon()
 	for b.Loop() {
 		d.valuesOf("o7")
 	}
 }
 
 func BenchmarkHolders(b *testing.B) {
-	d := hotDaemon(b)
+	d := hotDaemon()
 	for b.Loop() {
 		d.holders("s4")
 	}
 }
 
 func BenchmarkHolds(b *testing.B) {
-	d := hotDaemon(b)
+	d := hotDaemon()
 	b.RunParallel(func(p *testing.PB) {
 		for p.Next() {
 			d.pool.HoldsAny("s4")
@@ -64,7 +64,7 @@
 // Guards against values that stay in force after their exception ended, and against holders of lanes that are not listed,
 // not alive, this instance itself, or behind those of another place.
 func TestDerived(t *testing.T) {
-	d := hotDaemon(t)
+	d := hotDaemon()
 	now, rate := time.Now(), int64(7)
 	end := now.Add(time.Minute)
 	before := *d.fleet.view()
