--- a/internal/standin/database/server.go
+++ b/internal/standin/database/server.go
@@ -31,6 +31,7 @@
 	stopping    atomic.Bool
 	serviceTime atomic.Int64
 	lag         atomic.Int64
+	statements  atomic.Uint64 // reads and writes of clients that got a slot
 
 	mu            sync.Mutex
 	log           *logFile
@@ -191,6 +192,9 @@
 	s.cancel()
 }
 
+// Statements returns how many reads and writes of clients the server has run.
+func (s *Server) Statements() uint64 { return s.statements.Load() }
+
 // Dump runs a read on an organisation's committed state and returns its rows; NULL is "NULL".
 func (s *Server) Dump(organisation, sql string) ([][]string, error) {
 	store, _, err := s.organisation(organisation)
