Abandon a change only when no write of it is under way

The message says that nothing was written. Result: TestNotAbandonedWithWriteUnderWay fails without the count.

--- a/internal/fleet/document/procedure.go
+++ b/internal/fleet/document/procedure.go
@@ -151,6 +151,7 @@
 	confirmed map[string]bool
 	majority  time.Time // when a majority confirmed the proposal
 	unclear   bool      // a write was sent whose effect is not known
+	unwritten int       // writes that were sent and have no result yet
 
 	document   Document // as written
 	held       map[string]holding
--- a/internal/fleet/document/procedure_test.go
+++ b/internal/fleet/document/procedure_test.go
@@ -162,3 +162,21 @@
 		t.Errorf("not written: %+v", r.last)
 	}
 }
+
+// Guards against a withdrawal that is reported as not written while a write is still on its way to a slow store, and that
+// appears later.
+func TestNotAbandonedWithWriteUnderWay(t *testing.T) {
+	r := started(true)
+	for range 30 {
+		if got := r.step(time.Second, document.Tick{}).result(); got.Status != "" {
+			t.Fatalf("ended while a write had no result: %+v", got)
+		}
+	}
+	sent := 20 // one write each 500 ms at most, of which the limit lets some pass
+	for range sent {
+		r.step(0, document.Written{Kind: store.Unavailable})
+	}
+	if got := r.step(time.Second, document.Tick{}).result(); got.Status != document.Abandoned {
+		t.Errorf("every write was refused: %+v", got)
+	}
+}
--- a/internal/fleet/document/step.go
+++ b/internal/fleet/document/step.go
@@ -85,17 +85,22 @@
 		return nil
 	}
 	if !p.unclear && !p.majority.IsZero() && now.Sub(p.majority) > proposalLimit+inForceWait {
-		return p.finish(Result{Status: Abandoned, Message: "the store did not take the change in time"})
+		if p.unwritten > 0 {
+			return nil // a slow store may still take the write, so that "not written" would be a guess
+		}
+		return p.finish(Result{Status: Abandoned, Message: "the store did not take the change in time; nothing was written"})
 	}
 	action, err := commit(p.document, p.params.Roster.Version())
 	if err != nil {
 		return p.finish(Result{Status: Abandoned, Message: err.Error()})
 	}
 	p.lastTry = now
+	p.unwritten++
 	return []Action{action}
 }
 
 func (p *Procedure) onWritten(e Written, now time.Time) []Action {
+	p.unwritten--
 	if p.phase != writing {
 		return nil
 	}
