Decide by the roster itself whether a change may skip the wait

Cause: a proposer took the roster as settled once it had held it for 2F. That says nothing about a member which the last change removed: if the proposer of the removal died after the commit, or the store went down, the removed member could be fresh under the roster before while a change was reported in force. An instance that joined could likewise be fresh by entries from before its join. Change: a roster version that lacks a member is marked as a removal, members refuse an unmarked one, and after a removal every change waits the 4.4 s of the freshness bound (the cost). All other versions count as settled, since a roster change is written only after every fresh instance holds the version before. A joining instance is fresh only after it has merged the store as of its join.

--- a/internal/fleet/exchange/faults_test.go
+++ b/internal/fleet/exchange/faults_test.go
@@ -134,7 +134,7 @@
 	n.store.down, a.paused = true, true
 	n.restart(b)
 	c.noStore, c.noPeers = false, false
-	b.state.MergeDocument(c.state.Documents().Get(document.Roster))
+	b.state.MergeDocument(c.state.Documents().Get(document.Roster), n.now)
 	n.run(8 * time.Second)
 	if c.state.Fresh(n.now) {
 		t.Error("fresh without the holders of the change")
--- a/internal/fleet/exchange/merge.go
+++ b/internal/fleet/exchange/merge.go
@@ -67,7 +67,7 @@
 
 func (s *State) merge(m Message, now time.Time) {
 	for _, d := range m.Documents {
-		s.MergeDocument(d)
+		s.MergeDocument(d, now)
 	}
 	for _, member := range m.Members {
 		s.mergeMember(member, now)
--- a/internal/fleet/exchange/network_test.go
+++ b/internal/fleet/exchange/network_test.go
@@ -114,7 +114,7 @@
 		n.nodes = append(n.nodes, node)
 		n.restart(node)
 		for _, name := range []string{document.Roster, document.Configuration} {
-			node.state.MergeDocument(n.store.document(t, name))
+			node.state.MergeDocument(n.store.document(t, name), n.now)
 		}
 	}
 	return n
@@ -219,7 +219,7 @@
 			}
 		}, func(bool) {
 			for _, d := range read {
-				o.state.MergeDocument(d)
+				o.state.MergeDocument(d, n.now)
 			}
 			o.state.Polled(before, versions)
 		})
@@ -240,7 +240,7 @@
 			}
 			n.call(o, a.Member, o.state.Propose(a.Member, a.Change, n.now))
 		case document.PushAction:
-			o.state.MergeDocument(a.Document)
+			o.state.MergeDocument(a.Document, n.now)
 			if a.Member == o.name {
 				n.step(o, document.Held{
 					Member: o.name, Incarnation: o.incarnation, Versions: o.state.Documents().Versions(), Sent: n.now,
--- a/internal/fleet/exchange/state.go
+++ b/internal/fleet/exchange/state.go
@@ -104,7 +104,7 @@
 func (s *State) Fresh(now time.Time) bool { return s.ages.Fresh(s.roster, now) }
 
 // MergeDocument takes a document over if it is newer. A roster that cannot be read is not taken over.
-func (s *State) MergeDocument(d document.Document) bool {
+func (s *State) MergeDocument(d document.Document, now time.Time) bool {
 	if d.Name != document.Roster {
 		return s.documents.Merge(d)
 	}
@@ -112,6 +112,10 @@
 	if err != nil || !s.documents.Merge(d) {
 		return false
 	}
+	_, before := s.roster.Index(s.params.Self)
+	if _, after := r.Index(s.params.Self); after && !before && s.roster.Version() > 0 {
+		s.ages.Join(now)
+	}
 	s.roster, s.round = r, nil
 	s.ages.Retain(r)
 	listed := func(name string) bool { _, ok := r.Index(name); return ok || name == s.params.Self }
--- a/internal/fleet/exchange/state_test.go
+++ b/internal/fleet/exchange/state_test.go
@@ -27,7 +27,7 @@
 		t.Fatal(err)
 	}
 	s := exchange.New(exchange.Params{Self: "a", Incarnation: 1}, now)
-	s.MergeDocument(document.Document{Name: document.Roster, Version: 1, Content: content})
+	s.MergeDocument(document.Document{Name: document.Roster, Version: 1, Content: content}, time.Now())
 	s.MergeGroup(group(4, "p", now, 9), now)
 	s.MergeGroup(group(3, "q", now.Add(-time.Second), 99), now)
 	s.MergeGroup(group(4, "r", now.Add(-time.Second), 8), now)
--- a/internal/fleet/freshness/vector.go
+++ b/internal/fleet/freshness/vector.go
@@ -46,6 +46,7 @@
 	self        string
 	start       time.Time
 	established bool
+	joining     bool // not fresh before the store has been merged as of start or later
 	entries     map[string]time.Time
 }
 
@@ -54,7 +55,21 @@
 	return &Vector{self: self, start: start, entries: map[string]time.Time{}}
 }
 
+// Join makes an instance that enters the roster start anew: it is not fresh, by whatever it has merged, before it has
+// merged the store as of now or later. A change that was committed under the roster before is in force without asking
+// the instance, whose entries may be older than the change.
+func (v *Vector) Join(now time.Time) {
+	v.start, v.established, v.joining = now, false, true
+	delete(v.entries, StoreName)
+}
+
 func (v *Vector) raise(name string, at time.Time) {
+	if v.joining && name == StoreName {
+		if at.Before(v.start) {
+			return
+		}
+		v.joining = false
+	}
 	if old, ok := v.entries[name]; !ok || at.After(old) {
 		v.entries[name] = at
 	}
@@ -69,7 +84,7 @@
 // Establish lets the instance count itself once it has merged, as of its start or later, the store or a majority of
 // the roster without itself.
 func (v *Vector) Establish(r roster.Roster) {
-	if v.established {
+	if v.established || v.joining {
 		return
 	}
 	if t, ok := v.entries[StoreName]; ok && !t.Before(v.start) {
@@ -116,7 +131,7 @@
 // outside the roster is never fresh, because changes are not confirmed by it.
 func (v *Vector) Deadline(r roster.Roster, now time.Time) time.Time {
 	deadline := time.Time{}
-	if _, ok := r.Index(v.self); !ok {
+	if _, ok := r.Index(v.self); !ok || v.joining {
 		return deadline
 	}
 	if t, ok := v.entries[StoreName]; ok {
--- a/internal/fleet/freshness/vector_test.go
+++ b/internal/fleet/freshness/vector_test.go
@@ -68,3 +68,23 @@
 		t.Error("a member that has merged a majority since its start does not tell its own entry")
 	}
 }
+
+// Guards against an instance that joins the roster and is fresh by what it merged before: a change that came into force
+// meanwhile did not ask it.
+func TestJoiningMemberReadsStore(t *testing.T) {
+	start := time.Now()
+	v := freshness.New("a", start)
+	v.Store(start)
+	joined := start.Add(time.Second)
+	v.Join(joined)
+	v.Store(joined.Add(-time.Millisecond))
+	v.Merge(joined.Add(time.Millisecond), []freshness.Age{{Member: "b"}, {Member: "c"}, {Age: time.Second}})
+	v.Establish(three)
+	if v.Fresh(three, joined.Add(time.Millisecond)) {
+		t.Error("fresh without the store as of the join")
+	}
+	v.Store(joined)
+	if !v.Fresh(three, joined) {
+		t.Error("not fresh with the store as of the join")
+	}
+}
--- a/internal/fleet/peer/exchange_bench_test.go
+++ b/internal/fleet/peer/exchange_bench_test.go
@@ -54,7 +54,7 @@
 	for i, name := range f.names[:active] {
 		s := exchange.New(exchange.Params{Self: name, Incarnation: 1, Seed: uint64(i)}, f.now)
 		for _, n := range document.Names() {
-			s.MergeDocument(document.Document{Name: n, Version: 1, Content: content})
+			s.MergeDocument(document.Document{Name: n, Version: 1, Content: content}, time.Now())
 		}
 		f.states[name] = s
 	}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -40,6 +40,7 @@
 	version   uint64
 	members   []Member
 	witnesses []Member
+	removal   bool
 }
 
 // New returns a roster. Of members with the same name the first is kept.
@@ -102,9 +103,19 @@
 	for i := range members {
 		members[i].Leaving = members[i].Leaving || leaving(members[i].Name)
 	}
-	return Roster{version: r.version, members: members, witnesses: r.witnesses}
+	return Roster{version: r.version, members: members, witnesses: r.witnesses, removal: r.removal}
 }
 
+// WithRemoval returns the roster marked as one that lacks a member of the version before.
+func (r Roster) WithRemoval() Roster {
+	r.removal = true
+	return r
+}
+
+// Removal reports whether the version before had a member that this one lacks. Such a member may hold the version before
+// until the freshness bound has passed, and is not among the members of this one.
+func (r Roster) Removal() bool { return r.removal }
+
 type ranked struct {
 	member Member
 	score  uint64
@@ -194,11 +205,12 @@
 
 type content struct {
 	Members []Member `json:"members"`
+	Removal bool     `json:"removal,omitempty"`
 }
 
 // Encode returns the content of the roster document.
 func (r Roster) Encode() ([]byte, error) {
-	data, err := json.Marshal(content{Members: r.members})
+	data, err := json.Marshal(content{Members: r.members, Removal: r.removal})
 	return data, eris.Wrap(err, "encode roster")
 }
 
@@ -208,7 +220,9 @@
 	if err := json.Unmarshal(data, &c); err != nil {
 		return Roster{}, eris.Wrap(err, "decode roster")
 	}
-	return New(version, c.Members), nil
+	r := New(version, c.Members)
+	r.removal = c.Removal
+	return r, nil
 }
 
 // CheckChange returns an error if more than one member was added or removed. Majorities of rosters that differ by one
@@ -220,6 +234,9 @@
 			changed++
 		}
 	}
+	if changed > 0 && !after.removal {
+		return eris.New("a roster that lacks a member of the version before is marked as a removal")
+	}
 	for _, m := range after.members {
 		if _, ok := before.Index(m.Name); !ok {
 			changed++
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -98,3 +98,20 @@
 		}
 	}
 }
+
+// Guards against a removal that is not marked: a change would be reported in force while the removed member, which no
+// longer counts, is still fresh without it.
+func TestRemovalIsMarked(t *testing.T) {
+	both := roster.New(1, []roster.Member{{Name: "a"}, {Name: "b"}})
+	rest := roster.New(2, both.Members()[:1])
+	if roster.CheckChange(both, rest) == nil || roster.CheckChange(both, rest.WithRemoval()) != nil {
+		t.Error("the check does not ask for the mark")
+	}
+	content, err := rest.WithRemoval().Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r, err := roster.Decode(2, content); err != nil || !r.WithLeaving(func(string) bool { return true }).Removal() {
+		t.Errorf("the mark is lost: %v", err)
+	}
+}
--- a/internal/instance/daemon/change.go
+++ b/internal/instance/daemon/change.go
@@ -7,7 +7,6 @@
 
 	"tanagercross/internal/fleet/document"
 	"tanagercross/internal/fleet/exchange"
-	"tanagercross/internal/fleet/freshness"
 	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/platform/store"
 )
@@ -34,7 +33,7 @@
 	now := d.clock.Now()
 	params := document.Params{
 		Base: d.fleet.document(c.Name), Roster: view.roster, NextRoster: next,
-		RosterSettled: now.Sub(view.rosterSince) > 2*freshness.Bound,
+		RosterSettled: rosterSettled(view.roster),
 	}
 	if params.Base.Version != c.Base {
 		return d.settleStale(params.Base, c)
@@ -49,6 +48,13 @@
 	return r.run(ctx)
 }
 
+// rosterSettled reports whether every fresh instance is among the members of the roster. A change of the roster is
+// written only after every fresh instance holds the version before, so that only a member which the last change removed
+// can be fresh under another roster. How long the proposer has held the roster says nothing about that member: the
+// proposer of the removal may have died after the commit. After a removal, changes are acknowledged 4.4 s after a
+// majority has them, until the roster changes again; they take effect at the members at once all the same.
+func rosterSettled(r roster.Roster) bool { return r.Version() > 0 && !r.Removal() }
+
 // settleStale ends a change whose base is not the version held. A change that was made before is found by its id.
 func (d *Daemon) settleStale(held document.Document, c document.Change) document.Result {
 	for _, o := range held.Origins {
@@ -126,7 +132,7 @@
 
 func (r *runner) push(ctx context.Context, a document.PushAction) {
 	sent := r.clock.Now()
-	r.fleet.update(func(s *exchange.State, _ time.Time) { s.MergeDocument(a.Document) })
+	r.fleet.update(func(s *exchange.State, now time.Time) { s.MergeDocument(a.Document, now) })
 	if a.Member == r.settings.Name {
 		var versions []document.Version
 		r.fleet.update(func(s *exchange.State, _ time.Time) { versions = s.Documents().Versions() })
--- a/internal/instance/daemon/exchanger.go
+++ b/internal/instance/daemon/exchanger.go
@@ -184,6 +184,6 @@
 	if err != nil {
 		return err
 	}
-	d.fleet.update(func(s *exchange.State, _ time.Time) { s.MergeDocument(doc) })
+	d.fleet.update(func(s *exchange.State, now time.Time) { s.MergeDocument(doc, now) })
 	return nil
 }
--- a/internal/instance/daemon/fleet.go
+++ b/internal/instance/daemon/fleet.go
@@ -17,7 +17,6 @@
 type snapshot struct {
 	deadline    time.Time // the instance is fresh before this moment
 	roster      roster.Roster
-	rosterSince time.Time // when this version of the roster was taken over
 	members     []exchange.MemberState
 
 	configuration        configuration.Document
@@ -70,9 +69,6 @@
 	after.deadline = f.state.Deadline(now)
 	after.roster = f.state.Roster()
 	after.members = f.state.Members()
-	if after.roster.Version() != before.roster.Version() {
-		after.rosterSince = now
-	}
 	changed := f.decode(&after)
 	f.published.Store(&after)
 	if changed || after.roster.Version() != before.roster.Version() {
--- a/internal/instance/daemon/join.go
+++ b/internal/instance/daemon/join.go
@@ -107,7 +107,7 @@
 			continue
 		}
 		rest := slices.DeleteFunc(slices.Clone(view.roster.Members()), func(m roster.Member) bool { return m.Name == gone })
-		result := d.changeRoster(ctx, roster.New(view.roster.Version()+1, rest), "removal of "+gone)
+		result := d.changeRoster(ctx, roster.New(view.roster.Version()+1, rest).WithRemoval(), "removal of "+gone)
 		d.log.Info("removing a member", "member", gone, "status", string(result.Status))
 	}
 }
@@ -174,7 +174,7 @@
 	writes := []store.Write{{Key: document.Key(name), Value: data}, {Key: document.VersionKey(name)}}
 	// A conflict or a lost answer needs no handling: the next poll reads what is there.
 	if d.store.Commit(ctx, conditions, writes) == nil {
-		d.fleet.update(func(s *exchange.State, _ time.Time) { s.MergeDocument(next) })
+		d.fleet.update(func(s *exchange.State, now time.Time) { s.MergeDocument(next, now) })
 		d.broadcast(ctx)
 	}
 }
