--- a/internal/fleet/exchange/state.go
+++ b/internal/fleet/exchange/state.go
@@ -56,6 +56,7 @@
 	bucket    int                           // last bucket asked about
 	poll      poll
 	view      view
+	listed    func(group string) bool // nil before the first group list
 }
 
 // New returns the state of an instance that starts at a moment.
@@ -76,7 +77,8 @@
 	version uint64
 	digest  uint64
 	roster  roster.Roster
-	polls   bool // whether this member polls the store all the time
+	polls   bool   // whether this member polls the store all the time
+	change  uint64 // grows with each change of the roster or of a leaving flag
 }
 
 // current returns the view of now. It is kept, because ranking all members at each tick takes more time than the rest
@@ -86,7 +88,17 @@
 		return s.view
 	}
 	v := view{version: s.roster.Version(), digest: s.members.digest}
-	v.roster = s.roster.WithLeaving(func(name string) bool { return s.members.entries[name].value.Leaving })
+	leaving := func(name string) bool { return s.members.entries[name].value.Leaving }
+	if s.view.version == v.version && s.view.version > 0 && !slices.ContainsFunc(s.view.roster.Members(), func(m roster.Member) bool {
+		listed, _ := s.roster.Member(m.Name)
+		return m.Leaving != (listed.Leaving || leaving(m.Name))
+	}) {
+		// Lanes and evidence change far more often than leaving flags, and ranking the members costs the most.
+		s.view.digest = v.digest
+		return s.view
+	}
+	v.change = s.view.change + 1
+	v.roster = s.roster.WithLeaving(leaving)
 	v.polls = slices.ContainsFunc(v.roster.Pollers(pollers), func(m roster.Member) bool {
 		return m.Name == s.params.Self
 	})
@@ -97,6 +109,12 @@
 // Roster returns the roster held, with the leaving flags that the members have told.
 func (s *State) Roster() roster.Roster { return s.current().roster }
 
+// RosterChange returns a number that grows when Roster returns another roster than before.
+func (s *State) RosterChange() uint64 { return s.current().change }
+
+// MembersChange returns a number that differs when Members returns other states than before.
+func (s *State) MembersChange() uint64 { return s.members.changes }
+
 // Deadline returns the moment from which the instance is no longer fresh; see freshness.Vector.
 func (s *State) Deadline(now time.Time) time.Time { return s.ages.Deadline(s.roster, now) }
 
@@ -180,14 +198,21 @@
 
 // MergeGroup merges what a probe, a reply or a peer told about a group.
 func (s *State) MergeGroup(g GroupState, now time.Time) {
+	if s.listed != nil && !s.listed(g.Group) {
+		return
+	}
 	merged := s.groups.entries[g.Group].value
 	merged.Group = g.Group
 	merged = merged.merge(g)
 	s.groups.set(g.Group, merged, merged.hash(), now)
 }
 
-// RetainGroups drops the groups that the platform no longer lists.
-func (s *State) RetainGroups(keep func(group string) bool) { s.groups.retain(keep) }
+// RetainGroups drops the groups that the platform no longer lists, and keeps out what peers with an older list tell of
+// them.
+func (s *State) RetainGroups(keep func(group string) bool) {
+	s.listed = keep
+	s.groups.retain(keep)
+}
 
 // Group returns the newest known state of a group.
 func (s *State) Group(name string) (GroupState, bool) {
--- a/internal/fleet/exchange/table.go
+++ b/internal/fleet/exchange/table.go
@@ -37,6 +37,7 @@
 	buckets [buckets]uint64 // digest of the entries of each bucket
 	cursor  int
 	recent  []string // names changed within rumourPeriod, oldest first
+	changes uint64   // number of changes of entries
 }
 
 // set stores a value. The digest is the sum of the entries' hashes, so it does not depend on the order of changes.
@@ -53,6 +54,7 @@
 	t.digest += hash - old.hash
 	t.buckets[bucket(name)] += hash - old.hash
 	if hash != old.hash {
+		t.changes++
 		e.changed = now
 		t.recent = slices.DeleteFunc(t.recent, func(n string) bool { return n == name })
 		t.recent = append(t.recent, name)
@@ -61,6 +63,7 @@
 }
 
 func (t *table[T]) retain(keep func(name string) bool) {
+	t.changes++
 	for name, e := range t.entries {
 		if !keep(name) {
 			t.digest -= e.hash
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -172,16 +172,65 @@
 
 // Watchers returns up to n members that are not leaving for a group, spread over the places as evenly as possible.
 func (r Roster) Watchers(group string, n int) []Member {
-	return spread(r.rank("watch/"+group, staying), n)
+	return r.spread("watch/"+group, staying, n)
 }
 
 // Committee returns up to n voters for a shard, spread over the places. Leaving members are included.
 func (r Roster) Committee(shard, n int) []Member {
-	return spread(r.rank(fmt.Sprintf("shard/%d", shard), everyone), n)
+	return r.spread(fmt.Sprintf("shard/%d", shard), everyone, n)
 }
 
 // Pollers returns up to n members that poll the store, spread over the places.
-func (r Roster) Pollers(n int) []Member { return spread(r.rank("poll", staying), n) }
+func (r Roster) Pollers(n int) []Member { return r.spread("poll", staying, n) }
+
+// First returns the first n members of Rank without a preferred place.
+func (r Roster) First(key string, n int) []Member {
+	one := func(Member) string { return "" }
+	return membersOf(r.top(key, staying, one, n)[""])
+}
+
+// top returns for each class of members the first n that are kept, in rank order. Ordering all members instead would
+// take most of the time in a fleet of 4,000.
+func (r Roster) top(key string, keep func(Member) bool, class func(Member) string, n int) map[string][]ranked {
+	tops := map[string][]ranked{}
+	for _, m := range r.members {
+		if !keep(m) {
+			continue
+		}
+		s, c := score(key, m.Name), class(m)
+		list := tops[c]
+		if len(list) == n && (n == 0 || s <= list[n-1].score) {
+			continue
+		}
+		// Members come in name order, so that one with an equal score goes behind.
+		at := len(list)
+		for at > 0 && list[at-1].score < s {
+			at--
+		}
+		tops[c] = slices.Insert(list, at, ranked{member: m, score: s})[:min(n, len(list)+1)]
+	}
+	return tops
+}
+
+func membersOf(list []ranked) []Member {
+	members := make([]Member, len(list))
+	for i := range list {
+		members[i] = list[i].member
+	}
+	return members
+}
+
+// spread spreads n members over the places.
+func (r Roster) spread(key string, keep func(Member) bool, n int) []Member {
+	var all []ranked
+	for _, list := range r.top(key, keep, func(m Member) string { return m.Place }, n) {
+		all = append(all, list...)
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.Name, b.member.Name))
+	})
+	return spread(membersOf(all), n)
+}
 
 // spread takes in each round the first member of every place, in rank order, until n are taken.
 func spread(members []Member, n int) []Member {
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -115,3 +115,26 @@
 		t.Errorf("the mark is lost: %v", err)
 	}
 }
+
+// Guards against a shortlist that differs from the full rank, so that members with different code disagree.
+func TestFirstIsHeadOfRank(t *testing.T) {
+	var all []roster.Member
+	for i := range 50 {
+		all = append(all, roster.Member{Name: fmt.Sprintf("i-%02d", i), Place: fmt.Sprint(i % 3), Leaving: i%7 == 0})
+	}
+	r := roster.New(1, all)
+	for k := range 100 {
+		key := fmt.Sprint("shard/", k)
+		rank := r.Rank(key, "")
+		if d := cmp.Diff(rank[:6], r.First(key, 6)); d != "" {
+			t.Fatal(d)
+		}
+		places := map[string]int{}
+		for _, m := range r.Committee(k, 5) {
+			places[m.Place]++
+		}
+		if len(places) != 3 || r.Watchers(key, 1)[0] != r.First("watch/"+key, 1)[0] {
+			t.Fatalf("committee over %v", places)
+		}
+	}
+}
--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -94,9 +94,6 @@
 	polled      atomic.Bool
 	running     atomic.Int64
 
-	committeeVersion uint64
-	committeeShards  []lease.Shard
-
 	callers, operators *serving
 	peers              *serving
 	stop               context.CancelFunc
--- a/internal/instance/daemon/fleet.go
+++ b/internal/instance/daemon/fleet.go
@@ -15,15 +15,19 @@
 
 // snapshot is what requests and loops read of the fleet's state without a lock. It is immutable.
 type snapshot struct {
-	deadline    time.Time // the instance is fresh before this moment
-	roster      roster.Roster
-	members     []exchange.MemberState
+	deadline time.Time // the instance is fresh before this moment
+	roster   roster.Roster
+	ranking  *ranking
+	members  []exchange.MemberState
+	// rosterChange and membersChange say whether roster and members differ from those of another snapshot.
+	rosterChange, membersChange uint64
 
 	configuration        configuration.Document
 	configurationVersion uint64
 	keys                 key.Table
 	keysVersion          uint64
 	groups               []store.Group
+	groupOf              map[string]string // by server
 	groupsVersion        uint64
 }
 
@@ -40,7 +44,7 @@
 
 func newFleet(p exchange.Params, now func() time.Time) *fleet {
 	f := &fleet{state: exchange.New(p, now()), now: now, onChange: func(_, _ *snapshot) {}, onFault: func(error) {}}
-	f.published.Store(&snapshot{})
+	f.published.Store(&snapshot{ranking: newRanking(roster.Roster{})})
 	return f
 }
 
@@ -67,8 +71,13 @@
 	before := f.published.Load()
 	after := *before
 	after.deadline = f.state.Deadline(now)
-	after.roster = f.state.Roster()
-	after.members = f.state.Members()
+	if after.rosterChange = f.state.RosterChange(); after.rosterChange != before.rosterChange {
+		after.roster = f.state.Roster()
+		after.ranking = newRanking(after.roster)
+	}
+	if after.membersChange = f.state.MembersChange(); after.membersChange != before.membersChange {
+		after.members = f.state.Members()
+	}
 	changed := f.decode(&after)
 	f.published.Store(&after)
 	if changed || after.roster.Version() != before.roster.Version() {
@@ -100,12 +109,34 @@
 		return err
 	})
 	take(document.Groups, &s.groupsVersion, func(content []byte) (err error) {
-		s.groups, err = decodeGroups(content)
+		if s.groups, err = decodeGroups(content); err == nil {
+			s.groupOf = groupsOf(s.groups)
+			f.retainGroups(s.groups)
+		}
 		return err
 	})
 	return changed
 }
 
+// retainGroups drops what is known of groups that are not listed, which would otherwise be sent to peers for ever.
+func (f *fleet) retainGroups(groups []store.Group) {
+	listed := make(map[string]bool, len(groups))
+	for _, g := range groups {
+		listed[g.Name] = true
+	}
+	f.state.RetainGroups(func(name string) bool { return listed[name] })
+}
+
+func groupsOf(groups []store.Group) map[string]string {
+	of := map[string]string{}
+	for _, g := range groups {
+		for _, s := range g.Servers {
+			of[s.Name] = g.Name
+		}
+	}
+	return of
+}
+
 // Fresh implements execution.Freshness.
 func (f *fleet) Fresh(now time.Time) bool { return now.Before(f.view().deadline) }
 
--- a/internal/instance/daemon/rates.go
+++ b/internal/instance/daemon/rates.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"tanagercross/internal/fleet/lease"
@@ -17,7 +15,6 @@
 )
 
 const (
-	shards      = 256
 	leaseTick   = 100 * time.Millisecond
 	voteTimeout = 900 * time.Millisecond
 	// homesAsked is how many members are asked for tokens: the first by rank and its successor.
@@ -32,15 +29,10 @@
 	holder *lease.Holder
 	voter  *lease.Voter
 	homes  allotment.Homes
+	// handedOver ends all candidacies for good.
+	handedOver bool
 }
 
-func shardOf(organisation string) lease.Shard {
-	return lease.Shard(xxhash.Sum64String(organisation) % shards)
-}
-
-// homesOf ranks the members for the home of a shard.
-func homesOf(r roster.Roster, s lease.Shard) []roster.Member { return r.Rank(shardKey(s), "") }
-
 // runLeases keeps the leases of the shards whose home this instance should be.
 func (d *Daemon) runLeases(ctx context.Context) {
 	ticks, cancel := d.clock.Subscribe(leaseTick)
@@ -55,54 +47,77 @@
 		if view.roster.Len() == 0 {
 			continue
 		}
-		for _, round := range d.leaseRounds(view.roster) {
-			d.sendRound(ctx, view.roster, round)
+		if d.draining.Load() {
+			return // handOverHomes gives the leases back
+		}
+		for _, round := range d.leaseRounds(view, d.wantedShards(view), false) {
+			d.sendRound(ctx, view, round)
 		}
 	}
 }
 
-func (d *Daemon) leaseRounds(r roster.Roster) []lease.Round {
+// leaseRounds returns the ballots to send now. The last call is final: nothing is wanted any more.
+func (d *Daemon) leaseRounds(v *snapshot, wanted []lease.Shard, last bool) []lease.Round {
 	d.rates.mu.Lock()
 	defer d.rates.mu.Unlock()
+	if d.rates.handedOver {
+		return nil
+	}
+	d.rates.handedOver = last
 	now := d.clock.Now()
-	d.rates.holder.SetVoters(min(lease.Committee, r.Len()))
-	d.rates.holder.Want(now, d.wantedShards(r))
+	d.rates.holder.SetVoters(min(lease.Committee, v.roster.Len()))
+	d.rates.holder.Want(now, wanted)
 	return d.rates.holder.Tick(now, rand.Int64N)
 }
 
-// wantedShards returns the shards for which this instance is the first live member by rank.
-func (d *Daemon) wantedShards(r roster.Roster) []lease.Shard {
-	if d.draining.Load() {
-		return nil
+// handOverHomes gives all leases back and waits for the voters' answers, so that the successors are elected at once.
+// It comes before the other members learn that the instance is leaving: a successor that asks while the votes are still
+// given loses its round and waits up to 2.5 s.
+func (d *Daemon) handOverHomes(ctx context.Context) {
+	view := d.fleet.view()
+	var sent sync.WaitGroup
+	for _, round := range d.leaseRounds(view, nil, true) {
+		for voter, ballot := range ballots(view, round) {
+			sent.Go(func() { d.sendBallot(ctx, voter, round.Number, ballot) })
+		}
 	}
+	sent.Wait()
+}
+
+// wantedShards returns the shards for which this instance is the first live member by rank.
+func (d *Daemon) wantedShards(v *snapshot) []lease.Shard {
+	self := func(name string) bool { return name == d.settings.Name || d.liveness.alive(name) }
 	var wanted []lease.Shard
 	for s := range lease.Shard(shards) {
-		for _, m := range homesOf(r, s) {
-			if m.Name == d.settings.Name {
-				wanted = append(wanted, s)
-				break
-			}
-			if d.liveness.alive(m.Name) {
-				break
-			}
+		if first := v.ranking.home(s, 1, self); len(first) > 0 && first[0].Name == d.settings.Name {
+			wanted = append(wanted, s)
 		}
 	}
 	return wanted
 }
 
 // sendRound asks the committees of a ballot's shards, with one call for each voter.
-func (d *Daemon) sendRound(ctx context.Context, r roster.Roster, round lease.Round) {
-	ballots := map[string][]lease.Shard{}
+func (d *Daemon) sendRound(ctx context.Context, v *snapshot, round lease.Round) {
+	for voter, ballot := range ballots(v, round) {
+		d.spawn(func() { d.sendBallot(ctx, voter, round.Number, ballot) })
+	}
+}
+
+// ballots returns the part of a round for each voter.
+func ballots(v *snapshot, round lease.Round) map[string]lease.Ballot {
+	parts := map[string]lease.Ballot{}
 	for _, s := range round.Ballot.Shards {
-		for _, m := range r.Committee(int(s), lease.Committee) {
-			ballots[m.Name] = append(ballots[m.Name], s)
+		for _, m := range v.ranking.committee(s) {
+			part, ok := parts[m.Name]
+			if !ok {
+				part = round.Ballot
+				part.Roster, part.Shards = v.roster.Version(), nil
+			}
+			part.Shards = append(part.Shards, s)
+			parts[m.Name] = part
 		}
 	}
-	for voter, asked := range ballots {
-		ballot := round.Ballot
-		ballot.Roster, ballot.Shards = r.Version(), asked
-		d.spawn(func() { d.sendBallot(ctx, voter, round.Number, ballot) })
-	}
+	return parts
 }
 
 func (d *Daemon) sendBallot(ctx context.Context, voter string, number uint64, b lease.Ballot) {
@@ -126,33 +141,22 @@
 	d.rates.holder.Granted(d.clock.Now(), number, voter, granted)
 }
 
-// vote answers a ballot. An instance that is not fresh may hold an old roster and does not vote.
+// vote answers a ballot. An instance that is not fresh may hold an old roster and does not vote. Votes are given back
+// at any time.
 func (d *Daemon) vote(b lease.Ballot) []lease.Shard {
-	now := d.clock.Now()
 	view := d.fleet.view()
-	if !d.fleet.Fresh(now) || view.roster.Version() != b.Roster {
+	if !b.Release && view.roster.Version() != b.Roster {
 		return nil
 	}
+	committees := view.ranking.committees(d.settings.Name)
 	d.rates.mu.Lock()
 	defer d.rates.mu.Unlock()
-	d.rates.voter.Join(now, view.roster.Version(), d.committees(view.roster))
-	return d.rates.voter.Vote(now, b)
-}
-
-// committees returns the shards whose committees this instance is in. They change with the roster only.
-func (d *Daemon) committees(r roster.Roster) []lease.Shard {
-	if d.committeeVersion == r.Version() {
-		return d.committeeShards
-	}
-	var member []lease.Shard
-	for s := range lease.Shard(shards) {
-		voters := r.Committee(int(s), lease.Committee)
-		if slices.ContainsFunc(voters, func(m roster.Member) bool { return m.Name == d.settings.Name }) {
-			member = append(member, s)
-		}
+	now := d.clock.Now()
+	if !b.Release && !d.fleet.Fresh(now) {
+		return nil
 	}
-	d.committeeVersion, d.committeeShards = r.Version(), member
-	return member
+	d.rates.voter.Join(now, view.roster.Version(), committees)
+	return d.rates.voter.Vote(now, b)
 }
 
 func wireBallot(b lease.Ballot) peer.Ballot {
@@ -183,11 +187,12 @@
 		return allotment.Grant{NotHome: true}
 	}
 	g := d.rates.homes.Grant(now, since, organisation, d.rateOf(organisation), wanted)
-	// The lease is checked again, because the process may have been paused before the tokens were taken.
+	// Both are checked again, because the process may have been paused before the tokens were taken.
 	d.rates.mu.Lock()
-	_, held = d.rates.holder.Held(d.clock.Now(), shardOf(organisation))
+	now = d.clock.Now()
+	_, held = d.rates.holder.Held(now, shardOf(organisation))
 	d.rates.mu.Unlock()
-	if !held {
+	if !held || !d.fleet.Fresh(now) {
 		return allotment.Grant{NotHome: true}
 	}
 	return g
@@ -201,14 +206,8 @@
 
 // Take implements allotment.Taker: it asks the home of an organisation, then its successor.
 func (d *Daemon) Take(ctx context.Context, organisation string, wanted, unused int) (allotment.Grant, error) {
-	asked := 0
-	for _, m := range homesOf(d.fleet.view().roster, shardOf(organisation)) {
-		if m.Name != d.settings.Name && !d.liveness.alive(m.Name) {
-			continue
-		}
-		if asked++; asked > homesAsked {
-			break
-		}
+	asked := func(name string) bool { return name == d.settings.Name || d.liveness.alive(name) }
+	for _, m := range d.fleet.view().ranking.home(shardOf(organisation), homesAsked, asked) {
 		if g, err := d.takeFrom(ctx, m, organisation, wanted, unused); err == nil && !g.NotHome {
 			return g, nil
 		}
--- a/internal/instance/daemon/services.go
+++ b/internal/instance/daemon/services.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"tanagercross/internal/database/operation"
@@ -50,5 +49,3 @@
 	}
 	return grants
 }
-
-func shardKey(s lease.Shard) string { return "shard/" + strconv.Itoa(int(s)) }
--- a/internal/instance/daemon/serving.go
+++ b/internal/instance/daemon/serving.go
@@ -77,6 +77,7 @@
 	defer cancel()
 	d.log.Info("draining", "deadline", d.settings.DrainDeadline.String())
 	d.draining.Store(true)
+	d.handOverHomes(ctx)
 	d.shareOwn()
 	d.broadcast(ctx)
 	d.wait(ctx, leaveWait)
--- a/internal/instance/daemon/table.go
+++ b/internal/instance/daemon/table.go
@@ -89,16 +89,7 @@
 }
 
 // groupOf returns the group of a listed server.
-func (d *Daemon) groupOf(server string) string {
-	for _, g := range d.fleet.view().groups {
-		for _, s := range g.Servers {
-			if s.Name == server {
-				return g.Name
-			}
-		}
-	}
-	return ""
-}
+func (d *Daemon) groupOf(server string) string { return d.fleet.view().groupOf[server] }
 
 // shareGroups hands what this instance has observed itself to the exchange.
 func (d *Daemon) shareGroups(touched map[string]bool) {
