Check the validity of a rate token when the caller gets it

Cause: a token was taken at one moment and handed to the waiting caller at a later one. A process that was paused in between used it after the validity V of its batch, so that a window could hold more than the burst plus the rate. Change: the limiter hands the end of the validity over with the token, checks the time again after the take, and takes another token if it has ended. Result: TestTokenNotUsedAfterPause, a pause of 20 s right after a grant; it fails without the check.

--- a/internal/organisation/allotment/allotment_test.go
+++ b/internal/organisation/allotment/allotment_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -195,6 +196,35 @@
 	}
 }
 
+// Guards against a token that is used after the validity of its batch because the process was paused between the take
+// and its use: the moment of use is checked again, and another token is taken.
+func TestTokenNotUsedAfterPause(t *testing.T) {
+	var pause, reads, calls atomic.Int64 // pause starts with the first call of the clock after a grant
+	taker := takerFunc(func() Grant {
+		if calls.Add(1) == 1 {
+			pause.Store(int64(20 * time.Second))
+		}
+		return Grant{Granted: 1}
+	})
+	now := func() time.Time {
+		at := time.Now()
+		if pause.Load() > 0 {
+			if reads.Add(1) > 1 { // the first read is the take itself
+				at = at.Add(time.Duration(pause.Load()))
+			}
+		}
+		return at
+	}
+	l := NewLimiter(taker, func(string) Settings { return Settings{Rate: 1, Burst: 40} }, Options{Now: now})
+	if r := l.Take(t.Context(), "a"); r != "" || calls.Load() != 2 {
+		t.Errorf("reason %q after %d grants; the token of the first was used after the pause", r, calls.Load())
+	}
+}
+
+type takerFunc func() Grant
+
+func (f takerFunc) Take(context.Context, string, int, int) (Grant, error) { return f(), nil }
+
 type fakeTaker struct {
 	mu   sync.Mutex
 	down bool
--- a/internal/organisation/allotment/entry.go
+++ b/internal/organisation/allotment/entry.go
@@ -32,6 +32,8 @@
 	Timeout  time.Duration // of one call to the home
 	Backoff  time.Duration // after a call that failed
 	Idle     time.Duration // an organisation without traffic is forgotten after this time
+	// Now is the clock of a Limiter; nil is that of the machine.
+	Now func() time.Time
 }
 
 // WithDefaults returns a copy with zero fields set.
@@ -49,6 +51,9 @@
 	set(&o.Timeout, DefaultTimeout)
 	set(&o.Backoff, DefaultBackoff)
 	set(&o.Idle, DefaultIdle)
+	if o.Now == nil {
+		o.Now = time.Now
+	}
 	return o
 }
 
@@ -88,7 +93,8 @@
 	after    time.Time // no call before
 	failing  bool      // the last call got no answer from a home
 	unused   int
-	demand   float64 // requests per second
+	until    time.Time // end of the validity of the last token taken
+	demand   float64   // requests per second
 	asked    time.Time
 	tripTime time.Duration
 }
@@ -132,12 +138,17 @@
 	if len(e.batches) == 0 {
 		return false
 	}
+	e.until = e.batches[0].expires
 	if e.batches[0].tokens--; e.batches[0].tokens == 0 {
 		e.batches = e.batches[1:]
 	}
 	return true
 }
 
+// Until returns when the last token that was taken ends to be valid. It must be asked after the token was handed over,
+// because the process may have been paused in between.
+func (e *Entry) Until() time.Time { return e.until }
+
 func (e *Entry) drop(now time.Time) {
 	for len(e.batches) > 0 && !now.Before(e.batches[0].expires) {
 		e.unused += e.batches[0].tokens
--- a/internal/organisation/allotment/limiter.go
+++ b/internal/organisation/allotment/limiter.go
@@ -21,10 +21,16 @@
 
 type member struct {
 	entry   *Entry
-	callers map[Ticket]chan outcome.Reason // buffered
+	callers map[Ticket]chan answer // buffered
 	pumping bool
 }
 
+// answer ends the wait of a caller. Without a reason it holds a token that is valid until a time.
+type answer struct {
+	reason outcome.Reason
+	until  time.Time
+}
+
 // Limiter takes tokens for callers of this instance.
 type Limiter struct {
 	taker    Taker
@@ -41,21 +47,32 @@
 	return &Limiter{taker: t, settings: s, options: o.WithDefaults(), members: make(map[string]*member)}
 }
 
-// Take takes one token, or returns rate_exceeded or rate_home_unavailable.
+// Take takes one token, or returns rate_exceeded or rate_home_unavailable. A token whose validity has ended when the
+// caller gets it, because the process was paused, is dropped and another one is taken.
 func (l *Limiter) Take(ctx context.Context, organisation string) outcome.Reason {
+	for {
+		a := l.take(ctx, organisation)
+		if a.reason != "" || l.options.Now().Before(a.until) {
+			return a.reason
+		}
+	}
+}
+
+func (l *Limiter) take(ctx context.Context, organisation string) answer {
 	l.mu.Lock()
-	now := time.Now()
+	now := l.options.Now()
 	l.sweep(now)
 	m := l.members[organisation]
 	if m == nil {
-		m = &member{entry: NewEntry(l.options), callers: make(map[Ticket]chan outcome.Reason)}
+		m = &member{entry: NewEntry(l.options), callers: make(map[Ticket]chan answer)}
 		l.members[organisation] = m
 	}
 	ticket, reason := m.entry.Ask(now)
-	var answer chan outcome.Reason
+	immediate := answer{reason: reason, until: m.entry.Until()}
+	var wait chan answer
 	if ticket != 0 {
-		answer = make(chan outcome.Reason, 1)
-		m.callers[ticket] = answer
+		wait = make(chan answer, 1)
+		m.callers[ticket] = wait
 	}
 	if !m.pumping {
 		m.pumping = true
@@ -63,18 +80,18 @@
 	}
 	l.mu.Unlock()
 	if ticket == 0 {
-		return reason
+		return immediate
 	}
 	select {
-	case reason = <-answer:
-		return reason
+	case a := <-wait:
+		return a
 	case <-ctx.Done():
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	m.entry.Cancel(ticket)
 	delete(m.callers, ticket)
-	return m.entry.reason()
+	return answer{reason: m.entry.reason()}
 }
 
 // pump makes the calls of one organisation until there is nothing to call or wait for.
@@ -82,9 +99,9 @@
 	for {
 		s := l.settings(organisation)
 		l.mu.Lock()
-		now := time.Now()
+		now := l.options.Now()
 		for _, r := range m.entry.Expire(now) {
-			m.answer(r.Ticket, r.Reason)
+			m.answer(r.Ticket, answer{reason: r.Reason})
 		}
 		call, ok := m.entry.Next(now, s)
 		wake := m.entry.Wake()
@@ -95,7 +112,7 @@
 		}
 		l.mu.Unlock()
 		if !ok {
-			time.Sleep(max(time.Millisecond, min(upkeep, time.Until(wake))))
+			time.Sleep(max(time.Millisecond, min(upkeep, wake.Sub(now))))
 			continue
 		}
 		l.call(organisation, m, call, s)
@@ -109,17 +126,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
-		m.entry.Fail(time.Now())
+		m.entry.Fail(l.options.Now())
 		return
 	}
-	for _, t := range m.entry.Receive(time.Now(), c, grant, s) {
-		m.answer(t, "")
+	for _, t := range m.entry.Receive(l.options.Now(), c, grant, s) {
+		m.answer(t, answer{until: m.entry.Until()})
 	}
 }
 
-func (m *member) answer(t Ticket, r outcome.Reason) {
+func (m *member) answer(t Ticket, a answer) {
 	if c := m.callers[t]; c != nil {
-		c <- r
+		c <- a
 		delete(m.callers, t)
 	}
 }
