Fill missing history entries and share reads for newer tokens

Cause: the history entry of a change was written by its proposer only, so that it was lost if the proposer died after the commit. Change: origins carry the time; every instance notes the entry with its differences when it takes a version over, and pollers store what the object store lacks.

--- a/internal/fleet/document/change.go
+++ b/internal/fleet/document/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -16,6 +17,8 @@
 	Author  string `json:"author"`
 	Reason  string `json:"reason"`
 	Content []byte `json:"content"`
+	// At is when the change was proposed, by the wall clock of the proposer.
+	At time.Time `json:"at,omitzero"`
 }
 
 // Confirmation is a member's answer to a proposed change.
@@ -68,7 +71,8 @@
 // apply returns the document that the change makes from its base.
 func (c Change) apply(base Document) Document {
 	version := c.Base + 1
-	origins := append([]Origin{{Version: version, ChangeID: c.ID, Author: c.Author, Reason: c.Reason}}, base.Origins...)
+	origin := Origin{Version: version, ChangeID: c.ID, Author: c.Author, Reason: c.Reason, At: c.At}
+	origins := append([]Origin{origin}, base.Origins...)
 	return Document{
 		Name: c.Name, Version: version, Content: c.Content, Origins: origins[:min(len(origins), maximumOrigins)],
 	}
--- a/internal/fleet/document/document.go
+++ b/internal/fleet/document/document.go
@@ -18,6 +18,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -45,6 +46,8 @@
 	ChangeID string `json:"change_id"`
 	Author   string `json:"author"`
 	Reason   string `json:"reason,omitempty"`
+	// At is when the change was proposed, by the wall clock of the proposer.
+	At time.Time `json:"at,omitzero"`
 }
 
 // Document is one version of a document. Version 0 means that there is none yet.
--- a/internal/instance/daemon/control.go
+++ b/internal/instance/daemon/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -20,8 +19,6 @@
 )
 
 const (
-	historyPrefix  = "configuration/history/"
-	historyTimeout = 2 * time.Second
 	// keyAttempts bounds the repetitions of a change of the keys: changes of different keys do not contradict each
 	// other, so the loser of a race applies its change to the winner's version.
 	keyAttempts = 8
@@ -53,14 +50,14 @@
 	}
 	change := document.Change{
 		ID: p.ChangeID, Name: document.Configuration, Base: p.BaseVersion, Author: p.Author, Reason: p.Reason,
-		Content: []byte(p.Document),
+		Content: []byte(p.Document), At: time.Now().UTC(),
 	}
 	result := c.change(ctx, change, roster.Roster{})
 	if result.Status != document.InForce {
 		return operator.Change{}, changeError("apply", result)
 	}
-	c.writeHistory(ctx, operator.HistoryEntry{
-		Version: p.BaseVersion + 1, ChangeID: p.ChangeID, Author: p.Author, Reason: p.Reason, At: time.Now().UTC(),
+	c.storeEntry(ctx, operator.HistoryEntry{
+		Version: p.BaseVersion + 1, ChangeID: p.ChangeID, Author: p.Author, Reason: p.Reason, At: change.At,
 		Diff: configuration.Diff(before, after),
 	})
 	return c.changed(p.ChangeID, result), nil
@@ -88,33 +85,6 @@
 	return e
 }
 
-func historyName(version uint64) string { return fmt.Sprintf("%s%020d", historyPrefix, version) }
-
-// writeHistory keeps an entry in the object store. The change is in force whether or not this succeeds: author and
-// reason are also in the document.
-func (c control) writeHistory(ctx context.Context, entry operator.HistoryEntry) {
-	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
-	defer cancel()
-	data, err := json.Marshal(entry)
-	if err == nil {
-		err = c.store.PutObject(ctx, historyName(entry.Version), data)
-	}
-	if err != nil {
-		c.log.Warn("history entry was not stored", "version", entry.Version, "error", err.Error())
-	}
-}
-
-func (c control) historyEntry(ctx context.Context, version uint64) (operator.HistoryEntry, error) {
-	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
-	defer cancel()
-	var entry operator.HistoryEntry
-	data, err := c.store.GetObject(ctx, historyName(version))
-	if err != nil {
-		return entry, err
-	}
-	return entry, json.Unmarshal(data, &entry)
-}
-
 // History implements operator.Control.
 func (c control) History(ctx context.Context, limit int) ([]operator.HistoryEntry, error) {
 	origins := c.fleet.document(document.Configuration).Origins
@@ -122,7 +92,7 @@
 	for _, o := range origins[:min(limit, len(origins))] {
 		entry, err := c.historyEntry(ctx, o.Version)
 		if err != nil {
-			entry = operator.HistoryEntry{Version: o.Version, ChangeID: o.ChangeID, Author: o.Author, Reason: o.Reason}
+			entry = entryOf(o)
 		}
 		entries = append(entries, entry)
 	}
@@ -160,7 +130,7 @@
 			return operator.Change{}, keyError(op, err)
 		}
 		change := document.Change{
-			ID: id, Name: document.Keys, Base: held.Version, Author: author, Reason: op, Content: content,
+			ID: id, Name: document.Keys, Base: held.Version, Author: author, Reason: op, Content: content, At: time.Now().UTC(),
 		}
 		result = c.change(ctx, change, roster.Roster{})
 		if result.Status != document.Conflict {
--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -24,12 +24,14 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/singleflight"
 
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/group"
 	"tanagercross/internal/database/lane"
 	"tanagercross/internal/database/pool"
 	"tanagercross/internal/database/postgres"
+	"tanagercross/internal/fleet/document"
 	"tanagercross/internal/fleet/exchange"
 	"tanagercross/internal/fleet/lease"
 	"tanagercross/internal/fleet/peer"
@@ -49,8 +51,6 @@
 const (
 	// broadcastPeers bounds the calls of one broadcast; the exchange carries the news to the others.
 	broadcastPeers = 32
-	// reachWait is the wait for peers when a caller has seen a newer configuration and the store does not answer.
-	reachWait = 300 * time.Millisecond
 	// leaveWait lets the other members learn that the instance is leaving before it refuses work.
 	leaveWait = 500 * time.Millisecond
 )
@@ -84,6 +84,8 @@
 	rates       rates
 	liveness    liveness
 	evidence    evidenceTable
+	history     history
+	reaching    singleflight.Group
 	incarnation uint64
 	address     string // for other instances
 
@@ -195,6 +197,7 @@
 	}
 	if after.configurationVersion != before.configurationVersion {
 		d.log.Info("configuration in force", "version", after.configurationVersion)
+		d.history.note(before, after, d.fleet.state.Documents().Get(document.Configuration).Origins)
 		for _, e := range after.keys.Entries() {
 			d.pool.SetWeight(e.Organisation, int(after.configuration.For(e.Organisation).Weight))
 		}
--- a/internal/instance/daemon/exchanger.go
+++ b/internal/instance/daemon/exchanger.go
@@ -126,6 +126,7 @@
 			listed = now
 			d.refreshGroups(ctx)
 			d.ensureConfiguration(ctx)
+			d.fillHistory(ctx)
 		}
 	}
 }
--- a/internal/instance/daemon/executor.go
+++ b/internal/instance/daemon/executor.go
@@ -168,14 +168,5 @@
 // Version implements execution.Configuration.
 func (v versions) Version() uint64 { return v.fleet.view().configurationVersion }
 
-// Reach implements execution.Configuration: it reads the store once if the version is newer than the one held.
-func (v versions) Reach(ctx context.Context, version uint64) bool {
-	if v.Version() >= version {
-		return true
-	}
-	if err := v.poll(ctx); err != nil {
-		v.broadcast(ctx)
-		v.wait(ctx, reachWait)
-	}
-	return v.Version() >= version
-}
+// Reach implements execution.Configuration.
+func (v versions) Reach(ctx context.Context, version uint64) bool { return v.reach(ctx, version) }
--- a/internal/instance/daemon/join.go
+++ b/internal/instance/daemon/join.go
@@ -164,7 +164,7 @@
 	held := d.fleet.document(name)
 	version := held.Version + 1
 	next := document.Document{Name: name, Version: version, Content: content, Origins: []document.Origin{{
-		Version: version, ChangeID: uuid.NewString(), Author: d.settings.Name, Reason: reason,
+		Version: version, ChangeID: uuid.NewString(), Author: d.settings.Name, Reason: reason, At: time.Now().UTC(),
 	}}}
 	data, err := next.Encode()
 	if err != nil {
