Prove organisation isolation, key secrecy and withdrawal on a whole fleet

Change: a new test package runs a deployment in the test process, with a tap on the bytes to the databases, cuts of single instances from the platform and their peers, and calls as callers make them.

--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -64,7 +64,7 @@
 	Store     store.Store
 	Connector driver.Connector
 	Clock     clock.Clock
-	// Dial opens connections to other instances and to databases; nil is plain TCP.
+	// Dial opens connections to other instances, to databases and to the platform; nil is plain TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
@@ -139,7 +139,7 @@
 		d.clock = clock.NewReal()
 	}
 	if d.store == nil {
-		d.store = rest.New(s.PlatformURL.String(), rest.Options{})
+		d.store = rest.New(s.PlatformURL.String(), rest.Options{Dial: o.Dial})
 	}
 	if d.connector == nil {
 		d.connector = postgres.Connector{Dial: o.Dial}
--- a/internal/platform/rest/rest.go
+++ b/internal/platform/rest/rest.go
@@ -14,6 +14,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -37,6 +38,8 @@
 // Options configure a Store. The zero value uses the defaults.
 type Options struct {
 	Timeout time.Duration // limit of one call
+	// Dial opens the connections to the platform; nil is plain TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Store is a client of the platform. It is safe for concurrent use.
@@ -54,7 +57,7 @@
 		o.Timeout = DefaultTimeout
 	}
 	return &Store{base: base, timeout: o.Timeout, client: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleConnectionLimit,
+		DialContext: o.Dial, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleConnectionLimit,
 	}}}
 }
 
--- a/internal/standin/network/conn.go
+++ b/internal/standin/network/conn.go
@@ -24,6 +24,8 @@
 	net.Conn
 	network  *Network
 	from, to string
+	address  string
+	tap      Tap
 
 	out  chan chunk
 	in   chan chunk // read from the socket
@@ -54,6 +56,9 @@
 // Write implements net.Conn. It returns before the bytes arrive, as a socket does.
 func (c *conn) Write(b []byte) (int, error) {
 	data := append([]byte(nil), b...)
+	if c.tap != nil {
+		c.tap(c.address, data)
+	}
 	select {
 	case <-c.closed:
 		return 0, net.ErrClosed
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -28,6 +28,17 @@
 	mu      sync.Mutex
 	places  map[string]string
 	cuts    map[[2]string]chan struct{} // closed when the cut ends
+	tap     Tap
+}
+
+// Tap sees the bytes that are sent to an address.
+type Tap func(address string, data []byte)
+
+// SetTap sets what sees the bytes of connections opened from now on.
+func (n *Network) SetTap(t Tap) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tap = t
 }
 
 // New returns a network without addresses.
@@ -75,6 +86,7 @@
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		n.mu.Lock()
 		to, known := n.places[address]
+		tap := n.tap
 		n.mu.Unlock()
 		var dialer net.Dialer
 		if !known {
@@ -87,7 +99,9 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "dial")
 		}
-		return newConn(conn, n, from, to), nil
+		delayed := newConn(conn, n, from, to)
+		delayed.address, delayed.tap = address, tap
+		return delayed, nil
 	}
 }
 
--- a/internal/tool/deployment/deployment.go
+++ b/internal/tool/deployment/deployment.go
@@ -41,11 +41,15 @@
 	"tanagercross/internal/standin/platform"
 )
 
+// Places besides those of the profile, for cuts.
+const (
+	PlatformPlace = "platform"
+	CallersPlace  = "callers"
+)
+
 const (
 	serversPerGroup = 3
 	loopback        = "127.0.0.1:0"
-	platformPlace   = "platform"
-	callersPlace    = "callers"
 	readyPeriod     = 50 * time.Millisecond
 	drainDeadline   = 10 * time.Second
 	firstPort       = 12000
@@ -191,7 +195,7 @@
 	if err != nil {
 		return err
 	}
-	d.Network.Register(d.Platform.Addr(), platformPlace)
+	d.Network.Register(d.Platform.Addr(), PlatformPlace)
 	if err := d.seedKeys(ctx); err != nil {
 		return err
 	}
@@ -304,7 +308,7 @@
 
 // CallerDialer dials as a caller does, over the latency to clients.
 func (d *Deployment) CallerDialer() func(ctx context.Context, network, address string) (net.Conn, error) {
-	return d.Network.Dialer(callersPlace)
+	return d.Network.Dialer(CallersPlace)
 }
 
 // Primary returns the server of a group that says it is primary of the highest term, or nil.
@@ -339,3 +343,6 @@
 	}
 	_ = os.RemoveAll(d.directory)
 }
+
+// OperatorSecret returns the secret of the operators' API.
+func (d *Deployment) OperatorSecret() string { return d.secrets.operator }
--- a/internal/tool/deployment/profile.go
+++ b/internal/tool/deployment/profile.go
@@ -56,6 +56,12 @@
 	return p
 }
 
+// WithPlaces returns a profile with other places. Instances and servers of a group are spread over them in turn.
+func (p Profile) WithPlaces(places ...string) Profile {
+	p.Places = places
+	return p
+}
+
 // WithLag returns a profile whose replicas lag by a time.
 func (p Profile) WithLag(d time.Duration) Profile {
 	p.Lag = d
@@ -71,7 +77,7 @@
 // latency is the one-way latency between two places.
 func (p Profile) latency(from, to string) time.Duration {
 	switch {
-	case from == callersPlace || to == callersPlace:
+	case from == CallersPlace || to == CallersPlace:
 		return p.ToClients
 	case from == to:
 		return 0
