Find a dead home by the takes that it does not answer

Cause: whether a home is alive was learned from the rounds of the exchange only. With 15 members the successor of a dead home noticed it after 3.5 to 5 s, with 4,000 after minutes, and a member that was back stayed unused as long.

--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -184,6 +184,9 @@
 	d.metric.Version(metric.RosterVersion, after.roster.Version())
 	d.metric.Version(metric.ConfigurationVersion, after.configurationVersion)
 	d.metric.Version(metric.KeysVersion, after.keysVersion)
+	if after.roster.Version() != before.roster.Version() {
+		d.liveness.retain(func(name string) bool { _, ok := after.roster.Index(name); return ok })
+	}
 	if after.groupsVersion != before.groupsVersion {
 		d.tableEvents.Put(listed{groups: after.groups})
 		for _, g := range after.groups {
--- a/internal/instance/daemon/exchanger.go
+++ b/internal/instance/daemon/exchanger.go
@@ -17,6 +17,9 @@
 	pollTick        = 100 * time.Millisecond
 	pollTimeout     = 2 * time.Second
 	groupListPeriod = time.Second
+	// A member that does not answer is asked again each suspectPeriod, suspectsPerPeriod of them with each exchange.
+	suspectPeriod     = time.Second
+	suspectsPerPeriod = 2
 )
 
 // runExchange exchanges state with peers until the context ends.
@@ -31,7 +34,7 @@
 		}
 		var targets []string
 		d.fleet.update(func(s *exchange.State, _ time.Time) { targets = s.Targets() })
-		for _, peer := range targets {
+		for _, peer := range append(targets, d.liveness.suspects(suspectsPerPeriod, d.clock.Now(), suspectPeriod)...) {
 			d.spawn(func() { d.exchangeWith(ctx, peer) })
 		}
 	}
--- a/internal/instance/daemon/rates.go
+++ b/internal/instance/daemon/rates.go
@@ -19,6 +19,10 @@
 	voteTimeout = 900 * time.Millisecond
 	// homesAsked is how many members are asked for tokens: the first by rank and its successor.
 	homesAsked = 2
+	// takeTimeout leaves time to ask the successor within the time of one take.
+	takeTimeout = 300 * time.Millisecond
+	// homeCheck bounds a check of a home that others may have found silent. Two checks end before its votes do.
+	homeCheck = 600 * time.Millisecond
 )
 
 var errNoHome = eris.New("no home of the organisation answered")
@@ -183,6 +187,9 @@
 	d.rates.mu.Lock()
 	since, held := d.rates.holder.Held(now, shardOf(organisation))
 	d.rates.mu.Unlock()
+	if !held {
+		d.checkHome(shardOf(organisation))
+	}
 	if !held || !d.fleet.Fresh(now) {
 		return allotment.Grant{NotHome: true}
 	}
@@ -198,6 +205,21 @@
 	return g
 }
 
+// checkHome exchanges with the home of a shard. An instance that is asked for tokens in place of the home must find out
+// soon whether the home is alive: in a large fleet its own exchange comes to each member only once in minutes.
+func (d *Daemon) checkHome(s lease.Shard) {
+	alive := func(name string) bool { return name == d.settings.Name || d.liveness.alive(name) }
+	first := d.fleet.view().ranking.home(s, 1, alive)
+	if len(first) == 0 || first[0].Name == d.settings.Name || !d.liveness.checkDue(first[0].Name, d.clock.Now(), homeCheck) {
+		return
+	}
+	d.spawn(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), homeCheck)
+		defer cancel()
+		d.exchangeWith(ctx, first[0].Name)
+	})
+}
+
 // rateOf returns the rate and burst in force for an organisation.
 func (d *Daemon) rateOf(organisation string) allotment.Settings {
 	v := d.valuesOf(organisation)
@@ -222,7 +244,13 @@
 		return d.grant(organisation, wanted), nil
 	}
 	take := peer.Take{Organisation: organisation, Wanted: wanted, Unused: unused}
+	if ctx.Err() != nil {
+		return allotment.Grant{NotHome: true}, ctx.Err()
+	}
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
 	grants, err := d.client.Take(ctx, m.Address, d.settings.Name, []peer.Take{take})
+	d.liveness.record(m.Name, err == nil, d.clock.Now())
 	if err != nil || len(grants) != 1 {
 		return allotment.Grant{NotHome: true}, err
 	}
--- a/internal/tool/deployment/deployment.go
+++ b/internal/tool/deployment/deployment.go
@@ -121,7 +121,7 @@
 			if err != nil {
 				return err
 			}
-			place := d.profile.Places[i%len(d.profile.Places)]
+			place := d.profile.databasePlace(i)
 			d.Databases = append(d.Databases, &Database{Server: s, Config: c, Group: group, Place: place})
 			d.Network.Register(s.Addr(), place)
 		}
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -78,8 +78,8 @@
 	return bytes.Contains(b.data.Bytes(), []byte(text))
 }
 
-// start starts a fleet with one place for each instance, so that each can be cut off alone. The first three places have
-// a database server.
+// start starts a fleet with one place for each instance, apart from those of the databases, so that each can be cut off
+// from its peers and the platform alone.
 func start(t *testing.T, instances, organisations int) *fleet {
 	t.Helper()
 	t.Parallel()
@@ -119,6 +119,8 @@
 
 func placeOf(instance int) string { return "place-" + strconv.Itoa(instance) }
 
+func databasePlaces() []string { return deployment.Mutirao().Places }
+
 // cut cuts an instance from places, or ends the cut.
 func (f *fleet) cut(instance int, cut bool, places ...string) {
 	for _, p := range places {
@@ -126,7 +128,7 @@
 	}
 }
 
-// isolate cuts an instance from everything but its callers.
+// isolate cuts an instance from its peers and the platform, but not from its callers and the databases.
 func (f *fleet) isolate(instance int, cut bool) {
 	for i := range f.Instances {
 		if i != instance {
@@ -138,13 +140,14 @@
 
 // kill takes an instance away without a drain: nothing it sends arrives any more.
 func (f *fleet) kill(instance int) {
+	rest := append(databasePlaces(), deployment.CallersPlace)
 	f.isolate(instance, true)
-	f.cut(instance, true, deployment.CallersPlace)
+	f.cut(instance, true, rest...)
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
 	_ = f.Instances[instance].Stop(ended)
 	f.isolate(instance, false)
-	f.cut(instance, false, deployment.CallersPlace)
+	f.cut(instance, false, rest...)
 }
 
 // restart starts a new process of a stopped instance.
--- a/test/fleet/organisation_test.go
+++ b/test/fleet/organisation_test.go
@@ -78,6 +78,7 @@
 			}
 		}
 	}
+	f.must(0, request{key: other.Reveal(), token: begun.SessionToken, path: "/v1/transactions/" + begun.Transaction + "/rollback"})
 	for _, name := range names {
 		rows, err := f.Primary(group).Dump(name, "SELECT v FROM mark")
 		if err != nil || len(rows) != 1 || rows[0][0] != name {
@@ -106,15 +107,18 @@
 	transaction := "/v1/transactions/" + begun.Transaction
 	calls := []request{
 		read(k, "SELECT v FROM mark"), write(k, "INSERT INTO mark VALUES ('x')"), read(k, "SELECT nonsense FROM nowhere"),
-		read(unknown, "SELECT 1"), {key: malformed, body: map[string]any{"mode": "read", "sql": "SELECT 1"}},
+		read(unknown, "SELECT 1"),
+		{key: malformed, body: map[string]any{"mode": "read", "sql": "SELECT 1"}},
 		{key: k.Reveal(), path: "/v1/groups/none/statements", body: map[string]any{"mode": "read", "sql": "SELECT 1"}},
 		{key: k.Reveal(), token: "bad", body: map[string]any{"mode": "read", "sql": "SELECT 1"}},
 		{key: k.Reveal(), body: map[string]any{"mode": "read", "sql": strings.Repeat("x", 70_000)}},
 		{key: k.Reveal(), body: map[string]any{"mode": "neither", "sql": "SELECT 1"}},
 		{key: k.Reveal(), body: map[string]any{}},
 		{key: k.Reveal(), token: begun.SessionToken, path: transaction + "/statements", body: map[string]any{"sql": "INSERT INTO mark VALUES ('y')"}},
-		{key: unknown.Reveal(), path: transaction + "/commit"}, {key: k.Reveal(), token: begun.SessionToken, path: transaction + "/commit"},
-		{key: k.Reveal(), path: transaction + "/rollback"}, {key: k.Reveal(), path: "/v1/nowhere"},
+		{key: unknown.Reveal(), path: transaction + "/commit"},
+		{key: k.Reveal(), token: begun.SessionToken, path: transaction + "/commit"},
+		{key: k.Reveal(), path: transaction + "/rollback"},
+		{key: k.Reveal(), path: "/v1/nowhere"},
 		{key: k.Reveal(), method: http.MethodGet, path: "/v1/groups/" + group + "/requests/" + uuid.NewString()},
 	}
 	var bodies strings.Builder
@@ -172,7 +176,7 @@
 // instance that is cut off from the store and from its peers and cannot know of the withdrawal.
 func TestWithdrawnKeyStops(t *testing.T) {
 	f := start(t, 5, 3)
-	k, away := f.Keys["sertao_coop"], 4
+	k, away := f.Keys["sertao_coop"], f.laneHolder(2)
 	f.must(0, write(k, "CREATE TABLE mark (v text)"))
 	f.must(away, read(k, "SELECT v FROM mark"))
 	begun := f.must(1, request{key: k.Reveal(), path: "/v1/groups/" + group + "/transactions"})
@@ -251,3 +255,18 @@
 		t.Errorf("after the cut: %s", data)
 	}
 }
+
+// laneHolder returns an instance from a number on that holds a lane, so that it could serve without its peers.
+func (f *fleet) laneHolder(from int) int {
+	f.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for i := from; i < len(f.Instances); i++ {
+			s, err := f.Operator(i).Status(f.t.Context())
+			if err == nil && len(s.Groups) == 1 && s.Groups[0].Lanes > 0 {
+				return i
+			}
+		}
+	}
+	f.t.Fatal("no instance holds a lane")
+	return 0
+}
