Register the gauges and show member versions and read shares

Cause: the gauges of pools, queues, connections and the retry budget were declared but no instance served them; status showed version 0 for every member and did not say why reads missed the replicas.

Only servers whose lanes are held have series, so their number does not grow with the fleet; Registry.Gauge, which nothing used, gives way to Collect. Every read reason has a counter from the start. Status lists the groups version, the versions of each member and the reads by reason. config show leaves out the time of a version without a history entry.

--- a/cmd/tanagercross/config.go
+++ b/cmd/tanagercross/config.go
@@ -22,7 +22,11 @@
 		return err
 	}
 	return t.print(c, func(w io.Writer) {
-		fmt.Fprintf(w, "# version %d by %s at %s: %s\n%s", c.Version, c.Author, c.At.Format("2006-01-02T15:04:05Z07:00"), c.Reason, c.Document)
+		at := ""
+		if !c.At.IsZero() { // the built-in defaults have no entry in the history
+			at = c.At.Format(" at 2006-01-02T15:04:05Z07:00")
+		}
+		fmt.Fprintf(w, "# version %d by %s%s: %s\n%s", c.Version, c.Author, at, c.Reason, c.Document)
 	})
 }
 
--- a/internal/instance/daemon/control.go
+++ b/internal/instance/daemon/control.go
@@ -235,6 +235,7 @@
 		Name: c.settings.Name, Place: c.settings.Place, Region: c.settings.Region, Fresh: c.fleet.Fresh(now),
 		Draining: c.draining.Load(), StoreAgeMS: -1, RosterVersion: view.roster.Version(),
 		ConfigurationVersion: view.configurationVersion, KeysVersion: view.keysVersion,
+		GroupsVersion: view.groupsVersion, Reads: c.readShares(),
 	}
 	c.fleet.read(func(state *exchange.State) {
 		if age, ok := state.StoreAge(now); ok {
@@ -246,6 +247,7 @@
 		if silence, ok := c.liveness.silence(m.Name, now); ok {
 			member.AgeMS = silence.Milliseconds()
 		}
+		c.addVersions(&member)
 		s.Members = append(s.Members, member)
 	}
 	s.Groups = c.groupStatus()
--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -169,10 +169,12 @@
 		Configuration: versions{d}, Tokens: tokens{signer}, Router: router{d}, Performer: performer{d},
 		Clock: wall{d.clock}, Counter: counter{d.metric},
 	}, execution.Options{})
-	d.callers = &serving{server: api.New(executor{d}, api.Options{
+	callers := api.New(executor{d}, api.Options{
 		Log: d.log, Metric: d.metric, ReadTimeout: s.ReadTimeout, WriteTimeout: s.WriteTimeout,
 		IdleTimeout: s.IdleTimeout, MaxConnections: s.MaxConnections,
-	})}
+	})
+	d.callers = &serving{server: callers}
+	d.metric.Collect(d.gauges(callers.OpenConnections))
 	d.operators = &serving{server: operator.NewServer(control{d}, operator.Options{
 		Secret: s.OperatorSecret.Reveal(), Log: d.log, Metrics: d.metric.Handler(),
 	})}
@@ -185,6 +187,7 @@
 	d.metric.Version(metric.RosterVersion, after.roster.Version())
 	d.metric.Version(metric.ConfigurationVersion, after.configurationVersion)
 	d.metric.Version(metric.KeysVersion, after.keysVersion)
+	d.metric.Version(metric.GroupsVersion, after.groupsVersion)
 	if after.groupsVersion != before.groupsVersion {
 		d.tableEvents.Put(listed{groups: after.groups})
 		for _, g := range after.groups {
--- a/internal/instance/metric/metric.go
+++ b/internal/instance/metric/metric.go
@@ -6,7 +6,9 @@
 //	r.Refused(outcome.QueueFull)
 //	r.ReadServed(driver.Primary, route.PrimaryReplicaBehind)
 //	r.Request("statements.run", outcome.Done, 3*time.Millisecond)
-//	unregister := r.Gauge(metric.QueueLength, func() float64 { return float64(queue.Len()) }, metric.Label{Name: "server", Value: "meals-1-a"})
+//	r.Collect(func(emit metric.Emit) {
+//		emit(metric.QueueLength, float64(queue.Len()), metric.Label{Name: "server", Value: "meals-1-a"})
+//	})
 //	mux.Handle("GET /metrics", r.Handler())
 //
 // Label values come from fixed sets or from the group list, so that the number of series stays bounded. Organisations
@@ -63,6 +65,7 @@
 	RosterVersion        VersionName = "roster"
 	ConfigurationVersion VersionName = "configuration"
 	KeysVersion          VersionName = "keys"
+	GroupsVersion        VersionName = "groups"
 )
 
 // Label is one label of a series.
@@ -74,7 +77,7 @@
 // Registry holds the series of one instance. Create it with New.
 type Registry struct {
 	set      *metrics.Set
-	versions [3]atomic.Uint64
+	versions [len(versionNames)]atomic.Uint64
 }
 
 // New returns a registry in which the counters of every reason exist with value 0, so that rates of rare reasons are
@@ -87,6 +90,9 @@
 	for _, reason := range UnknownReasons() {
 		r.set.GetOrCreateCounter(series(UnknownOutcomes, Label{"reason", string(reason)}))
 	}
+	for _, reason := range ReadReasons() {
+		r.readCounter(roleOf(reason), reason)
+	}
 	for i, name := range versionNames {
 		v := &r.versions[i]
 		r.set.NewGauge(series(VersionInForce, Label{"document", string(name)}), func() float64 { return float64(v.Load()) })
@@ -94,7 +100,7 @@
 	return r
 }
 
-var versionNames = [...]VersionName{RosterVersion, ConfigurationVersion, KeysVersion}
+var versionNames = [...]VersionName{RosterVersion, ConfigurationVersion, KeysVersion, GroupsVersion}
 
 // Refused counts a request that was not run.
 func (r *Registry) Refused(reason outcome.Reason) { r.count(Refusals, Label{"reason", string(reason)}) }
@@ -111,7 +117,7 @@
 
 // ReadServed counts a read by the role of the server that served it.
 func (r *Registry) ReadServed(role driver.Role, reason route.Reason) {
-	r.count(Reads, Label{"role", string(role)}, Label{"reason", string(reason)})
+	r.readCounter(role, reason).Inc()
 }
 
 // Request records the duration of a request by route and outcome.
@@ -129,15 +135,6 @@
 	}
 }
 
-// Gauge registers a function that gives the gauge's value, and returns a function that removes it. A gauge with the
-// same name and labels replaces the earlier one. The function must be safe for concurrent use.
-func (r *Registry) Gauge(name GaugeName, value func() float64, labels ...Label) (unregister func()) {
-	s := series(string(name), labels...)
-	r.set.UnregisterMetric(s)
-	r.set.GetOrCreateGauge(s, value)
-	return func() { r.set.UnregisterMetric(s) }
-}
-
 // Handler serves the registry together with the figures of the process and the Go runtime.
 func (r *Registry) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/instance/metric/metric_test.go
+++ b/internal/instance/metric/metric_test.go
@@ -29,7 +29,12 @@
 	r.ReadServed(driver.Primary, route.PrimaryReplicaBehind)
 	r.Request("statements.run", outcome.Done, 3*time.Millisecond)
 	r.Version(metric.KeysVersion, 7)
-	remove := r.Gauge(metric.QueueLength, func() float64 { return 5 }, metric.Label{Name: "server", Value: `a"b`})
+	held := true
+	r.Collect(func(emit metric.Emit) {
+		if held {
+			emit(metric.QueueLength, 5, metric.Label{Name: "server", Value: `a"b`})
+		}
+	})
 	text := scrape(r)
 	for _, want := range []string{
 		`tanagercross_refusals_total{reason="queue_full"} 1`,
@@ -37,6 +42,7 @@
 		`tanagercross_unknown_outcomes_total{reason="answer_lost"} 1`,
 		`tanagercross_retries_total{reason="no_primary"} 1`,
 		`tanagercross_reads_total{role="primary",reason="primary_replica_behind"} 1`,
+		`tanagercross_reads_total{role="replica",reason="replica_expected"} 0`,
 		`tanagercross_request_duration_seconds_bucket{route="statements.run",outcome="done",le="0.002"} 0`,
 		`tanagercross_request_duration_seconds_bucket{route="statements.run",outcome="done",le="0.005"} 1`,
 		`tanagercross_version_in_force{document="keys"} 7`,
@@ -46,9 +52,9 @@
 			t.Errorf("missing %s in\n%s", want, text)
 		}
 	}
-	remove()
+	held = false
 	if strings.Contains(scrape(r), "queue_length") || strings.Contains(scrape(other), `queue_full"} 1`) {
-		t.Error("a gauge survives its removal, or registries share series")
+		t.Error("a gauge outlives its source, or registries share series")
 	}
 }
 
@@ -58,6 +64,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	registry := metric.New()
+	for _, reason := range metric.ReadReasons() {
+		registry.ReadServed(map[bool]driver.Role{true: driver.Replica, false: driver.Primary}[reason.ByReplica()], reason)
+	}
+	for _, c := range registry.Reads() {
+		if c.Count != 1 {
+			t.Errorf("%s is counted %d times, want 1", c.Reason, c.Count)
+		}
+	}
 	text := scrape(metric.New())
 	for _, m := range regexp.MustCompile(`Reason = "(\w+)"|Reason\s+= "(\w+)"`).FindAllStringSubmatch(string(source), -1) {
 		if !strings.Contains(text, `{reason="`+m[1]+m[2]+`"} 0`) {
--- a/internal/instance/operator/control.go
+++ b/internal/instance/operator/control.go
@@ -95,18 +95,31 @@
 	RosterVersion        uint64   `json:"roster_version"`
 	ConfigurationVersion uint64   `json:"configuration_version"`
 	KeysVersion          uint64   `json:"keys_version"`
+	GroupsVersion        uint64   `json:"groups_version"`
 	Members              []Member `json:"members"`
 	Groups               []Group  `json:"groups"`
+	Reads                []Reads  `json:"reads"`
 }
 
-// Member is a member of the roster as the instance knows it.
+// Reads counts the reads that an instance has answered since its start for one reason of the choice of server.
+type Reads struct {
+	Role   string  `json:"role"` // role of the server: primary or replica
+	Reason string  `json:"reason"`
+	Count  uint64  `json:"count"`
+	Share  float64 `json:"share"` // of all reads, from 0 to 1
+}
+
+// Member is a member of the roster as the instance knows it. The versions are those of the last direct exchange with it,
+// and 0 if there was none.
 type Member struct {
 	Name                 string `json:"name"`
 	Place                string `json:"place"`
 	Leaving              bool   `json:"leaving"`
 	AgeMS                int64  `json:"age_ms"`
+	RosterVersion        uint64 `json:"roster_version"`
 	ConfigurationVersion uint64 `json:"configuration_version"`
 	KeysVersion          uint64 `json:"keys_version"`
+	GroupsVersion        uint64 `json:"groups_version"`
 }
 
 // Group is a database group as the instance knows it.
--- /dev/null
+++ b/internal/organisation/fairness/backlog.go
@@ -0,0 +1,31 @@
+package fairness
+
+import "time"
+
+// Backlog describes the queued and the running items of a scheduler.
+type Backlog struct {
+	Queued  int
+	Running int
+	Oldest  time.Time // when the longest waiting item was queued; zero if none waits
+}
+
+// Backlog returns the present load. It walks over all queued items.
+func (s *Scheduler[T]) Backlog() Backlog {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := Backlog{Queued: s.queue.Len(), Running: s.queue.Running()}
+	s.queue.each(func(w *waiter[T]) {
+		if b.Oldest.IsZero() || w.queued.Before(b.Oldest) {
+			b.Oldest = w.queued
+		}
+	})
+	return b
+}
+
+func (q *Queue[T]) each(visit func(T)) {
+	for _, f := range q.flows {
+		for _, i := range f.items {
+			visit(i.value)
+		}
+	}
+}
--- a/internal/organisation/fairness/scheduler.go
+++ b/internal/organisation/fairness/scheduler.go
@@ -13,6 +13,7 @@
 
 type waiter[T any] struct {
 	tag    T
+	queued time.Time
 	grant  Grant[*waiter[T]]
 	answer chan error // buffered; nil means that the turn has come
 }
@@ -51,7 +52,7 @@
 	if !ok {
 		deadline = time.Now().Add(farDeadline)
 	}
-	w := &waiter[T]{tag: tag, answer: make(chan error, 1)}
+	w := &waiter[T]{tag: tag, queued: time.Now(), answer: make(chan error, 1)}
 	s.mu.Lock()
 	err := s.queue.Push(organisation, w, deadline)
 	s.dispatch()
--- a/internal/request/retry/retry.go
+++ b/internal/request/retry/retry.go
@@ -131,6 +131,13 @@
 	b.tokens = min(b.limit(), b.tokens+b.policy.BudgetShare)
 }
 
+// Tokens returns the retries that are left, without those that the time since the last Take added.
+func (b *Budget) Tokens() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens
+}
+
 // Take takes one retry and reports whether there was one.
 func (b *Budget) Take(now time.Time) bool {
 	b.mu.Lock()
