Use the database settings and accept every fleet secret in peer calls

Cause: database_user, database_name and database_password_file were read and checked but did not reach the servers. Peer calls accepted the first fleet secret only, so that instances could not call each other while the secret was being replaced.

Change: the connector takes user, database and password; the handler of peer calls accepts all secrets of the settings, and the first signs.

--- a/internal/database/postgres/connector.go
+++ b/internal/database/postgres/connector.go
@@ -1,7 +1,7 @@
 // Package postgres connects to database servers over the PostgreSQL protocol.
 //
 // Statements are pipelined: a read is one round trip; a write is two, the second of which stores the result in the
-// request record and commits. The user and database names are constants, and no caller's key reaches the package.
+// request record and commits. No caller's key reaches the package.
 //
 // # Usage
 //
@@ -19,6 +19,7 @@
 package postgres
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -32,7 +33,7 @@
 )
 
 const (
-	name             = "tanagercross" // user, database and application
+	name             = "tanagercross" // application, and by default user and database
 	connectionString = "sslmode=disable"
 
 	defaultConnectTimeout = 5 * time.Second
@@ -43,6 +44,9 @@
 // Connector opens connections over TCP. The zero value is ready for use.
 type Connector struct {
 	ConnectTimeout time.Duration // 0 is 5 s; the context can end it earlier
+	User           string        // "" is tanagercross
+	Database       string        // "" is tanagercross
+	Password       string
 	// Dial opens the TCP connection; nil is a plain dial.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -68,7 +72,7 @@
 	}
 	config.Host, config.Port, config.Fallbacks = host, uint16(number), nil
 	// ParseConfig also reads PG* variables and files of the process's user; none of them may reach a server.
-	config.User, config.Database, config.Password = name, name, ""
+	config.User, config.Database, config.Password = cmp.Or(c.User, name), cmp.Or(c.Database, name), c.Password
 	config.RuntimeParams = map[string]string{"application_name": name}
 	config.ValidateConnect, config.AfterConnect = nil, nil
 	config.ConnectTimeout = c.ConnectTimeout
--- a/internal/fleet/peer/auth.go
+++ b/internal/fleet/peer/auth.go
@@ -5,6 +5,7 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base64"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -21,25 +22,27 @@
 
 // authenticator adds and checks the MAC of calls; it is an interceptor for both sides.
 type authenticator struct {
-	secret []byte
+	secret []byte   // signs
+	others [][]byte // accepted too, while the secret of the fleet is being replaced
 	now    func() time.Time
 }
 
-func (a authenticator) mac(stamp, procedure string) []byte {
-	h := hmac.New(sha256.New, a.secret)
+func mac(secret []byte, stamp, procedure string) []byte {
+	h := hmac.New(sha256.New, secret)
 	h.Write([]byte(stamp + "\n" + procedure))
 	return h.Sum(nil)
 }
 
 func (a authenticator) sign(procedure string) string {
 	stamp := strconv.FormatInt(a.now().UnixMilli(), 10)
-	return stamp + "." + base64.RawURLEncoding.EncodeToString(a.mac(stamp, procedure))
+	return stamp + "." + base64.RawURLEncoding.EncodeToString(mac(a.secret, stamp, procedure))
 }
 
 func (a authenticator) check(header, procedure string) error {
 	stamp, text, _ := strings.Cut(header, ".")
-	mac, err := base64.RawURLEncoding.DecodeString(text)
-	if err != nil || !hmac.Equal(mac, a.mac(stamp, procedure)) {
+	given, err := base64.RawURLEncoding.DecodeString(text)
+	valid := func(secret []byte) bool { return hmac.Equal(given, mac(secret, stamp, procedure)) }
+	if err != nil || !valid(a.secret) && !slices.ContainsFunc(a.others, valid) {
 		return eris.New("call is not authenticated")
 	}
 	ms, err := strconv.ParseInt(stamp, 10, 64)
--- a/internal/fleet/peer/handler.go
+++ b/internal/fleet/peer/handler.go
@@ -11,11 +11,12 @@
 	"tanagercross/internal/genproto/peer/v1/peerv1connect"
 )
 
-// NewHandler returns the HTTP handler of an instance's services. Calls without a valid MAC are refused.
-func NewHandler(secret []byte, s Services) http.Handler {
+// NewHandler returns the HTTP handler of an instance's services. Calls without a valid MAC are refused. The others are
+// accepted besides the secret, so that instances with the old and the new secret can call each other.
+func NewHandler(secret []byte, s Services, others ...[]byte) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewPeerServiceHandler(handler{services: s},
-		connect.WithInterceptors(authenticator{secret: secret, now: time.Now}),
+		connect.WithInterceptors(authenticator{secret: secret, others: others, now: time.Now}),
 		connect.WithReadMaxBytes(maximumMessageBytes)))
 	return mux
 }
--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -143,7 +143,9 @@
 		d.store = rest.New(s.PlatformURL.String(), rest.Options{})
 	}
 	if d.connector == nil {
-		d.connector = postgres.Connector{Dial: o.Dial}
+		d.connector = postgres.Connector{
+			Dial: o.Dial, User: s.DatabaseUser, Database: s.DatabaseName, Password: s.DatabaseSecret.Reveal(),
+		}
 	}
 	secrets := make([][]byte, 0, len(s.FleetSecrets))
 	for _, secret := range s.FleetSecrets {
@@ -178,7 +180,7 @@
 	d.operators = &serving{server: operator.NewServer(control{d}, operator.Options{
 		Secret: s.OperatorSecret.Reveal(), Log: d.log, Metrics: d.metric.Handler(),
 	})}
-	d.peers = &serving{server: peerServer{peer.NewServer(peer.NewHandler(secrets[0], services{d}))}}
+	d.peers = &serving{server: peerServer{peer.NewServer(peer.NewHandler(secrets[0], services{d}, secrets[1:]...))}}
 	return d, nil
 }
 
