--- /dev/null
+++ b/internal/instance/daemon/loops_bench_test.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/lane"
+	"tanagercross/internal/fleet/document"
+	"tanagercross/internal/fleet/exchange"
+	"tanagercross/internal/fleet/roster"
+	"tanagercross/internal/instance/clock"
+	"tanagercross/internal/instance/settings"
+	"tanagercross/internal/platform/store"
+)
+
+// fleetOf returns an instance with a full roster and group list and no loops running.
+func fleetOf(b *testing.B, members, groups int) (*Daemon, []store.Group) {
+	d := &Daemon{settings: settings.Settings{Name: "i0000", Place: "p0"}, clock: clock.NewReal()}
+	d.fleet = newFleet(exchange.Params{Self: "i0000", Incarnation: 1}, d.clock.Now)
+	var list []roster.Member
+	var states []exchange.MemberState
+	for i := range members {
+		name := fmt.Sprintf("i%04d", i)
+		list = append(list, roster.Member{Name: name, Place: fmt.Sprintf("p%d", i%8), Address: fmt.Sprintf("10.0.%d.%d:7400", i/250, i%250)})
+		states = append(states, exchange.MemberState{Member: name, Incarnation: 1, Sequence: 1})
+	}
+	content, err := roster.New(1, list).Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	var all []store.Group
+	for g := range groups {
+		group := store.Group{Name: fmt.Sprintf("meals-%d", g)}
+		for s := range 3 {
+			group.Servers = append(group.Servers, driver.Server{
+				Name: fmt.Sprintf("meals-%d-%c", g, 'a'+s), Group: group.Name, Place: fmt.Sprintf("p%d", (g+s)%8),
+				Address: fmt.Sprintf("10.1.%d.%d:5432", g/250, g%250), Slots: 2, ConnectionLimit: 35,
+			})
+		}
+		all = append(all, group)
+	}
+	d.fleet.update(func(s *exchange.State, now time.Time) {
+		s.MergeDocument(document.Document{Name: document.Roster, Version: 1, Content: content})
+		s.Answer(exchange.Message{Members: states}, now)
+	})
+	return d, all
+}
+
+// BenchmarkLoops measures the loops that look at the whole roster or the whole group list. core% is the share of one
+// core that a loop takes at its own period in an instance of a fleet of that size:
+//
+//	go test -run '^$' -bench Loops -benchtime 3x ./internal/instance/daemon
+func BenchmarkLoops(b *testing.B) {
+	for _, size := range []struct{ members, groups int }{{20, 3}, {200, 87}, {1000, 433}, {4000, 1733}} {
+		d, groups := fleetOf(b, size.members, size.groups)
+		view := d.fleet.view()
+		run := func(name string, perSecond float64, f func()) {
+			b.Run(fmt.Sprintf("%s/members=%d/groups=%d", name, size.members, size.groups), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					f()
+				}
+				b.ReportMetric(100*perSecond*b.Elapsed().Seconds()/float64(b.N), "core%")
+			})
+		}
+		// An exchange tick, 8 requests, 8 answers and 8 merged answers a second, and 10 checks of the poll.
+		run("publish", 38, func() { d.fleet.update(func(*exchange.State, time.Time) {}) })
+		run("homes", 10, func() { d.wantedShards(view.roster) })
+		run("committees", 0, func() { d.committeeVersion = 0; d.committees(view.roster) })
+		run("watchers", 4, func() {
+			for _, g := range groups {
+				rankOf(view.roster.Watchers(g.Name, watchersPerGroup), d.settings.Name)
+			}
+		})
+		planner := lane.NewPlanner(lane.Candidate{Instance: "i0000", Place: "p0"}, laneWeight, rand.Float64)
+		var servers []driver.Server
+		for _, g := range groups {
+			servers = append(servers, g.Servers...)
+		}
+		planner.SetServers(servers, time.Now())
+		run("lanes", 10, func() {
+			planner.SetServers(servers, time.Now())
+			planner.SetCandidates(d.candidates(view.roster))
+			planner.Tick(time.Now())
+		})
+		run("groups document", 0, func() { _, _ = encodeGroups(groups) })
+		content, _ := encodeGroups(groups)
+		b.Logf("%d members, %d groups: group list of %d bytes", size.members, size.groups, len(content))
+	}
+}
