--- a/internal/instance/daemon/loops_bench_test.go
+++ b/internal/instance/daemon/loops_bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/group"
 	"tanagercross/internal/database/lane"
 	"tanagercross/internal/fleet/document"
 	"tanagercross/internal/fleet/exchange"
@@ -18,7 +19,7 @@
 
 // fleetOf returns an instance with a full roster and group list and no loops running.
 func fleetOf(b *testing.B, members, groups int) (*Daemon, []store.Group) {
-	d := &Daemon{settings: settings.Settings{Name: "i0000", Place: "p0"}, clock: clock.NewReal()}
+	d := &Daemon{settings: settings.Settings{Name: "i0000", Place: "p0"}, clock: clock.NewReal(), table: group.NewTable()}
 	d.fleet = newFleet(exchange.Params{Self: "i0000", Incarnation: 1}, d.clock.Now)
 	var list []roster.Member
 	var states []exchange.MemberState
@@ -86,8 +87,24 @@
 			planner.SetCandidates(d.candidates(view.roster))
 			planner.Tick(time.Now())
 		})
-		run("groups document", 0, func() { _, _ = encodeGroups(groups) })
-		content, _ := encodeGroups(groups)
-		b.Logf("%d members, %d groups: group list of %d bytes", size.members, size.groups, len(content))
+		d.table.SetList(tableGroups(groups))
+		for _, s := range servers {
+			status := driver.Status{Server: s.Name, Role: driver.Replica, Term: 1, Last: driver.Position{Term: 1, Index: 9}, Primary: s.Group + "-a"}
+			d.table.Observe(status, time.Now(), time.Now())
+		}
+		touched := map[string]bool{}
+		for _, g := range groups {
+			touched[g.Name] = true
+		}
+		d.shareGroups(touched)
+		run("table", 10, func() { d.table.Tick(time.Now()); d.readShared(time.Now()) })
+		b.Run(fmt.Sprintf("documents/members=%d/groups=%d", size.members, size.groups), func(b *testing.B) {
+			var list []byte
+			for b.Loop() {
+				list, _ = encodeGroups(groups)
+			}
+			b.ReportMetric(float64(len(list)), "groups-B")
+			b.ReportMetric(float64(len(d.fleet.document(document.Roster).Content)), "roster-B")
+		})
 	}
 }
