--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -143,7 +143,9 @@
 		d.store = rest.New(s.PlatformURL.String(), rest.Options{Dial: o.Dial})
 	}
 	if d.connector == nil {
-		d.connector = postgres.Connector{Dial: o.Dial}
+		d.connector = postgres.Connector{
+			Dial: o.Dial, User: s.DatabaseUser, Database: s.DatabaseName, Password: s.DatabaseSecret.Reveal(),
+		}
 	}
 	secrets := make([][]byte, 0, len(s.FleetSecrets))
 	for _, secret := range s.FleetSecrets {
@@ -169,14 +171,16 @@
 		Configuration: versions{d}, Signer: signer, Groups: groups{d}, Performer: performer{d},
 		Clock: wall{d.clock}, Counter: counter{d.metric}, Place: s.Place,
 	}, execution.Options{})
-	d.callers = &serving{server: api.New(executor{d}, api.Options{
+	callers := api.New(executor{d}, api.Options{
 		Log: d.log, Metric: d.metric, ReadTimeout: s.ReadTimeout, WriteTimeout: s.WriteTimeout,
 		IdleTimeout: s.IdleTimeout, MaxConnections: s.MaxConnections,
-	})}
+	})
+	d.callers = &serving{server: callers}
+	d.metric.Collect(d.gauges(callers.OpenConnections))
 	d.operators = &serving{server: operator.NewServer(control{d}, operator.Options{
 		Secret: s.OperatorSecret.Reveal(), Log: d.log, Metrics: d.metric.Handler(),
 	})}
-	d.peers = &serving{server: peerServer{peer.NewServer(peer.NewHandler(secrets[0], services{d}))}}
+	d.peers = &serving{server: peerServer{peer.NewServer(peer.NewHandler(secrets[0], services{d}, secrets[1:]...))}}
 	return d, nil
 }
 
@@ -185,6 +189,7 @@
 	d.metric.Version(metric.RosterVersion, after.roster.Version())
 	d.metric.Version(metric.ConfigurationVersion, after.configurationVersion)
 	d.metric.Version(metric.KeysVersion, after.keysVersion)
+	d.metric.Version(metric.GroupsVersion, after.groupsVersion)
 	if after.roster.Version() != before.roster.Version() {
 		d.liveness.retain(func(name string) bool { _, ok := after.roster.Index(name); return ok })
 	}
