--- a/test/scenario/command_load_test.go
+++ b/test/scenario/command_load_test.go
@@ -129,7 +129,7 @@
 	return nil
 }
 
-// commandLedger: ledger check lost=0 doubled=0 stale=0 foreign=0 [gap=4s] [acknowledged=20]
+// commandLedger: ledger check lost=0 doubled=0 stale=0 foreign=0 [gap=4s] [not_run=N] [acknowledged=20]
 //
 // Compares what the callers of the ended load saw with what the primary holds. Writes that were refused and ran, and rows
 // that nobody wrote, are never allowed. acknowledged= is the least number of writes, so that a load without effect fails.
@@ -155,6 +155,7 @@
 	most("foreign", r.ForeignAnswers, o.number("foreign", 0))
 	most("not run but ran", r.NotRunButRan, 0)
 	most("unaccounted", r.Unaccounted, 0)
+	most("not run", r.NotRun, o.number("not_run", r.NotRun))
 	if gap := o.duration("gap", 0); gap > 0 && r.WriteGapMS > float64(gap.Milliseconds()) {
 		faults = append(faults, "write gap "+strconv.FormatFloat(r.WriteGapMS, 'f', 0, 64)+" ms")
 	}
--- a/test/scenario/command_operator_test.go
+++ b/test/scenario/command_operator_test.go
@@ -14,7 +14,7 @@
 	"tanagercross/internal/instance/operator"
 )
 
-func document(maxStatementBytes string) string {
+func yamlWith(maxStatementBytes string) string {
 	return fmt.Sprintf("defaults:\n  max_statement_bytes: %s\n", maxStatementBytes)
 }
 
@@ -34,7 +34,7 @@
 		base = &current.Version
 	}
 	return client.Apply(ctx, operator.Proposal{
-		BaseVersion: *base, Document: document(value), Author: author, Reason: "scenario", ChangeID: uuid.NewString(),
+		BaseVersion: *base, Document: yamlWith(value), Author: author, Reason: "scenario", ChangeID: uuid.NewString(),
 	})
 }
 
@@ -96,7 +96,7 @@
 	for _, name := range names {
 		for {
 			shown, err := f.configurationAt(name)
-			if err == nil && shown == document(value) {
+			if err == nil && shown == yamlWith(value) {
 				break
 			}
 			if time.Since(started) > within {
@@ -160,7 +160,7 @@
 			if err != nil {
 				return err
 			}
-			if shown == document(value) {
+			if shown == yamlWith(value) {
 				return eris.Errorf("%s shows the refused value %s", name, value)
 			}
 		}
--- a/test/scenario/command_process_test.go
+++ b/test/scenario/command_process_test.go
@@ -24,8 +24,15 @@
 	return nil
 }
 
-// commandPlatform: platform start
-func (f *fleet) commandPlatform([]string) error { return f.startPlatform() }
+// commandPlatform: platform start [NAME=PLACE...]
+//
+// The arguments are the platform's list of instances.
+func (f *fleet) commandPlatform(arguments []string) error {
+	if len(arguments) == 0 {
+		return eris.New("usage: platform start [NAME=PLACE...]")
+	}
+	return f.startPlatform(arguments[1:])
+}
 
 // commandDatabase: database start NAME [primary]
 func (f *fleet) commandDatabase(arguments []string) error {
--- a/test/scenario/fleet_test.go
+++ b/test/scenario/fleet_test.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -47,6 +48,7 @@
 type fleet struct {
 	directory string
 	logf      func(format string, arguments ...any)
+	setenv    func(name, value string)
 	secret    string // operator secret
 	links     *links // nil without links
 
@@ -70,7 +72,7 @@
 
 func newFleet(directory string) (*fleet, error) {
 	f := &fleet{
-		directory: directory, logf: func(string, ...any) {}, secret: randomSecret(),
+		directory: directory, logf: func(string, ...any) {}, setenv: func(string, string) {}, secret: randomSecret(),
 		processes: map[string]*process{}, databases: map[string]*server{}, databaseFaults: map[string]*database.Faults{},
 		instances: map[string]*instance{}, keys: map[string]key.Key{}, withdrawn: map[string]time.Time{},
 		sessions: map[string]string{}, ids: map[string]string{}, transactions: map[string]string{},
@@ -221,7 +223,8 @@
 	return rest.GroupsResponse{Groups: []rest.Group{g}}, nil
 }
 
-func (f *fleet) startPlatform() error {
+// startPlatform starts the platform with a list of instances; entries are of the form name=place.
+func (f *fleet) startPlatform(instances []string) error {
 	if f.platform.clients == "" {
 		if err := addresses(&f.platform.clients, &f.platform.control); err != nil {
 			return err
@@ -231,27 +234,35 @@
 			return err
 		}
 	}
-	list, err := f.groupList()
+	groups, err := f.groupList()
 	if err != nil {
 		return err
 	}
-	data, err := json.Marshal(list)
+	listed, err := f.instanceList(instances)
 	if err != nil {
-		return eris.Wrap(err, "group list")
+		return err
 	}
-	file := filepath.Join(f.directory, "groups.json")
-	if err := os.WriteFile(file, data, 0o600); err != nil {
-		return eris.Wrap(err, "group list")
+	groupFile, instanceFile := filepath.Join(f.directory, "groups.json"), filepath.Join(f.directory, "instances.json")
+	if err := errors.Join(writeJSON(groupFile, groups), writeJSON(instanceFile, listed)); err != nil {
+		return err
 	}
 	return f.run(&process{
 		name: platformName, path: filepath.Join(binaries, "standin"), listen: []string{f.platform.clients, f.platform.control},
 		arguments: []string{
-			"platform", "--address", f.platform.clients, "--control-address", f.platform.control, "--groups", file,
-			"--file", filepath.Join(f.directory, "table.json"),
+			"platform", "--address", f.platform.clients, "--control-address", f.platform.control, "--groups", groupFile,
+			"--instances", instanceFile, "--file", filepath.Join(f.directory, "table.json"),
 		},
 	}, platformName)
 }
 
+func writeJSON(path string, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return eris.Wrap(err, "encode")
+	}
+	return eris.Wrap(os.WriteFile(path, data, 0o600), "list of the platform")
+}
+
 func (f *fleet) startDatabase(name string, primary bool) error {
 	s, err := f.server(name)
 	if err != nil {
@@ -286,18 +297,27 @@
 	}, name, name+".replication")
 }
 
+// instance returns the addresses of an instance and makes them at the first call.
+func (f *fleet) instance(name string) (*instance, error) {
+	if i, ok := f.instances[name]; ok {
+		return i, nil
+	}
+	i := &instance{}
+	if err := addresses(&i.callers, &i.peers, &i.operators); err != nil {
+		return nil, err
+	}
+	var err error
+	if i.seenPeers, err = f.seen(name, name, i.peers); err != nil {
+		return nil, err
+	}
+	f.instances[name] = i
+	return i, nil
+}
+
 func (f *fleet) startInstance(name, place string) error {
-	i, ok := f.instances[name]
-	if !ok {
-		i = &instance{}
-		if err := addresses(&i.callers, &i.peers, &i.operators); err != nil {
-			return err
-		}
-		var err error
-		if i.seenPeers, err = f.seen(name, name, i.peers); err != nil {
-			return err
-		}
-		f.instances[name] = i
+	i, err := f.instance(name)
+	if err != nil {
+		return err
 	}
 	return f.run(&process{
 		name: name, path: filepath.Join(binaries, "tanagercrossd"), listen: []string{i.callers, i.peers, i.operators},
--- a/test/scenario/gap_test.go
+++ b/test/scenario/gap_test.go
@@ -81,22 +81,9 @@
 	}
 	f.logf = t.Logf
 	defer f.close()
-	steps := []func() error{
-		func() error { return f.commandPlatform(nil) },
-		func() error { return f.commandGroup(nil) },
-		func() error { return f.startInstance("i1", places[0]) },
-		func() error { return f.startInstance("i2", places[1]) },
-		func() error { return f.startInstance("i3", places[2]) },
-		func() error { return f.commandAwait([]string{"ready"}) },
-		func() error { return f.commandKey([]string{"issue", "sertao_coop"}) },
-		func() error { return f.commandKey([]string{"issue", "agreste_coop"}) },
-		func() error { return f.commandAwait([]string{"working"}) },
-	}
-	for _, step := range steps {
-		if err := step(); err != nil {
-			_ = f.commandDump(nil)
-			t.Fatal(err)
-		}
+	if err := f.commandFleet([]string{"start"}); err != nil {
+		_ = f.commandDump(nil)
+		t.Fatal(err)
 	}
 	f.startLoad(loadShape{rate: 20, sessions: 8, writes: 0.5, transactions: 0.2})
 	time.Sleep(steadyTime)
--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -70,7 +70,7 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"links": script((*fleet).commandLinks), "platform": script((*fleet).commandPlatform),
+			"links": script((*fleet).commandLinks), "fleet": script((*fleet).commandFleet), "platform": script((*fleet).commandPlatform),
 			"database": script((*fleet).commandDatabase), "group": script((*fleet).commandGroup),
 			"instance": script((*fleet).commandInstance), "await": script((*fleet).commandAwait),
 			"signal": script((*fleet).commandSignal), "exits": script((*fleet).commandExits),
@@ -81,7 +81,7 @@
 			"key": script((*fleet).commandKey), "call": script((*fleet).commandCall),
 			"load": script((*fleet).commandLoad), "ledger": script((*fleet).commandLedger),
 			"race": script((*fleet).commandRace), "configuration": script((*fleet).commandConfiguration),
-			"sleep": script((*fleet).commandSleep), "dump": script((*fleet).commandDump),
+			"holder": script((*fleet).commandHolder), "sleep": script((*fleet).commandSleep), "dump": script((*fleet).commandDump),
 		},
 	})
 }
@@ -90,7 +90,7 @@
 func script(command func(*fleet, []string) error) func(*testscript.TestScript, bool, []string) {
 	return func(ts *testscript.TestScript, negated bool, arguments []string) {
 		f, _ := ts.Value(fleetKey{}).(*fleet)
-		f.logf = ts.Logf
+		f.logf, f.setenv = ts.Logf, ts.Setenv
 		err := command(f, arguments)
 		switch {
 		case negated && err == nil:
