Let the group list alone say which servers are leaving

Cause: instances exchanged the leaving flags of their views. A flag learned from a peer became part of the own view and was sent back, so members renewed each other's marks for ever: a server whose leaving was cancelled in the platform's list never got work again. Found by the scenario database_leaving (0 statements in 2 s, 3 s after the cancellation). Change: the marks are gone. The list is the versioned document groups, which spreads by the same exchange, so that the marks only repeated it.

--- a/internal/database/group/group.go
+++ b/internal/database/group/group.go
@@ -30,9 +30,6 @@
 	"tanagercross/internal/database/driver"
 )
 
-// LeavingMarkFor is how long a leaving mark from another instance counts when the own list does not show it yet.
-const LeavingMarkFor = 10 * time.Second
-
 // Group is one group of the platform's list.
 type Group struct {
 	Name    string
@@ -41,14 +38,13 @@
 
 // Table holds what is known of all groups. One goroutine changes it; any may call View.
 type Table struct {
-	view    atomic.Pointer[View]
-	groups  map[string]string    // server to group
-	leaving map[string]time.Time // server to the time when a leaving mark ends
+	view   atomic.Pointer[View]
+	groups map[string]string // server to group
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	t := &Table{groups: map[string]string{}, leaving: map[string]time.Time{}}
+	t := &Table{groups: map[string]string{}}
 	t.view.Store(&View{})
 	return t
 }
@@ -56,7 +52,7 @@
 // View returns the current view.
 func (t *Table) View() *View { return t.view.Load() }
 
-// SetList takes over the platform's list. What is known of servers that stay is kept.
+// SetList takes over the platform's list, which alone says who is leaving. What is known of servers that stay is kept.
 func (t *Table) SetList(list []Group) {
 	old, next := t.View(), &View{groups: map[string]*atomic.Pointer[State]{}}
 	t.groups = map[string]string{}
@@ -73,7 +69,6 @@
 		for _, s := range g.Servers {
 			server, _ := known.Server(s.Name)
 			server.Server = s
-			server.Leaving = s.Leaving || !t.leaving[s.Name].IsZero()
 			state.Servers = append(state.Servers, server)
 			t.groups[s.Name] = g.Name
 		}
@@ -130,26 +125,11 @@
 	pointer.Store(&next)
 }
 
-// MarkLeaving takes the news that another instance saw a server as leaving.
-func (t *Table) MarkLeaving(server string, now time.Time) {
-	t.leaving[server] = now.Add(LeavingMarkFor)
-	t.change(server, func(_ *State, s *Server) { s.Leaving = true })
-}
-
 // SetLoad sets the load of a server, as work in progress per slot.
 func (t *Table) SetLoad(server string, load float64) {
 	t.change(server, func(_ *State, s *Server) { s.Load = load })
 }
 
-// Tick ends leaving marks that were not renewed. The next list then decides.
-func (t *Table) Tick(now time.Time) {
-	for server, end := range t.leaving {
-		if !now.Before(end) {
-			delete(t.leaving, server)
-		}
-	}
-}
-
 // change applies f to a copy of the server's group and publishes the copy.
 func (t *Table) change(server string, f func(*State, *Server)) {
 	pointer := t.View().groups[t.groups[server]]
--- a/internal/instance/daemon/table.go
+++ b/internal/instance/daemon/table.go
@@ -63,7 +63,6 @@
 				touched[name] = true
 			}
 		}
-		d.table.Tick(now)
 		d.shareGroups(touched)
 		d.readShared(now)
 	}
@@ -122,7 +121,7 @@
 			continue
 		}
 		shared.Servers = append(shared.Servers, exchange.ServerPosition{
-			Server: s.Name, Position: s.Position, Observed: s.AskedAt, Leaving: s.Leaving,
+			Server: s.Name, Position: s.Position, Observed: s.AskedAt,
 		})
 	}
 	return shared
@@ -145,9 +144,6 @@
 		}
 		for _, p := range g.Servers {
 			d.table.ObservePosition(p.Server, p.Position, p.Observed, now)
-			if p.Leaving {
-				d.table.MarkLeaving(p.Server, now)
-			}
 		}
 	}
 }
