Expose lanes, open transactions and the age of the store as gauges

Cause: the gauges were named in package metric, but nothing registered them, so GET /metrics showed none. Scenarios need the holder of a transaction. Change: registers the three gauges whose values the daemon has at hand. Measured: the scenario instance_killed_in_transaction finds the holder by tanagercross_open_transactions and passes.

--- a/internal/database/pool/pool.go
+++ b/internal/database/pool/pool.go
@@ -179,6 +179,13 @@
 	return held
 }
 
+// Transactions returns the number of open interactive transactions.
+func (p *Pool) Transactions() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.transactions)
+}
+
 // EndByKey ends the transactions and the queued work of a withdrawn key, and returns the number of transactions.
 func (p *Pool) EndByKey(keyHash string) int {
 	if keyHash == "" {
--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -177,6 +177,7 @@
 		Secret: s.OperatorSecret.Reveal(), Log: d.log, Metrics: d.metric.Handler(),
 	})}
 	d.peers = &serving{server: peerServer{peer.NewServer(peer.NewHandler(secrets[0], services{d}))}}
+	d.registerGauges()
 	return d, nil
 }
 
