Check that bounded faults struck, and count earlier loads

Cause: a scenario with a lost answer passed also when no answer was lost, and the ledger of a second load took the rows of the first for unaccounted. Change: command spent; rows of earlier loads are left out; GET /faults at the control port of the database stand-in.

--- a/internal/standin/database/control.go
+++ b/internal/standin/database/control.go
@@ -26,7 +26,7 @@
 	return Counters{Statements: s.statements.Load(), Connections: s.sessions()}
 }
 
-// ControlHandler serves PUT /faults and GET /counters in JSON.
+// ControlHandler serves GET and PUT /faults and GET /counters in JSON.
 func (s *Server) ControlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("PUT /faults", func(w http.ResponseWriter, r *http.Request) {
@@ -40,9 +40,20 @@
 		s.faults.dropCommit.Store(f.DropCommitAnswer)
 		w.WriteHeader(http.StatusNoContent)
 	})
+	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, Faults{
+			LagMS:            time.Duration(s.lag.Load()).Milliseconds(),
+			ServiceTimeMS:    time.Duration(s.serviceTime.Load()).Milliseconds(),
+			DropCommitAnswer: s.faults.dropCommit.Load(),
+		})
+	})
 	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(s.Counters())
+		writeJSON(w, s.Counters())
 	})
 	return mux
 }
+
+func writeJSON(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
--- a/internal/standin/database/control_test.go
+++ b/internal/standin/database/control_test.go
@@ -33,6 +33,9 @@
 	if w := send(http.MethodPut, "/faults", `{`); w.Code != http.StatusBadRequest {
 		t.Errorf("status %d for a malformed body, want 400", w.Code)
 	}
+	if got, want := send(http.MethodGet, "/faults", "").Body.String(), `{"lag_ms":5000,"service_time_ms":2,"drop_commit_answer":true}`+"\n"; got != want {
+		t.Errorf("faults %s, want %s", got, want)
+	}
 	if got := send(http.MethodGet, "/counters", "").Body.String(); got != `{"statements":3,"connections":0}`+"\n" {
 		t.Errorf("counters %s", got)
 	}
--- a/test/scenario/command_fault_test.go
+++ b/test/scenario/command_fault_test.go
@@ -105,6 +105,45 @@
 	return put(f.databases[name].control, "/faults", faults)
 }
 
+// commandSpent: spent NAME
+//
+// Requires that the faults of NAME that strike a bounded number of times have all struck, so that a scenario cannot pass
+// without its fault.
+func (f *fleet) commandSpent(arguments []string) error {
+	if err := expect(arguments, 1, 1, "spent NAME"); err != nil {
+		return err
+	}
+	if arguments[0] == platformName {
+		if err := get(f.platform.control, "/faults", &f.platformFaults); err != nil {
+			return err
+		}
+		if n := f.platformFaults.LoseAnswers; n > 0 {
+			return eris.Errorf("%d answers of the platform were not lost", n)
+		}
+		return nil
+	}
+	faults, ok := f.databaseFaults[arguments[0]]
+	if !ok {
+		return eris.Errorf("no database %q", arguments[0])
+	}
+	if err := get(f.databases[arguments[0]].control, "/faults", faults); err != nil {
+		return err
+	}
+	if faults.DropCommitAnswer {
+		return eris.New("no answer of a commit was dropped")
+	}
+	return nil
+}
+
+func get(address, path string, into any) error {
+	w, err := http.Get("http://" + address + path)
+	if err != nil {
+		return eris.Wrap(err, "control port")
+	}
+	defer func() { _ = w.Body.Close() }()
+	return eris.Wrap(json.NewDecoder(w.Body).Decode(into), "control port")
+}
+
 func put(address, path string, body any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -142,14 +181,9 @@
 	if !ok {
 		return 0, eris.Errorf("no database %q", name)
 	}
-	w, err := http.Get("http://" + s.control + "/counters")
-	if err != nil {
-		return 0, eris.Wrap(err, "control port")
-	}
-	defer func() { _ = w.Body.Close() }()
 	var c database.Counters
-	err = json.NewDecoder(w.Body).Decode(&c)
-	return c.Statements, eris.Wrap(err, "counters")
+	err := get(s.control, "/counters", &c)
+	return c.Statements, err
 }
 
 // commandWork: work NAME none|some [for=2s]
--- a/test/scenario/command_load_test.go
+++ b/test/scenario/command_load_test.go
@@ -96,6 +96,11 @@
 	for _, organisation := range o.Organisations {
 		t.organisations = append(t.organisations, organisation.Name)
 	}
+	if f.traffic != nil {
+		for _, e := range f.traffic.ledger.Entries() {
+			f.accounted[e.RequestID] = true
+		}
+	}
 	f.traffic = t
 	go func() {
 		defer close(t.ended)
@@ -199,6 +204,9 @@
 			return nil, err
 		}
 		for _, row := range rows {
+			if f.accounted[row[2]] {
+				continue
+			}
 			count, err := strconv.Atoi(row[3])
 			if err != nil {
 				return nil, eris.Wrap(err, "contents")
--- a/test/scenario/fleet_test.go
+++ b/test/scenario/fleet_test.go
@@ -68,6 +68,7 @@
 	ids          map[string]string // request ids
 	transactions map[string]string
 	traffic      *traffic
+	accounted    map[string]bool // request ids of earlier loads
 }
 
 func newFleet(directory string) (*fleet, error) {
@@ -76,6 +77,7 @@
 		processes: map[string]*process{}, databases: map[string]*server{}, databaseFaults: map[string]*database.Faults{},
 		instances: map[string]*instance{}, keys: map[string]key.Key{}, withdrawn: map[string]time.Time{},
 		sessions: map[string]string{}, ids: map[string]string{}, transactions: map[string]string{},
+		accounted: map[string]bool{},
 	}
 	for name, secret := range map[string]string{"operator.secret": f.secret, "fleet.secret": randomSecret()} {
 		if err := os.WriteFile(filepath.Join(directory, name), []byte(secret), 0o600); err != nil {
--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -75,7 +75,7 @@
 			"instance": script((*fleet).commandInstance), "await": script((*fleet).commandAwait),
 			"signal": script((*fleet).commandSignal), "exits": script((*fleet).commandExits),
 			"cut": script((*fleet).commandCut), "heal": script((*fleet).commandHeal), "reset": script((*fleet).commandReset),
-			"latency": script((*fleet).commandLatency), "fault": script((*fleet).commandFault),
+			"latency": script((*fleet).commandLatency), "fault": script((*fleet).commandFault), "spent": script((*fleet).commandSpent),
 			"leaving": script((*fleet).commandLeaving), "work": script((*fleet).commandWork),
 			"primary": script((*fleet).commandPrimary), "failure": script((*fleet).commandFailure),
 			"key": script((*fleet).commandKey), "call": script((*fleet).commandCall),
