--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -45,7 +45,7 @@
 
 // maximumScripts bounds the scripts at the same time: more of them take so much of the machine that the reaction times
 // of the instances are no longer their own.
-var maximumScripts = make(chan struct{}, 6)
+var maximumScripts = make(chan struct{}, 8)
 
 type fleetKey struct{}
 
