--- a/test/scenario/command_load_test.go
+++ b/test/scenario/command_load_test.go
@@ -117,6 +117,7 @@
 		return t.err
 	}
 	f.logf("load: %+v", t.summary)
+	f.logf("attempts by reason: %v", t.reasons())
 	if t.summary.Malformed > 0 {
 		return eris.Errorf("%d malformed answers", t.summary.Malformed)
 	}
@@ -126,6 +127,17 @@
 	return nil
 }
 
+// reasons counts the attempts that were not done by outcome and reason.
+func (t *traffic) reasons() map[string]int {
+	counts := map[string]int{}
+	for _, e := range t.ledger.Entries() {
+		if e.Reason != "" {
+			counts[string(e.Outcome)+" "+string(e.Reason)]++
+		}
+	}
+	return counts
+}
+
 // commandFailure: failure
 //
 // Marks the moment of a failure, from which the ledger measures the gap in writes.
