--- a/internal/platform/rest/rest.go
+++ b/internal/platform/rest/rest.go
@@ -38,7 +38,7 @@
 // Options configure a Store. The zero value uses the defaults.
 type Options struct {
 	Timeout time.Duration // limit of one call
-	// Dial opens connections; nil is plain TCP.
+	// Dial opens the connections to the platform; nil is plain TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
@@ -57,7 +57,7 @@
 		o.Timeout = DefaultTimeout
 	}
 	return &Store{base: base, timeout: o.Timeout, client: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleConnectionLimit, DialContext: o.Dial,
+		DialContext: o.Dial, MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleConnectionLimit,
 	}}}
 }
 
--- a/internal/standin/network/conn.go
+++ b/internal/standin/network/conn.go
@@ -25,6 +25,8 @@
 	net.Conn
 	network  *Network
 	from, to string
+	address  string
+	tap      Tap
 
 	out  chan chunk
 	in   chan chunk // read from the socket
@@ -56,6 +58,9 @@
 // Write implements net.Conn. It returns before the bytes arrive, as a socket does.
 func (c *conn) Write(b []byte) (int, error) {
 	data := append([]byte(nil), b...)
+	if c.tap != nil {
+		c.tap(c.address, data)
+	}
 	c.network.count(c.from, c.to, len(b))
 	select {
 	case <-c.closed:
--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -28,11 +28,22 @@
 	mu      sync.Mutex
 	places  map[string]string
 	cuts    map[[2]string]chan struct{} // closed when the cut ends
+	tap     Tap
 	down    map[string]bool
 	conns   map[*conn]struct{}
 	traffic map[[2]string]Traffic
 }
 
+// Tap sees the bytes that are sent to an address.
+type Tap func(address string, data []byte)
+
+// SetTap sets what sees the bytes of connections opened from now on.
+func (n *Network) SetTap(t Tap) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tap = t
+}
+
 // New returns a network without addresses.
 func New(latency Latency) *Network {
 	return &Network{
@@ -81,6 +92,7 @@
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		n.mu.Lock()
 		to, known := n.places[address]
+		tap := n.tap
 		n.mu.Unlock()
 		var dialer net.Dialer
 		if !known {
@@ -97,6 +109,7 @@
 			return nil, eris.Wrap(err, "dial")
 		}
 		delayed := newConn(conn, n, from, to)
+		delayed.address, delayed.tap = address, tap
 		if !n.track(delayed) {
 			_ = delayed.Close()
 			return nil, refusal(network)
--- a/internal/tool/deployment/fault.go
+++ b/internal/tool/deployment/fault.go
@@ -22,7 +22,7 @@
 // still reach it.
 func (d *Deployment) SetInstanceCut(number int, cut bool) {
 	name := d.configs[number].Name
-	d.Network.SetCut(name, platformPlace, cut)
+	d.Network.SetCut(name, PlatformPlace, cut)
 	for _, other := range d.configs {
 		if other.Name != name {
 			d.Network.SetCut(name, other.Name, cut)
@@ -106,7 +106,7 @@
 }
 
 // IsPlatform reports whether a location of the network is the platform.
-func IsPlatform(location string) bool { return location == platformPlace }
+func IsPlatform(location string) bool { return location == PlatformPlace }
 
 // IsInstance reports whether a location of the network is an instance.
 func (d *Deployment) IsInstance(location string) bool {
--- a/internal/tool/experiment/latency.go
+++ b/internal/tool/experiment/latency.go
@@ -173,6 +173,9 @@
 	return execute(ctx, b.direct[1], load.InsertSQL, b.writers, "direct", uuid.NewString())
 }
 
+// firstTerm is the term of a group whose primary was never changed.
+const firstTerm = 1
+
 // directRecorded does what the proxy does for a write: the record of the request and the wait for a majority.
 func (b *latencyBench) directRecorded(ctx context.Context) error {
 	id, err := uuid.NewV7()
@@ -180,7 +183,7 @@
 		return eris.Wrap(err, "request id")
 	}
 	session, text := "direct", id.String()
-	result, err := b.recorded.Write(ctx, b.writers, driver.Record{RequestID: text, Fingerprint: text},
+	result, err := b.recorded.Write(ctx, b.writers, firstTerm, driver.Record{RequestID: text, Fingerprint: text},
 		driver.Statement{SQL: load.InsertSQL, Arguments: []*string{&b.writers, &session, &text}})
 	if err != nil {
 		return err
--- a/internal/tool/experiment/run.go
+++ b/internal/tool/experiment/run.go
@@ -127,7 +127,7 @@
 
 func offerTo(ctx context.Context, o load.Options, l *ledger.Ledger) *traffic {
 	t := &traffic{until: make(chan struct{}), done: make(chan struct{})}
-	o.Until = t.until
+	o.Stop = t.until
 	go func() {
 		defer close(t.done)
 		t.summary, t.err = load.Run(ctx, o, l)
--- a/internal/tool/load/load.go
+++ b/internal/tool/load/load.go
@@ -86,8 +86,7 @@
 	SessionRequests  int           // optional: requests after which a session ends and a new one starts
 	MaxRequests      int           // optional: requests of the whole run
 	Seed             uint64
-	// Until ends the offering before Duration when it is closed; nil never does.
-	Until <-chan struct{}
+	Stop             <-chan struct{} // optional: ends the offers early; running requests are awaited
 	// Dial opens the connections to instances; nil is plain TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -147,6 +146,13 @@
 	defer r.client.CloseIdleConnections()
 	offering, stop := context.WithTimeout(ctx, r.options.Duration)
 	defer stop()
+	go func() {
+		select {
+		case <-r.options.Stop:
+			stop()
+		case <-offering.Done():
+		}
+	}()
 	var all sync.WaitGroup
 	for i, organisation := range r.options.Organisations {
 		work := make(chan struct{})
@@ -270,8 +276,6 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-r.options.Until:
-			return
 		case <-timer.C:
 		}
 		for now := time.Now(); !next.After(now); next = next.Add(interval) {
