Start nothing behind a long statement of a lane

A lane sends one statement ahead; behind a pull it waits for the slot at the server, and the wait is charged to its organisation as service time. Change: the statement ahead starts only while the running ones belong to organisations whose estimated service time is at most 5 ms. Statements as short as a round trip are still sent ahead.

--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -42,6 +42,7 @@
 	"tanagercross/internal/instance/operator"
 	"tanagercross/internal/instance/settings"
 	"tanagercross/internal/organisation/allotment"
+	"tanagercross/internal/organisation/fairness"
 	"tanagercross/internal/platform/rest"
 	"tanagercross/internal/platform/store"
 	"tanagercross/internal/request/execution"
@@ -162,7 +163,7 @@
 	}, s.Place, d.clock.Now)
 	d.fleet.onChange = d.documentsChanged
 	d.fleet.onFault = func(err error) { d.log.Error("document cannot be read", "error", err.Error()) }
-	d.pool = pool.New(d.connector, pool.Options{OnLost: func(h pool.Holding) {
+	d.pool = pool.New(d.connector, pool.Options{Fairness: fairness.Options{Ahead: statementsAhead}, OnLost: func(h pool.Holding) {
 		d.log.Warn("lane lost", "server", h.Server, "lane", h.Lane)
 		d.laneEvents.Put(laneLost{lane: lane.Lane{Server: h.Server, Number: h.Lane}})
 	}})
--- a/internal/organisation/fairness/queue.go
+++ b/internal/organisation/fairness/queue.go
@@ -27,6 +27,7 @@
 	DefaultBound   = 64
 	DefaultQuantum = 2 * time.Millisecond
 	DefaultCost    = time.Millisecond
+	DefaultShort   = 5 * time.Millisecond
 )
 
 const estimateShare = 4 // a measured cost counts for a quarter of the next estimate
@@ -36,6 +37,10 @@
 	Bound   int           // queued items per organisation
 	Quantum time.Duration // service time per round and unit of weight
 	Cost    time.Duration // estimate for an organisation without measurements
+	// Ahead is how many of a scheduler's running items start only while the estimates of all running ones are at most
+	// Short. An item behind a long one would wait for it at the server and be charged the wait as service time.
+	Ahead int
+	Short time.Duration
 }
 
 // WithDefaults returns a copy with zero fields set.
@@ -49,6 +54,9 @@
 	if o.Cost <= 0 {
 		o.Cost = DefaultCost
 	}
+	if o.Short <= 0 {
+		o.Short = DefaultShort
+	}
 	return o
 }
 
@@ -111,6 +119,17 @@
 // Running returns the number of grants that are not finished.
 func (q *Queue[T]) Running() int { return q.running }
 
+// longest returns the highest estimate of the organisations that have running items.
+func (q *Queue[T]) longest() time.Duration {
+	var longest time.Duration
+	for _, f := range q.ring {
+		if f.running > 0 {
+			longest = max(longest, f.estimate)
+		}
+	}
+	return longest
+}
+
 // Push queues an item until its deadline. It fails with kind queue_full or with the reason of Stop.
 func (q *Queue[T]) Push(organisation string, value T, deadline time.Time) error {
 	if q.stopped != "" {
--- a/internal/organisation/fairness/scheduler.go
+++ b/internal/organisation/fairness/scheduler.go
@@ -92,6 +92,10 @@
 
 func (s *Scheduler[T]) dispatch() {
 	for s.queue.Running() < s.limit {
+		o := s.queue.options
+		if s.queue.Running() >= max(1, s.limit-o.Ahead) && s.queue.longest() > o.Short {
+			return
+		}
 		g, ok := s.queue.Next(time.Now())
 		if !ok {
 			return
