Give out each port once and run one deployment test package at a time

Cause: go test ./... failed with 'address already in use' (a port that was free when chosen was chosen again by a parallel test) and with missed deadlines while four packages with whole deployments ran at the same time (load average above 60). Change: network.FreeAddresses hands out ports from a part of the range that belongs to the process, none twice; deployment.Exclusive lets the test packages that run deployments take turns.

--- a/cmd/tanagercross/main_test.go
+++ b/cmd/tanagercross/main_test.go
@@ -11,6 +11,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"tanagercross/internal/instance/operator"
+	"tanagercross/internal/tool/deployment"
 )
 
 const testSecret = "operator-secret-operator-secret-"
@@ -54,6 +55,11 @@
 
 // Guards against exit codes that differ from the documented ones, in a real process.
 func TestScripts(t *testing.T) {
+	release, err := deployment.Exclusive()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(release)
 	server := httptest.NewServer(operator.NewServer(fakeControl{}, operator.Options{Secret: testSecret}))
 	t.Cleanup(server.Close) // the scripts run in parallel subtests, which outlive this function
 	testscript.Run(t, testscript.Params{
--- a/internal/tool/deployment/deployment.go
+++ b/internal/tool/deployment/deployment.go
@@ -17,14 +17,12 @@
 	"encoding/hex"
 	"fmt"
 	"log/slog"
-	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"os"
 	"path/filepath"
-	"strconv"
 	"sync"
 	"time"
 
@@ -54,9 +52,6 @@
 	loopback        = "127.0.0.1:0"
 	readyPeriod     = 50 * time.Millisecond
 	drainDeadline   = 10 * time.Second
-	firstPort       = 12000
-	ports           = 20000
-	portAttempts    = 1000
 )
 
 // Deployment is a running deployment.
@@ -143,7 +138,7 @@
 		if err := os.MkdirAll(directory, 0o755); err != nil {
 			return nil, eris.Wrap(err, "directory of "+name)
 		}
-		addresses, err := freeAddresses(2)
+		addresses, err := network.FreeAddresses(2)
 		if err != nil {
 			return nil, err
 		}
@@ -164,29 +159,10 @@
 	return configs, nil
 }
 
-// freeAddresses returns loopback addresses that were free a moment ago. They are below the range of ports that outgoing
-// connections use, so that a server can come back under its address.
-func freeAddresses(n int) ([]string, error) {
-	addresses := make([]string, 0, n)
-	for range portAttempts {
-		if len(addresses) == n {
-			return addresses, nil
-		}
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+mathrand.IntN(ports)))
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, address)
-	}
-	return nil, eris.New("no free port found")
-}
-
 func (d *Deployment) startPlatform(ctx context.Context) error {
 	config := platform.Config{Groups: d.groups()}
 	for i := range d.profile.Instances {
-		addresses, err := freeAddresses(1)
+		addresses, err := network.FreeAddresses(1)
 		if err != nil {
 			return err
 		}
@@ -237,7 +213,7 @@
 	if err != nil {
 		return settings.Settings{}, eris.Wrap(err, "address of "+listed.Name)
 	}
-	callers, err := freeAddresses(1)
+	callers, err := network.FreeAddresses(1)
 	if err != nil {
 		return settings.Settings{}, err
 	}
--- a/test/property/main_test.go
+++ b/test/property/main_test.go
@@ -101,6 +101,12 @@
 }
 
 func TestMain(m *testing.M) {
+	release, err := deployment.Exclusive()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	defer release()
 	code := m.Run()
 	if sharedBed != nil {
 		sharedBed.Stop()
--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -19,6 +19,8 @@
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"tanagercross/internal/tool/deployment"
 )
 
 // binaries is the directory of the programs under test.
@@ -27,6 +29,12 @@
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
 func run(m *testing.M) int {
+	release, err := deployment.Exclusive()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer release()
 	directory, err := os.MkdirTemp("", "scenario-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -4,47 +4,32 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"tanagercross/internal/standin/network"
 )
 
 const (
-	firstPort     = 12000 // outgoing connections take ports from 32768 on
-	ports         = 20000
-	portAttempts  = 1000
 	listenTimeout = 10 * time.Second
 	exitTimeout   = 15 * time.Second
 	dumpedLines   = 15
 	shortPause    = 20 * time.Millisecond
 )
 
-// takenPorts holds the ports given out, so that no two scripts get the same one while its process is down.
-var takenPorts sync.Map
-
-// freeAddress returns a loopback address that was free a moment ago.
+// freeAddress returns a loopback address for a listener.
 func freeAddress() (string, error) {
-	for range portAttempts {
-		port := firstPort + rand.IntN(ports)
-		if _, taken := takenPorts.LoadOrStore(port, true); taken {
-			continue
-		}
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		return address, l.Close()
+	addresses, err := network.FreeAddresses(1)
+	if err != nil {
+		return "", err
 	}
-	return "", eris.New("no free port found")
+	return addresses[0], nil
 }
 
 // process is one of the programs. It can be started again after its end.
