Give control cost as the slope of the whole fleet

Cause: in a trial with 3 to 24 instances the slopes of the cost of one instance were negative, since the probes of the databases are shared by more instances. Change: the slope is that of the fleet's total, the cost of one more instance.

--- a/internal/tool/experiment/controlcost.go
+++ b/internal/tool/experiment/controlcost.go
@@ -52,7 +52,7 @@
 	x.result.Plot = Plot{Title: "Control cost of one instance of an idle fleet", XLabel: "instances", YLabel: "KB/s, % of a core, MB"}
 	for _, k := range c.kinds {
 		if len(k.points) > 1 {
-			x.result.add(k.name+"_slope", slope(k.points), k.unit+" per instance", nil)
+			x.result.add(k.name+"_per_added_instance", slope(k.totals()), k.unit, nil)
 		}
 		if k.unit != "1/s" {
 			x.result.Plot.Series = append(x.result.Plot.Series, Series{Name: k.name, Points: k.points, Line: true})
@@ -67,6 +67,16 @@
 	points     []Point
 }
 
+// totals returns the figure of the whole fleet. Its slope leaves out what does not depend on the size of the fleet, such
+// as the probes of the databases.
+func (c cost) totals() []Point {
+	totals := make([]Point, 0, len(c.points))
+	for _, p := range c.points {
+		totals = append(totals, Point{X: p.X, Y: p.X * p.Y})
+	}
+	return totals
+}
+
 type costs struct {
 	result *Result
 	kinds  []*cost
