Cut what is inside a place when the place is cut

Cause: since instances are locations of their own in the emulated network, a cut between places no longer cut them, so that the tests of a cut-off instance and of a cut between places tested nothing; the first failed for that reason. Change: Network.Locate says in which place an instance is; a cut of the place holds for it.

--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -28,6 +28,7 @@
 	mu      sync.Mutex
 	places  map[string]string
 	cuts    map[[2]string]chan struct{} // closed when the cut ends
+	within  map[string]string           // place of a location that is inside one
 	tap     Tap
 	down    map[string]bool
 	conns   map[*conn]struct{}
@@ -47,7 +48,7 @@
 // New returns a network without addresses.
 func New(latency Latency) *Network {
 	return &Network{
-		latency: latency, places: map[string]string{}, cuts: map[[2]string]chan struct{}{}, down: map[string]bool{},
+		latency: latency, places: map[string]string{}, within: map[string]string{}, cuts: map[[2]string]chan struct{}{}, down: map[string]bool{},
 		conns: map[*conn]struct{}{}, traffic: map[[2]string]Traffic{},
 	}
 }
@@ -59,7 +60,14 @@
 	n.places[address] = place
 }
 
-// SetCut cuts two places from each other, or ends the cut.
+// Locate says that a location, for example an instance, is inside a place. A cut of the place also cuts the location.
+func (n *Network) Locate(location, place string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.within[location] = place
+}
+
+// SetCut cuts two places or locations from each other, or ends the cut.
 func (n *Network) SetCut(a, b string, cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -84,7 +92,14 @@
 func (n *Network) cutBetween(a, b string) chan struct{} {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cuts[pair(a, b)]
+	for _, from := range []string{a, n.within[a]} {
+		for _, to := range []string{b, n.within[b]} {
+			if cut := n.cuts[pair(from, to)]; cut != nil {
+				return cut
+			}
+		}
+	}
+	return nil
 }
 
 // Dialer returns the function that dials from a place.
--- a/internal/tool/deployment/deployment.go
+++ b/internal/tool/deployment/deployment.go
@@ -172,6 +172,7 @@
 		})
 		d.Network.Register(addresses[0], config.Instances[i].Name)
 		d.places[config.Instances[i].Name] = place
+		d.Network.Locate(config.Instances[i].Name, place)
 	}
 	var err error
 	d.Platform, err = platform.Start(ctx, config)
