Test the removal of records through the pool

Cause: the pool's part of the removal had no test, and a comment named cuts that the test of late answers does not make.

Change: TestRemoveRecords covers the lane, the term, the batch and a leaving server; the comment says what is done.

Result: the test passes.

--- /dev/null
+++ b/internal/database/pool/removal_test.go
@@ -0,0 +1,32 @@
+package pool
+
+import (
+	"testing"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/session/outcome"
+)
+
+// Guards against a removal of records at a replaced primary, by an instance without the lane, or beyond its batch, and
+// against new work for a leaving server.
+func TestRemoveRecords(t *testing.T) {
+	s := newFakeServer()
+	for _, id := range []string{"1", "2", "3", "5"} {
+		s.records[id] = driver.Record{RequestID: id}
+	}
+	p := hold(t, s, Options{}, 4, 2)
+	held := Holding{Server: server, Lane: 0}
+	want(t, p.RemoveRecords(t.Context(), Holding{Server: server, Lane: 1}, 1, "a", "4", 2), outcome.NotRun(outcome.LaneUnavailable))
+	want(t, p.RemoveRecords(t.Context(), held, 2, "a", "4", 2), outcome.NotRun(outcome.PrimaryReplaced))
+	for _, n := range []int64{2, 1, 0} {
+		r := p.RemoveRecords(t.Context(), held, 1, "a", "4", 2)
+		if want(t, r, done); r.Result.RowsAffected != n {
+			t.Errorf("%d records removed, want %d", r.Result.RowsAffected, n)
+		}
+	}
+	p.SetPresences(Presences{server: Retiring})
+	want(t, p.RemoveRecords(t.Context(), held, 1, "a", "9", 2), outcome.NotRun(outcome.LaneUnavailable))
+	if len(s.records) != 1 {
+		t.Errorf("records left: %v", s.records)
+	}
+}
--- a/test/property/session_test.go
+++ b/test/property/session_test.go
@@ -132,8 +132,8 @@
 }
 
 // Guards P8: answers that arrive late, in another order, or after their caller has gone must not reach another caller.
-// Callers cancel at random moments, the links between places are cut for short times so that answers are held back, and
-// the database holds answers of all its clients back.
+// Callers cancel at random moments over links with latency, and the databases hold the answers of all their clients back for
+// short times, so that pooled connections have late answers.
 func TestAnswersBelongToTheirRequest(t *testing.T) {
 	t.Parallel()
 	r := newTrial(t, shared(t))
