Give lanes up at an instance that is cut off from the fleet

Cause: an instance that reaches neither the platform nor its peers, but still the databases, kept its lanes. It admits nothing after 4 s, and nobody else can take the lanes, so the databases were out of use for as long as the cut lasted. Found by the scenario lane_holder_cut_off: lane_unavailable 14 s after the cut, without an end. Change: the planner releases all lanes and tries for none once the instance has not been fresh for 1 s. Open transactions get 1 s then, since none of their statements is admitted.

--- a/internal/database/lane/lane.go
+++ b/internal/database/lane/lane.go
@@ -86,6 +86,9 @@
 	RankDelay    = 250 * time.Millisecond // per rank; covers a lock attempt over a new connection between regions
 	FirstBackOff = 500 * time.Millisecond
 	LongBackOff  = 8 * time.Second
+	// KeepNotFresh is how long an instance that is not fresh keeps its lanes. A short loss of freshness, as after a
+	// pause, should not move them.
+	KeepNotFresh = time.Second
 )
 
 // Action is Try or Release.
@@ -112,6 +115,7 @@
 	ServerRemoved ReleaseReason = "server_removed"
 	LaneRemoved   ReleaseReason = "lane_removed" // the server's limits now allow fewer lanes
 	Draining      ReleaseReason = "draining"
+	NotFresh      ReleaseReason = "not_fresh"
 )
 
 type phase int
--- a/internal/database/lane/lane_test.go
+++ b/internal/database/lane/lane_test.go
@@ -140,3 +140,36 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against servers that stay without a usable lane because the instance that holds their lanes is cut off from the
+// fleet, and against lanes that move at a short loss of freshness.
+func TestPlannerGivesUpLanesWhenNotFresh(t *testing.T) {
+	weight := func(string, Lane) uint64 { return 1 }
+	server := driver.Server{Name: "s", Place: "p", ConnectionLimit: 35, Slots: 1}
+	l := Lane{Server: "s"}
+	p := NewPlanner(Candidate{Instance: "i", Place: "p"}, weight, func() float64 { return 0 })
+	p.SetServers([]driver.Server{server}, at(0))
+	p.Tick(at(0))
+	p.Acquired(l)
+	p.SetFresh(false, at(1000))
+	p.SetFresh(false, at(1500))
+	if got := p.Tick(at(1900)); got != nil {
+		t.Errorf("released after 900 ms: %v", got)
+	}
+	p.SetFresh(true, at(1950))
+	p.SetFresh(false, at(2000))
+	if got := p.Tick(at(2900)); got != nil {
+		t.Errorf("the time before the last fresh moment counts: %v", got)
+	}
+	if diff := cmp.Diff([]Action{Release{l, NotFresh}}, p.Tick(at(3000))); diff != "" {
+		t.Error(diff)
+	}
+	p.Released(l, at(3100))
+	if got := p.Tick(at(20000)); got != nil {
+		t.Errorf("an instance that is not fresh tries for a lane: %v", got)
+	}
+	p.SetFresh(true, at(20000))
+	if diff := cmp.Diff([]Action{Try{l}}, p.Tick(at(20000))); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/database/lane/planner.go
+++ b/internal/database/lane/planner.go
@@ -17,6 +17,7 @@
 	candidates []Candidate
 	entries    []*entry // sorted by lane
 	draining   bool
+	staleSince time.Time // zero while the instance is fresh
 }
 
 // NewPlanner returns a planner for an instance. Random returns numbers in [0,1) for jitter.
@@ -74,6 +75,17 @@
 	}
 }
 
+// SetFresh says whether the instance is fresh. One that stays not fresh admits nothing, and other instances may be unable
+// to reach it: it gives its lanes up, because the servers would otherwise be of no use to anyone.
+func (p *Planner) SetFresh(fresh bool, now time.Time) {
+	switch {
+	case fresh:
+		p.staleSince = time.Time{}
+	case p.staleSince.IsZero():
+		p.staleSince = now
+	}
+}
+
 // Drain makes the planner give up all lanes and try for none.
 func (p *Planner) Drain() { p.draining = true }
 
@@ -111,7 +123,7 @@
 func (p *Planner) Tick(now time.Time) []Action {
 	var out []Action
 	for _, e := range p.entries {
-		reason := p.releaseReason(e.lane)
+		reason := p.releaseReason(e.lane, now)
 		switch {
 		case e.phase == held && reason != "":
 			e.phase = releasing
@@ -124,7 +136,7 @@
 	return out
 }
 
-func (p *Planner) releaseReason(l Lane) ReleaseReason {
+func (p *Planner) releaseReason(l Lane, now time.Time) ReleaseReason {
 	s, ok := p.server(l.Server)
 	switch {
 	case p.draining:
@@ -135,6 +147,8 @@
 		return LaneRemoved
 	case s.Leaving:
 		return ServerLeaving
+	case !p.staleSince.IsZero() && now.Sub(p.staleSince) >= KeepNotFresh:
+		return NotFresh
 	}
 	return ""
 }
--- a/internal/instance/daemon/lanes.go
+++ b/internal/instance/daemon/lanes.go
@@ -19,6 +19,8 @@
 const (
 	laneTick    = 100 * time.Millisecond
 	laneTimeout = 2 * time.Second
+	// staleRelease bounds the wait for open transactions at an instance that is not fresh: it runs no statement of theirs.
+	staleRelease = time.Second
 	// statementsAhead is how many statements a lane sends beyond the slots that it stands for, so that a slot does not
 	// wait for a round trip.
 	statementsAhead = 1
@@ -105,6 +107,7 @@
 	}
 	p.SetServers(servers, now)
 	p.SetCandidates(d.candidates(view.roster))
+	p.SetFresh(d.fleet.Fresh(now), now)
 	if d.draining.Load() {
 		p.Drain()
 	}
@@ -157,7 +160,11 @@
 	case lane.Release:
 		d.log.Info("releasing lane", "server", a.Lane.Server, "lane", a.Lane.Number, "reason", string(a.Reason))
 		d.spawn(func() {
-			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.settings.DrainDeadline)
+			limit := d.settings.DrainDeadline
+			if a.Reason == lane.NotFresh {
+				limit = staleRelease
+			}
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 			defer cancel()
 			d.pool.Release(ctx, a.Lane.Server, a.Lane.Number)
 			d.laneEvents.Put(laneReleased{lane: a.Lane})
--- a/test/scenario/command_holder_test.go
+++ b/test/scenario/command_holder_test.go
@@ -10,13 +10,20 @@
 	"tanagercross/internal/instance/metric"
 )
 
-// commandHolder: holder
+// commandHolder: holder transactions|lanes
 //
-// Sets HOLDER to the instance that holds the open transactions, and OTHER to one that holds none.
-func (f *fleet) commandHolder([]string) error {
+// Sets HOLDER to the instance that holds the open transactions or the lanes, and OTHER to one that holds none.
+func (f *fleet) commandHolder(arguments []string) error {
+	if err := expect(arguments, 1, 1, "holder transactions|lanes"); err != nil {
+		return err
+	}
+	gauge := metric.OpenTransactions
+	if arguments[0] == "lanes" {
+		gauge = metric.LanesHeld
+	}
 	holder, other := "", ""
 	for _, name := range f.runningInstances() {
-		value, err := f.gauge(name, string(metric.OpenTransactions))
+		value, err := f.gauge(name, string(gauge))
 		if err != nil {
 			return err
 		}
