--- a/internal/request/execution/identity.go
+++ b/internal/request/execution/identity.go
@@ -2,27 +2,35 @@
 
 import (
 	"crypto/sha256"
-	"encoding/base64"
 	"encoding/binary"
 	"encoding/hex"
-	"encoding/json"
 	"strings"
 	"time"
 	"unicode"
 
 	"github.com/google/uuid"
-	"github.com/rotisserie/eris"
 
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/session/outcome"
 )
 
-// Bounds of a request id's age. Records live 24 h, so that a younger id cannot have lost its record.
+// Bounds of a request id's age. A record is removed once its id is older than RecordAge. Ids are refused an hour before,
+// which covers the longest deadline and the differences between clocks, so that no accepted id can have lost its record.
 const (
 	RequestIDAge    = 23 * time.Hour
 	RequestIDFuture = 5 * time.Minute
+	RecordAge       = 24 * time.Hour
 )
 
+// OldestRecord returns the id before which records are removed. Ids begin with their time, in milliseconds.
+func OldestRecord(now time.Time) string {
+	var id uuid.UUID
+	var milliseconds [8]byte
+	binary.BigEndian.PutUint64(milliseconds[:], uint64(now.Add(-RecordAge).UnixMilli()))
+	copy(id[:6], milliseconds[2:])
+	return id.String()
+}
+
 // identify checks a request id, or makes one.
 func identify(id string, now time.Time) (string, outcome.Reason) {
 	if id == "" {
@@ -74,32 +82,6 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
-// handle is the content of a caller's transaction id. The holder checks organisation and session against its local id,
-// which is random, so that a changed handle reaches no other transaction.
-type handle struct {
-	Group  string `json:"group"`
-	Server string `json:"server"`
-	Holder string `json:"holder"`
-	Term   uint64 `json:"term"`
-	Local  string `json:"local"`
-}
-
-func (h handle) encode() string {
-	data, err := json.Marshal(h)
-	if err != nil {
-		return ""
-	}
-	return base64.RawURLEncoding.EncodeToString(data)
-}
-
-func parseHandle(id string) (h handle, err error) {
-	data, err := base64.RawURLEncoding.DecodeString(id)
-	if err == nil {
-		err = json.Unmarshal(data, &h)
-	}
-	return h, eris.Wrap(err, "transaction id")
-}
-
 // checkStatement refuses statements that act on the connection instead of the organisation's data. The proxy itself
 // sets the organisation and controls transactions.
 func checkStatement(s driver.Statement) outcome.Reason {
--- a/internal/standin/database/control.go
+++ b/internal/standin/database/control.go
@@ -17,13 +17,13 @@
 
 // Counters is the JSON body of GET /counters.
 type Counters struct {
-	Statements  uint64 `json:"statements"`  // reads and writes of data since the start; no probes and no locks
+	Statements  uint64 `json:"statements"`  // reads and writes of clients since the start; no probes and no locks
 	Connections int    `json:"connections"` // open now
 }
 
 // Counters returns the work since the start.
 func (s *Server) Counters() Counters {
-	return Counters{Statements: s.statements.Load(), Connections: s.sessions()}
+	return Counters{Statements: s.Statements(), Connections: s.sessions()}
 }
 
 // ControlHandler serves GET and PUT /faults and GET /counters in JSON.
