--- a/internal/standin/database/execute.go
+++ b/internal/standin/database/execute.go
@@ -86,6 +86,7 @@
 		return result{}, failure("execute", codeShutdown, "the server is ending")
 	}
 	defer func() { <-s.slots }()
+	s.statements.Add(1)
 	s.sleep(time.Duration(s.serviceTime.Load()))
 	s.faults.frozen.wait(s.ctx.Done())
 	if t != nil {
