--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -13,6 +13,7 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -41,6 +42,10 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
+	if err := trackSources(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
 	build := exec.Command("go", "build", "-o", directory, "./cmd/...")
 	build.Dir = filepath.Join("..", "..")
 	if output, err := build.CombinedOutput(); err != nil {
@@ -51,6 +56,18 @@
 	return m.Run()
 }
 
+// trackSources reads the directories of the programs' sources. The go command keeps a test result until something that
+// the test has opened changes; it does not see what the build below opens, and would show old results for new programs.
+func trackSources() error {
+	for _, directory := range []string{"cmd", "internal"} {
+		err := filepath.WalkDir(filepath.Join("..", "..", directory), func(_ string, _ fs.DirEntry, err error) error { return err })
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // maximumScripts bounds the scripts at the same time: more of them take so much of the machine that the reaction times
 // of the instances are no longer their own.
 var maximumScripts = make(chan struct{}, 8)
