End the processes of a scenario with its test process

Cause: a test that is killed or times out left its daemons and stand-ins running. Change: the kernel ends them with the thread that starts them.

--- a/test/scenario/main_test.go
+++ b/test/scenario/main_test.go
@@ -53,6 +53,7 @@
 		return 1
 	}
 	binaries = directory
+	go serveStarts()
 	return m.Run()
 }
 
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -23,6 +24,17 @@
 	shortPause    = 20 * time.Millisecond
 )
 
+// starts takes the starts of processes. The kernel ends them with the thread that started them, so that a test that is
+// killed or times out leaves none behind; that thread must therefore live as long as the test.
+var starts = make(chan func())
+
+func serveStarts() {
+	runtime.LockOSThread()
+	for start := range starts {
+		start()
+	}
+}
+
 // freeAddress returns a loopback address for a listener.
 func freeAddress() (string, error) {
 	addresses, err := network.FreeAddresses(1)
@@ -55,7 +67,10 @@
 	defer func() { _ = log.Close() }()
 	command := exec.Command(p.path, p.arguments...)
 	command.Stdout, command.Stderr = log, log
-	if err := command.Start(); err != nil {
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	starts <- func() { started <- command.Start() }
+	if err := <-started; err != nil {
 		return eris.Wrap(err, p.name)
 	}
 	ended := make(chan struct{})
