Give up a refused lease round at once

Cause: a candidate noticed that its round was lost only after 1 s and then waited 1 to 2.5 s, so that a home which was given back had no successor for up to 3.5 s. Change: voters' refusals count; a round that can no longer win is given up at once and repeated after 0.4 to 0.8 s.

--- a/internal/fleet/lease/holder.go
+++ b/internal/fleet/lease/holder.go
@@ -23,7 +23,8 @@
 type candidacy struct {
 	round  uint64 // the last one; 0 if none is open
 	sent   time.Time
-	voters []string // of the last round
+	voters []string // that granted the last round
+	denied []string // voters that refused it
 	next   time.Time
 	since  time.Time
 	until  time.Time
@@ -39,6 +40,7 @@
 	rounds      uint64
 	released    []Round
 	majority    int
+	voters      int
 }
 
 // NewHolder returns a holder that wants no shard. The incarnation must differ from those of earlier processes of the
@@ -46,13 +48,16 @@
 func NewHolder(candidate string, incarnation uint64) *Holder {
 	return &Holder{
 		candidate: candidate, incarnation: incarnation,
-		shards: make(map[Shard]*candidacy), epochs: make(map[Shard]uint64), majority: Majority,
+		shards: make(map[Shard]*candidacy), epochs: make(map[Shard]uint64), majority: Majority, voters: Committee,
 	}
 }
 
 // SetVoters sets the number of voters of each committee, for rosters with fewer members than Committee. Voters that are
 // new under a roster abstain, so that the number may change with the roster.
-func (h *Holder) SetVoters(n int) { h.majority = min(max(n, 1), Committee)/2 + 1 }
+func (h *Holder) SetVoters(n int) {
+	h.voters = min(max(n, 1), Committee)
+	h.majority = h.voters/2 + 1
+}
 
 // Want sets the shards to hold. Those that are not wanted any more are given up at once.
 func (h *Holder) Want(now time.Time, shards []Shard) {
@@ -104,7 +109,7 @@
 		}
 		r.Ballot.Shards = append(r.Ballot.Shards, s)
 		c.round, c.sent, c.next = r.Number, now, now.Add(Renewal)
-		c.voters, c.wins = c.voters[:0], false
+		c.voters, c.denied, c.wins = c.voters[:0], c.denied[:0], false
 	}
 	rounds := h.released
 	h.released = nil
@@ -137,6 +142,21 @@
 	}
 }
 
+// Refused takes a voter's refusal of shards of a round. A round that can no longer win is given up at once.
+func (h *Holder) Refused(now time.Time, round uint64, voter string, shards []Shard, random Random) {
+	for _, s := range shards {
+		c := h.shards[s]
+		if c == nil || c.round != round || c.wins || now.Before(c.until) || slices.Contains(c.denied, voter) {
+			continue
+		}
+		c.denied = append(c.denied, voter)
+		if h.voters-len(c.denied) < h.majority {
+			h.release(s)
+			c.round, c.next = 0, now.Add(RetryRefused+time.Duration(random(int64(RetryRefused))))
+		}
+	}
+}
+
 // Held returns since when the shard has been held without a break, and whether it is held now. It must be asked before
 // and after work, because the process may have been paused in between.
 func (h *Holder) Held(now time.Time, s Shard) (time.Time, bool) {
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -38,6 +38,9 @@
 	Majority  = Committee/2 + 1                    // votes that make a lease
 	BackOff   = time.Second                        // shortest wait of a candidate that lost a round
 	Jitter    = time.Second + 500*time.Millisecond // added to it at random
+	// RetryRefused is the wait after a round that voters refused, up to twice as long at random. It is short, so that a
+	// home that is given back finds its successor before callers have waited for long.
+	RetryRefused = 400 * time.Millisecond
 )
 
 // Shard numbers a shard of organisations.
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -117,6 +117,9 @@
 				}
 				if target.incarnation == l.incarnation {
 					target.holder.Granted(local(target, now), l.round, fmt.Sprint(l.to), l.granted)
+					if len(l.granted) == 0 {
+						target.holder.Refused(local(target, now), l.round, fmt.Sprint(l.to), l.ballot.Shards, random.Int64N)
+					}
 				}
 			}
 			letters = kept
--- a/internal/instance/daemon/rates.go
+++ b/internal/instance/daemon/rates.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -142,7 +143,10 @@
 	}
 	d.rates.mu.Lock()
 	defer d.rates.mu.Unlock()
-	d.rates.holder.Granted(d.clock.Now(), number, voter, granted)
+	now := d.clock.Now()
+	d.rates.holder.Granted(now, number, voter, granted)
+	refused := slices.DeleteFunc(slices.Clone(b.Shards), func(s lease.Shard) bool { return slices.Contains(granted, s) })
+	d.rates.holder.Refused(now, number, voter, refused, rand.Int64N)
 }
 
 // vote answers a ballot. An instance that is not fresh may hold an old roster and does not vote. Votes are given back
