--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -114,6 +114,7 @@
 	ctx, d.stop = context.WithCancel(context.WithoutCancel(ctx))
 	loops := []func(context.Context){
 		d.runExchange, d.runPoll, d.runTable, d.runWatches, d.runLanes, d.runLeases, d.runJoin, d.runRemoval,
+		d.runRecords,
 	}
 	for _, loop := range loops {
 		d.spawn(func() { loop(ctx) })
@@ -142,7 +143,9 @@
 		d.store = rest.New(s.PlatformURL.String(), rest.Options{Dial: o.Dial})
 	}
 	if d.connector == nil {
-		d.connector = postgres.Connector{Dial: o.Dial}
+		d.connector = postgres.Connector{
+			Dial: o.Dial, User: s.DatabaseUser, Database: s.DatabaseName, Password: s.DatabaseSecret.Reveal(),
+		}
 	}
 	secrets := make([][]byte, 0, len(s.FleetSecrets))
 	for _, secret := range s.FleetSecrets {
@@ -156,7 +159,7 @@
 	d.rates = rates{holder: lease.NewHolder(s.Name, d.incarnation&(1<<48-1)), voter: lease.NewVoter()}
 	d.fleet = newFleet(exchange.Params{
 		Self: s.Name, Incarnation: d.incarnation, Seed: rand.Uint64(), Check: d.checkChange,
-	}, d.clock.Now)
+	}, s.Place, d.clock.Now)
 	d.fleet.onChange = d.documentsChanged
 	d.fleet.onFault = func(err error) { d.log.Error("document cannot be read", "error", err.Error()) }
 	d.pool = pool.New(d.connector, pool.Options{OnLost: func(h pool.Holding) {
@@ -165,17 +168,19 @@
 	}})
 	d.engine = execution.New(execution.Ports{
 		Keys: keys{d}, Freshness: d.fleet, Rates: allotment.NewLimiter(d, d.rateOf, allotment.Options{}),
-		Configuration: versions{d}, Tokens: tokens{signer}, Router: router{d}, Performer: performer{d},
-		Clock: wall{d.clock}, Counter: counter{d.metric},
+		Configuration: versions{d}, Signer: signer, Groups: groups{d}, Performer: performer{d},
+		Clock: wall{d.clock}, Counter: counter{d.metric}, Place: s.Place,
 	}, execution.Options{})
-	d.callers = &serving{server: api.New(executor{d}, api.Options{
+	callers := api.New(executor{d}, api.Options{
 		Log: d.log, Metric: d.metric, ReadTimeout: s.ReadTimeout, WriteTimeout: s.WriteTimeout,
 		IdleTimeout: s.IdleTimeout, MaxConnections: s.MaxConnections,
-	})}
+	})
+	d.callers = &serving{server: callers}
+	d.metric.Collect(d.gauges(callers.OpenConnections))
 	d.operators = &serving{server: operator.NewServer(control{d}, operator.Options{
 		Secret: s.OperatorSecret.Reveal(), Log: d.log, Metrics: d.metric.Handler(),
 	})}
-	d.peers = &serving{server: peerServer{peer.NewServer(peer.NewHandler(secrets[0], services{d}))}}
+	d.peers = &serving{server: peerServer{peer.NewServer(peer.NewHandler(secrets[0], services{d}, secrets[1:]...))}}
 	return d, nil
 }
 
@@ -184,16 +189,13 @@
 	d.metric.Version(metric.RosterVersion, after.roster.Version())
 	d.metric.Version(metric.ConfigurationVersion, after.configurationVersion)
 	d.metric.Version(metric.KeysVersion, after.keysVersion)
+	d.metric.Version(metric.GroupsVersion, after.groupsVersion)
 	if after.roster.Version() != before.roster.Version() {
 		d.liveness.retain(func(name string) bool { _, ok := after.roster.Index(name); return ok })
 	}
 	if after.groupsVersion != before.groupsVersion {
 		d.tableEvents.Put(listed{groups: after.groups})
-		for _, g := range after.groups {
-			for _, s := range g.Servers {
-				d.pool.SetLeaving(s.Name, s.Leaving)
-			}
-		}
+		d.presentServers(after)
 	}
 	if after.keysVersion != before.keysVersion {
 		d.endWithdrawn(after)
--- a/internal/instance/daemon/fleet.go
+++ b/internal/instance/daemon/fleet.go
@@ -26,9 +26,14 @@
 	configurationVersion uint64
 	keys                 key.Table
 	keysVersion          uint64
+	organisations        []string // that have had a key, sorted
 	groups               []store.Group
 	groupOf              map[string]string // by server
 	groupsVersion        uint64
+
+	values      configuration.Resolved // in force
+	valuesUntil time.Time              // when the next exception ends; zero if none does
+	holders     laneHolders
 }
 
 // fleet guards the exchange state and publishes snapshots of it.
@@ -36,15 +41,20 @@
 	mu        sync.Mutex
 	state     *exchange.State
 	now       func() time.Time
+	self      string // name of this instance
+	place     string
 	published atomic.Pointer[snapshot]
 	// onChange is called with the lock held after each change of a document.
 	onChange func(before, after *snapshot)
 	onFault  func(err error)
 }
 
-func newFleet(p exchange.Params, now func() time.Time) *fleet {
-	f := &fleet{state: exchange.New(p, now()), now: now, onChange: func(_, _ *snapshot) {}, onFault: func(error) {}}
-	f.published.Store(&snapshot{ranking: newRanking(roster.Roster{})})
+func newFleet(p exchange.Params, place string, now func() time.Time) *fleet {
+	f := &fleet{
+		state: exchange.New(p, now()), now: now, self: p.Self, place: place,
+		onChange: func(_, _ *snapshot) {}, onFault: func(error) {},
+	}
+	f.published.Store(&snapshot{values: configuration.Document{}.Resolve(), ranking: newRanking(roster.Roster{})})
 	return f
 }
 
@@ -79,6 +89,7 @@
 		after.members = f.state.Members()
 	}
 	changed := f.decode(&after)
+	after.derive(before, f.self, f.place, now)
 	f.published.Store(&after)
 	if changed || after.roster.Version() != before.roster.Version() {
 		f.onChange(before, &after)
@@ -106,6 +117,7 @@
 	})
 	take(document.Keys, &s.keysVersion, func(content []byte) (err error) {
 		s.keys, err = key.ParseTable(content)
+		s.organisations = organisationsOf(s.keys)
 		return err
 	})
 	take(document.Groups, &s.groupsVersion, func(content []byte) (err error) {
--- a/internal/instance/daemon/fleet_test.go
+++ b/internal/instance/daemon/fleet_test.go
@@ -15,7 +15,7 @@
 func newTestFleet(tb testing.TB, n, groups int) (*fleet, time.Time) {
 	tb.Helper()
 	now := time.Now()
-	f := newFleet(exchange.Params{Self: "i-0000", Incarnation: 1}, func() time.Time { return now })
+	f := newFleet(exchange.Params{Self: "i-0000", Incarnation: 1}, "agreste", func() time.Time { return now })
 	var members []roster.Member
 	var states []exchange.MemberState
 	for i := range n {
--- a/internal/instance/daemon/lanes.go
+++ b/internal/instance/daemon/lanes.go
@@ -43,6 +43,7 @@
 type lanePlan struct {
 	planner *lane.Planner
 	groups  uint64 // version of the group list
+	leaving bool   // whether a server of the list is leaving
 	servers map[string]driver.Server
 	// The changes of roster, members and liveness that the candidates and the lanes taken were read at.
 	roster, members, liveness uint64
@@ -119,15 +120,13 @@
 
 // updatePlan tells the planner what is new.
 func (d *Daemon) updatePlan(p *lanePlan, view *snapshot, now time.Time) {
-	listed := view.groupsVersion != p.groups
+	// While a server leaves, its treatment also depends on which server is primary.
+	listed := view.groupsVersion != p.groups || p.leaving
 	if listed {
-		p.groups, p.servers = view.groupsVersion, map[string]driver.Server{}
-		var servers []driver.Server
-		for _, g := range view.groups {
-			for _, s := range g.Servers {
-				servers = append(servers, s)
-				p.servers[s.Name] = s
-			}
+		servers := d.presentServers(view)
+		p.groups, p.leaving, p.servers = view.groupsVersion, anyLeaving(view), map[string]driver.Server{}
+		for _, s := range servers {
+			p.servers[s.Name] = s
 		}
 		p.planner.SetServers(servers, now)
 	}
@@ -148,6 +147,41 @@
 	p.roster, p.members, p.liveness = view.rosterChange, view.membersChange, alive
 }
 
+func anyLeaving(view *snapshot) bool {
+	for _, g := range view.groups {
+		for _, s := range g.Servers {
+			if s.Leaving {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// presentServers tells the pool which servers leave and returns all servers for the planner. A leaving primary keeps its
+// lanes until it is replaced, because only a change of primary moves writes to another server.
+func (d *Daemon) presentServers(view *snapshot) []driver.Server {
+	var servers []driver.Server
+	presences := pool.Presences{}
+	for _, g := range view.groups {
+		primary := ""
+		if state, ok := d.table.View().Group(g.Name); ok {
+			primary = state.Primary
+		}
+		for _, s := range g.Servers {
+			switch {
+			case s.Leaving && s.Name == primary:
+				presences[s.Name], s.Leaving = pool.Retiring, false
+			case s.Leaving:
+				presences[s.Name] = pool.Leaving
+			}
+			servers = append(servers, s)
+		}
+	}
+	d.pool.SetPresences(presences)
+	return servers
+}
+
 // candidates returns the members that are not leaving and that answered lately.
 func (d *Daemon) candidates(r roster.Roster) []lane.Candidate {
 	var candidates []lane.Candidate
--- a/internal/standin/database/server.go
+++ b/internal/standin/database/server.go
@@ -31,6 +31,7 @@
 	stopping    atomic.Bool
 	serviceTime atomic.Int64
 	lag         atomic.Int64
+	statements  atomic.Uint64 // reads and writes of data
 
 	mu            sync.Mutex
 	log           *logFile
@@ -40,6 +41,7 @@
 	organisations map[string]*organisation
 	generation    uint64 // counts rebuilds of the SQLite files
 	transactions  map[*transaction]struct{}
+	demotions     uint64 // promises that were taken; each ends what was open
 	followers     map[string]*follower
 	replicated    uint64
 	changed       chan struct{} // closed and replaced when the role or the replicated index changes
@@ -190,6 +192,9 @@
 	s.cancel()
 }
 
+// Statements returns how many reads and writes of clients the server has run.
+func (s *Server) Statements() uint64 { return s.statements.Load() }
+
 // Dump runs a read on an organisation's committed state and returns its rows; NULL is "NULL".
 func (s *Server) Dump(organisation, sql string) ([][]string, error) {
 	store, _, err := s.organisation(organisation)
