--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -7,7 +7,7 @@
 //	conn, err := n.Dialer("sertao")(ctx, "tcp", "127.0.0.1:5432")
 //
 // Bytes keep their order. A cut holds bytes back in both directions until it ends, as lost packets do; new connections
-// wait for its end or for the end of their context.
+// wait for its end or for the end of their context. A place that is down has lost its connections and refuses new ones.
 package network
 
 import (
@@ -29,6 +29,9 @@
 	places  map[string]string
 	cuts    map[[2]string]chan struct{} // closed when the cut ends
 	tap     Tap
+	down    map[string]bool
+	conns   map[*conn]struct{}
+	traffic map[[2]string]Traffic
 }
 
 // Tap sees the bytes that are sent to an address.
@@ -43,7 +46,10 @@
 
 // New returns a network without addresses.
 func New(latency Latency) *Network {
-	return &Network{latency: latency, places: map[string]string{}, cuts: map[[2]string]chan struct{}{}}
+	return &Network{
+		latency: latency, places: map[string]string{}, cuts: map[[2]string]chan struct{}{}, down: map[string]bool{},
+		conns: map[*conn]struct{}{}, traffic: map[[2]string]Traffic{},
+	}
 }
 
 // Register says in which place an address is.
@@ -95,12 +101,19 @@
 		if err := n.handshake(ctx, from, to); err != nil {
 			return nil, err
 		}
+		if n.isDown(from) || n.isDown(to) {
+			return nil, refusal(network)
+		}
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, eris.Wrap(err, "dial")
 		}
 		delayed := newConn(conn, n, from, to)
 		delayed.address, delayed.tap = address, tap
+		if !n.track(delayed) {
+			_ = delayed.Close()
+			return nil, refusal(network)
+		}
 		return delayed, nil
 	}
 }
