Give lanes up when an instance is not fresh

Cause: an instance that was cut off from its peers and the platform kept its lanes as long as it reached the databases. After the freshness bound its own callers could not use them and its peers could not reach them, so that a server of which it held all lanes was out of use until the end of the cut. The cuts of the fleet tests had no effect since the places of the network became the names of the instances. Change: an instance that is not fresh for 2 s releases its lanes and tries for none until it is fresh again; the tests use the faults of the deployment.

--- a/internal/database/lane/lane.go
+++ b/internal/database/lane/lane.go
@@ -143,6 +143,7 @@
 	ServerRemoved ReleaseReason = "server_removed"
 	LaneRemoved   ReleaseReason = "lane_removed" // the server's limits now allow fewer lanes
 	Draining      ReleaseReason = "draining"
+	NotFresh      ReleaseReason = "not_fresh" // the instance may not serve, and others cannot reach its lanes
 )
 
 type phase int
--- a/internal/database/lane/lane_test.go
+++ b/internal/database/lane/lane_test.go
@@ -142,6 +142,28 @@
 	}
 }
 
+// Guards against lanes that stay with an instance which may not serve and which its peers cannot reach, so that nobody can
+// use them.
+func TestSuspend(t *testing.T) {
+	p := NewPlanner(Candidate{Instance: "i", Place: "p"}, weight, func() float64 { return 0 })
+	p.SetServers([]driver.Server{{Name: "s", Place: "p", Slots: 1, ConnectionLimit: 35}}, at(0))
+	l := Lane{Server: "s"}
+	p.Tick(at(0))
+	p.Acquired(l)
+	p.Suspend(true, at(1))
+	if diff := cmp.Diff([]Action{Release{l, NotFresh}}, p.Tick(at(1))); diff != "" {
+		t.Error(diff)
+	}
+	p.Released(l, at(2))
+	if got := p.Tick(at(10_000)); got != nil {
+		t.Errorf("the planner tries while suspended: %v", got)
+	}
+	p.Suspend(false, at(10_000))
+	if diff := cmp.Diff([]Action{Try{l}}, p.Tick(at(10_000))); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Guards against an estimated rank that is far from the counted one, or below NearRanks although counting is due.
 func TestEstimatedRank(t *testing.T) {
 	var candidates []Candidate
--- a/internal/database/lane/planner.go
+++ b/internal/database/lane/planner.go
@@ -17,6 +17,7 @@
 	field      field
 	entries    []*entry // sorted by lane
 	draining   bool
+	suspended  bool
 }
 
 // NewPlanner returns a planner for an instance. Random returns numbers in [0,1) for jitter.
@@ -96,6 +97,18 @@
 // Drain makes the planner give up all lanes and try for none.
 func (p *Planner) Drain() { p.draining = true }
 
+// Suspend makes the planner give up all lanes and try for none, or start again by rank.
+func (p *Planner) Suspend(suspended bool, now time.Time) {
+	if p.suspended && !suspended {
+		for _, e := range p.entries {
+			if e.phase == waiting {
+				p.schedule(e, now)
+			}
+		}
+	}
+	p.suspended = suspended
+}
+
 // Acquired reports that an attempt took the lane.
 func (p *Planner) Acquired(l Lane) {
 	if e := p.find(l); e != nil {
@@ -147,6 +160,8 @@
 	switch {
 	case p.draining:
 		return Draining
+	case p.suspended:
+		return NotFresh
 	case e.gone != "":
 		return e.gone
 	case e.server.Leaving:
--- a/internal/instance/daemon/lanes.go
+++ b/internal/instance/daemon/lanes.go
@@ -22,6 +22,9 @@
 	// statementsAhead is how many statements a lane sends beyond the slots that it stands for, so that a slot does not
 	// wait for a round trip.
 	statementsAhead = 1
+	// suspendAfter is how long an instance is not fresh before it gives its lanes up. It is longer than a slow poll, since
+	// taking lanes again takes new connections.
+	suspendAfter = 2 * time.Second
 )
 
 type laneEvent interface{ laneEvent() }
@@ -113,6 +116,9 @@
 	if d.draining.Load() {
 		p.planner.Drain()
 	}
+	// An instance that is cut off from its peers keeps its lanes as long as it reaches the servers, but neither its peers
+	// nor, once it is not fresh, its own callers can use them.
+	p.planner.Suspend(now.Sub(view.deadline) > suspendAfter, now)
 	for _, a := range p.planner.Tick(now) {
 		d.performLane(ctx, a, p.servers)
 	}
--- a/internal/tool/deployment/deployment.go
+++ b/internal/tool/deployment/deployment.go
@@ -122,7 +122,7 @@
 			if err != nil {
 				return err
 			}
-			place := d.profile.databasePlace(i)
+			place := d.profile.Places[i%len(d.profile.Places)]
 			d.Databases = append(d.Databases, &Database{Server: s, Config: c, Group: group, Place: place})
 			d.Network.Register(s.Addr(), place)
 		}
--- a/internal/tool/deployment/profile.go
+++ b/internal/tool/deployment/profile.go
@@ -11,7 +11,6 @@
 	Name            string
 	GroupName       string
 	Places          []string
-	DatabasePlaces  []string // of the servers of each group in turn; nil means Places
 	Groups          int
 	Instances       int
 	Slots           int
@@ -65,23 +64,6 @@
 	return p
 }
 
-// WithPlaces returns a profile whose instances are spread over other places in turn; the databases stay where they are.
-func (p Profile) WithPlaces(places ...string) Profile {
-	if p.DatabasePlaces == nil {
-		p.DatabasePlaces = p.Places
-	}
-	p.Places = places
-	return p
-}
-
-func (p Profile) databasePlace(server int) string {
-	places := p.DatabasePlaces
-	if places == nil {
-		places = p.Places
-	}
-	return places[server%len(places)]
-}
-
 // WithLag returns a profile whose replicas lag by a time.
 func (p Profile) WithLag(d time.Duration) Profile {
 	p.Lag = d
--- a/test/fleet/fleet_test.go
+++ b/test/fleet/fleet_test.go
@@ -78,23 +78,18 @@
 	return bytes.Contains(b.data.Bytes(), []byte(text))
 }
 
-// start starts a fleet with one place for each instance, apart from those of the databases, so that each can be cut off
-// from its peers and the platform alone.
+// start starts a fleet of one group. Each instance can be cut off from its peers and the platform alone.
 func start(t *testing.T, instances, organisations int) *fleet {
 	t.Helper()
 	t.Parallel()
 	p := deployment.Mutirao().WithInstances(instances).WithGroups(1).WithLag(20 * time.Millisecond)
 	p.Organisations = p.Organisations[:organisations]
-	var places []string
-	for i := range instances {
-		places = append(places, placeOf(i))
-	}
 	f := &fleet{t: t}
 	ctx, cancel := context.WithTimeout(t.Context(), warmUp)
 	defer cancel()
 	log := slog.New(slog.NewJSONHandler(&f.logged, &slog.HandlerOptions{Level: slog.LevelDebug}))
 	var err error
-	if f.Deployment, err = deployment.Start(context.Background(), p.WithPlaces(places...), log); err != nil {
+	if f.Deployment, err = deployment.Start(context.Background(), p, log); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(f.Stop)
@@ -117,47 +112,18 @@
 	return f
 }
 
-func placeOf(instance int) string { return "place-" + strconv.Itoa(instance) }
-
-func databasePlaces() []string { return deployment.Mutirao().Places }
-
-// cut cuts an instance from places, or ends the cut.
-func (f *fleet) cut(instance int, cut bool, places ...string) {
-	for _, p := range places {
-		f.Network.SetCut(placeOf(instance), p, cut)
-	}
-}
-
 // isolate cuts an instance from its peers and the platform, but not from its callers and the databases.
-func (f *fleet) isolate(instance int, cut bool) {
-	for i := range f.Instances {
-		if i != instance {
-			f.cut(instance, cut, placeOf(i))
-		}
-	}
-	f.cut(instance, cut, deployment.PlatformPlace)
-}
+func (f *fleet) isolate(instance int, cut bool) { f.SetInstanceCut(instance, cut) }
 
-// kill takes an instance away without a drain: nothing it sends arrives any more.
-func (f *fleet) kill(instance int) {
-	rest := append(databasePlaces(), deployment.CallersPlace)
-	f.isolate(instance, true)
-	f.cut(instance, true, rest...)
-	ended, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = f.Instances[instance].Stop(ended)
-	f.isolate(instance, false)
-	f.cut(instance, false, rest...)
-}
+// kill takes an instance away without a drain, as its death does.
+func (f *fleet) kill(instance int) { f.KillInstances(instance) }
 
 // restart starts a new process of a stopped instance.
 func (f *fleet) restart(instance int) {
 	f.t.Helper()
-	started, err := f.StartInstance(context.Background(), instance)
-	if err != nil {
+	if err := f.RestartInstance(context.Background(), instance); err != nil {
 		f.t.Fatal(err)
 	}
-	f.Instances[instance] = started
 }
 
 func (f *fleet) load(organisations []string, d time.Duration, rate float64) load.Options {
--- a/test/fleet/operation_test.go
+++ b/test/fleet/operation_test.go
@@ -56,7 +56,7 @@
 // shutDown drains an instance and starts it again.
 func (f *fleet) shutDown(instance int, again bool) {
 	f.t.Helper()
-	if err := f.Instances[instance].Stop(f.t.Context()); err != nil {
+	if err := f.StopInstance(f.t.Context(), instance); err != nil {
 		f.t.Errorf("shutdown of instance %d: %v", instance, err)
 	}
 	if again {
