--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -17,6 +17,7 @@
 //	for _, round := range holder.Tick(now, rand.Int64N) {
 //		// send round.Ballot with the roster's version to the committees of its shards; on each answer:
 //		holder.Granted(time.Now(), round.Number, "i1", granted)
+//		holder.Refused(time.Now(), round.Number, "i1", refused, rand.Int64N)
 //	}
 //	if since, ok := holder.Held(now, shard); ok {
 //		// this instance is the home of the shard since then
