--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -17,6 +17,7 @@
 //	for _, round := range holder.Tick(now, rand.Int64N) {
 //		// send round.Ballot with the roster's version to the committees of its shards; on each answer:
 //		holder.Granted(time.Now(), round.Number, "i1", granted)
+//		holder.Refused(time.Now(), round.Number, "i1", refused, rand.Int64N)
 //	}
 //	if since, ok := holder.Held(now, shard); ok {
 //		// this instance is the home of the shard since then
@@ -38,6 +39,9 @@
 	Majority  = Committee/2 + 1                    // votes that make a lease
 	BackOff   = time.Second                        // shortest wait of a candidate that lost a round
 	Jitter    = time.Second + 500*time.Millisecond // added to it at random
+	// RetryRefused is the wait after a round that voters refused, up to twice as long at random. It is short, so that a
+	// home that is given back finds its successor before callers have waited for long.
+	RetryRefused = 400 * time.Millisecond
 )
 
 // Shard numbers a shard of organisations.
