Show the age of the store in an outage too

Cause: in a trial of a store outage status showed the store age -1, because the age vector reports only ages below the freshness bound; the gauge disappeared just when it is looked for.

Change: StoreAge reads the entry whatever its age.

Result: TestKnownAge.

--- a/internal/fleet/exchange/poll.go
+++ b/internal/fleet/exchange/poll.go
@@ -84,7 +84,7 @@
 // Pollers returns the members that poll the store all the time.
 func Pollers(r roster.Roster) []roster.Member { return r.Pollers(pollers) }
 
-// StoreAge returns the age of the store entry; it is false if there is none.
+// StoreAge returns the age of the store entry, also in a long outage; it is false if there is none.
 func (s *State) StoreAge(now time.Time) (time.Duration, bool) {
-	return s.ages.Age(freshness.StoreName, now)
+	return s.ages.KnownAge(freshness.StoreName, now)
 }
--- a/internal/fleet/freshness/vector.go
+++ b/internal/fleet/freshness/vector.go
@@ -127,6 +127,12 @@
 	return age, ok && age < Bound
 }
 
+// KnownAge returns how old an entry is, however old, and false if there is none.
+func (v *Vector) KnownAge(name string, now time.Time) (time.Duration, bool) {
+	t, ok := v.at(name, now)
+	return now.Sub(t), ok
+}
+
 // Deadline returns the moment from which the instance is no longer fresh with what it has merged by now. An instance
 // outside the roster is never fresh, because changes are not confirmed by it.
 func (v *Vector) Deadline(r roster.Roster, now time.Time) time.Time {
--- a/internal/fleet/freshness/vector_test.go
+++ b/internal/fleet/freshness/vector_test.go
@@ -88,3 +88,17 @@
 		t.Error("not fresh with the store as of the join")
 	}
 }
+
+// Guards against an age of the store that disappears in an outage, when operators look for it.
+func TestKnownAge(t *testing.T) {
+	v := freshness.New("a", time.Unix(1000, 0))
+	v.Store(time.Unix(1000, 0))
+	now := time.Unix(1000, 0).Add(time.Hour)
+	age, known := v.KnownAge(freshness.StoreName, now)
+	if _, young := v.Age(freshness.StoreName, now); age != time.Hour || !known || young {
+		t.Errorf("age %v, known %t, young %t", age, known, young)
+	}
+	if _, known := v.KnownAge("b", now); known {
+		t.Error("the age of an unknown member is known")
+	}
+}
