Give the gauge of open transactions without a label

Cause: the scenario instance_killed_in_transaction reads tanagercross_open_transactions as a total and found no such series at an instance without lanes.

Change: the gauge is the total over the lanes held and is always served.

--- a/internal/instance/daemon/gauges.go
+++ b/internal/instance/daemon/gauges.go
@@ -18,7 +18,9 @@
 		if age, ok := d.storeAge(d.clock.Now()); ok {
 			emit(metric.StoreAge, age.Seconds())
 		}
+		transactions := 0
 		for _, u := range d.pool.Usage() {
+			transactions += u.Transactions
 			server := metric.Label{Name: "server", Value: u.Server}
 			emit(metric.LanesHeld, float64(u.Lanes), server)
 			emit(metric.PoolConnections, float64(u.Connections), server)
@@ -26,8 +28,8 @@
 			emit(metric.PoolInFlight, float64(u.InFlight), server)
 			emit(metric.QueueLength, float64(u.Queued), server)
 			emit(metric.QueueOldest, u.Oldest.Seconds(), server)
-			emit(metric.OpenTransactions, float64(u.Transactions), server)
 		}
+		emit(metric.OpenTransactions, float64(transactions))
 	}
 }
 
