--- a/internal/database/lane/planner.go
+++ b/internal/database/lane/planner.go
@@ -17,6 +17,7 @@
 	field      field
 	entries    []*entry // sorted by lane
 	draining   bool
+	staleSince time.Time // zero while the instance is fresh
 }
 
 // NewPlanner returns a planner for an instance. Random returns numbers in [0,1) for jitter.
@@ -93,6 +94,17 @@
 	}
 }
 
+// SetFresh says whether the instance is fresh. One that stays not fresh admits nothing, and other instances may be unable
+// to reach it: it gives its lanes up, because the servers would otherwise be of no use to anyone.
+func (p *Planner) SetFresh(fresh bool, now time.Time) {
+	switch {
+	case fresh:
+		p.staleSince = time.Time{}
+	case p.staleSince.IsZero():
+		p.staleSince = now
+	}
+}
+
 // Drain makes the planner give up all lanes and try for none.
 func (p *Planner) Drain() { p.draining = true }
 
@@ -130,7 +142,7 @@
 func (p *Planner) Tick(now time.Time) []Action {
 	var out []Action
 	for _, e := range p.entries {
-		reason := p.releaseReason(e)
+		reason := p.releaseReason(e, now)
 		switch {
 		case e.phase == held && reason != "":
 			e.phase = releasing
@@ -143,7 +155,7 @@
 	return out
 }
 
-func (p *Planner) releaseReason(e *entry) ReleaseReason {
+func (p *Planner) releaseReason(e *entry, now time.Time) ReleaseReason {
 	switch {
 	case p.draining:
 		return Draining
@@ -151,6 +163,8 @@
 		return e.gone
 	case e.server.Leaving:
 		return ServerLeaving
+	case !p.staleSince.IsZero() && now.Sub(p.staleSince) >= KeepNotFresh:
+		return NotFresh
 	}
 	return ""
 }
--- a/internal/instance/daemon/lanes.go
+++ b/internal/instance/daemon/lanes.go
@@ -19,6 +19,8 @@
 const (
 	laneTick    = 100 * time.Millisecond
 	laneTimeout = 2 * time.Second
+	// staleRelease bounds the wait for open transactions at an instance that is not fresh: it runs no statement of theirs.
+	staleRelease = time.Second
 	// statementsAhead is how many statements a lane sends beyond the slots that it stands for, so that a slot does not
 	// wait for a round trip.
 	statementsAhead = 1
@@ -109,6 +111,7 @@
 	if _, listed := view.roster.Member(d.settings.Name); !listed {
 		return // without a roster every instance would rank first for every lane
 	}
+	p.planner.SetFresh(d.fleet.Fresh(now), now)
 	d.updatePlan(p, view, now)
 	if d.draining.Load() {
 		p.planner.Drain()
@@ -216,7 +219,11 @@
 	case lane.Release:
 		d.log.Info("releasing lane", "server", a.Lane.Server, "lane", a.Lane.Number, "reason", string(a.Reason))
 		d.spawn(func() {
-			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.settings.DrainDeadline)
+			limit := d.settings.DrainDeadline
+			if a.Reason == lane.NotFresh {
+				limit = staleRelease
+			}
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 			defer cancel()
 			d.pool.Release(ctx, a.Lane.Server, a.Lane.Number)
 			d.laneEvents.Put(laneReleased{lane: a.Lane})
--- a/test/scenario/command_holder_test.go
+++ b/test/scenario/command_holder_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -10,17 +11,24 @@
 	"tanagercross/internal/instance/metric"
 )
 
-// commandHolder: holder
+// commandHolder: holder transactions|lanes
 //
-// Sets HOLDER to the instance that holds the open transactions, and OTHER to one that holds none.
-func (f *fleet) commandHolder([]string) error {
+// Sets HOLDER to the instance that holds the open transactions or the lanes, and OTHER to one that holds none.
+func (f *fleet) commandHolder(arguments []string) error {
+	if err := expect(arguments, 1, 1, "holder transactions|lanes"); err != nil {
+		return err
+	}
+	gauge := metric.OpenTransactions
+	if arguments[0] == "lanes" {
+		gauge = metric.LanesHeld
+	}
 	holder, other := "", ""
 	for _, name := range f.runningInstances() {
-		value, err := f.gauge(name, string(metric.OpenTransactions))
+		value, err := f.gauge(name, string(gauge))
 		if err != nil {
 			return err
 		}
-		if value != "0" {
+		if value > 0 {
 			holder = name
 		} else {
 			other = name
@@ -34,22 +42,29 @@
 	return nil
 }
 
-// gauge reads a metric without labels.
-func (f *fleet) gauge(instance, name string) (string, error) {
+// gauge sums the series of a metric over the servers. An instance has series only for servers whose lanes it holds.
+func (f *fleet) gauge(instance, name string) (float64, error) {
 	r, err := http.NewRequest(http.MethodGet, "http://"+f.instances[instance].operators+"/metrics", nil)
 	if err != nil {
-		return "", eris.Wrap(err, "metrics")
+		return 0, eris.Wrap(err, "metrics")
 	}
 	r.Header.Set("Authorization", "Bearer "+f.secret)
 	w, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return "", eris.Wrap(err, "metrics")
+		return 0, eris.Wrap(err, "metrics")
 	}
 	defer func() { _ = w.Body.Close() }()
+	sum := 0.0
 	for lines := bufio.NewScanner(w.Body); lines.Scan(); {
-		if value, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
-			return value, nil
+		series, value, _ := strings.Cut(lines.Text(), " ")
+		if before, _, _ := strings.Cut(series, "{"); before != name {
+			continue
+		}
+		n, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return 0, eris.Wrap(err, series)
 		}
+		sum += n
 	}
-	return "", eris.Errorf("%s has no metric %s", instance, name)
+	return sum, nil
 }
