Make the scenario language a tool package

Change: internal/tool/scenario holds processes, links and commands; test/scenario keeps the tests and the scripts.

--- a/test/scenario/socket_owner_test.go
+++ b/internal/tool/scenario/socket_test.go
@@ -1,4 +1,4 @@
-package scenario_test
+package scenario
 
 import (
 	"net"
--- a/test/scenario/gap_test.go
+++ b/test/scenario/gap_test.go
@@ -5,9 +5,10 @@
 	"os"
 	"slices"
 	"strconv"
-	"syscall"
 	"testing"
 	"time"
+
+	"tanagercross/internal/tool/scenario"
 )
 
 const (
@@ -15,8 +16,6 @@
 	maximumGap   = 4 * time.Second // target of docs/design.md
 	medianGap    = 2 * time.Second // target of docs/design.md
 	medianRuns   = 5               // fewer runs give no median that could be judged
-	steadyTime   = 2 * time.Second
-	afterFailure = 8 * time.Second
 )
 
 // gaps is the result of all runs.
@@ -75,32 +74,7 @@
 // run kills the primary of a fresh fleet under load.
 func (g *gaps) run(t *testing.T) {
 	t.Helper()
-	f, err := newFleet(t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
-	f.logf = t.Logf
-	defer f.close()
-	if err := f.commandFleet([]string{"start"}); err != nil {
-		_ = f.commandDump(nil)
-		t.Fatal(err)
-	}
-	f.startLoad(loadShape{rate: 20, sessions: 8, writes: 0.5, transactions: 0.2})
-	time.Sleep(steadyTime)
-	primary, _ := f.primary()
-	p, err := f.process(primary)
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = f.commandFailure(nil)
-	if err := p.signal(syscall.SIGKILL); err != nil {
-		t.Fatal(err)
-	}
-	time.Sleep(afterFailure)
-	if err := f.stopLoad(-1); err != nil {
-		t.Fatal(err)
-	}
-	r, err := f.report()
+	r, err := scenario.KillPrimary(t.TempDir(), t.Logf)
 	if err != nil {
 		t.Fatal(err)
 	}
