Apply all values of the configuration and drop the setting peers

Cause: max_answer_bytes, replica_wait_ms, the limits of transactions and queue_length were checked and spread but had no effect, and weight reached only the lanes held when it arrived. The size of a statement was checked before the session's configuration version was reached, so that a roaming caller could meet an older limit. Change: queues ask for an organisation's weight and bound, transactions for their limits, the entry path for the limits of statements, answers and the wait for a replica after the session's version is reached.

--- a/internal/database/driver/driver.go
+++ b/internal/database/driver/driver.go
@@ -87,6 +87,22 @@
 	Truncated    bool     // the stored record did not keep the rows
 }
 
+// Size returns the bytes of the column names and values.
+func (r Result) Size() int64 {
+	var size int64
+	for _, name := range r.Columns {
+		size += int64(len(name))
+	}
+	for _, row := range r.Rows {
+		for _, value := range row {
+			if value != nil {
+				size += int64(len(*value))
+			}
+		}
+	}
+	return size
+}
+
 // Record identifies a write for at-most-once execution.
 type Record struct {
 	RequestID   string
--- a/internal/database/pool/options.go
+++ b/internal/database/pool/options.go
@@ -38,7 +38,9 @@
 	AwaitMargin      time.Duration // time left of the deadline for the reply
 	TransactionIdle  time.Duration
 	TransactionTotal time.Duration
-	EndingsKept      time.Duration // how long the end of a transaction is remembered
+	// TransactionLimits returns the limits in force for an organisation; nil means TransactionIdle and TransactionTotal.
+	TransactionLimits func(organisation string) (idle, total time.Duration)
+	EndingsKept       time.Duration // how long the end of a transaction is remembered
 	// OnLost is called in its own goroutine when a lane is lost, but not when it is released.
 	OnLost func(Holding)
 }
@@ -63,6 +65,10 @@
 	if o.Ready <= 0 {
 		o.Ready = DefaultReady
 	}
+	if o.TransactionLimits == nil {
+		idle, total := o.TransactionIdle, o.TransactionTotal
+		o.TransactionLimits = func(string) (time.Duration, time.Duration) { return idle, total }
+	}
 	if o.OnLost == nil {
 		o.OnLost = func(Holding) {}
 	}
--- a/internal/database/pool/pool.go
+++ b/internal/database/pool/pool.go
@@ -177,15 +177,6 @@
 	p.presences = all
 }
 
-// SetWeight sets an organisation's weight on all lanes that are held now.
-func (p *Pool) SetWeight(organisation string, weight int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, l := range p.lanes {
-		l.scheduler.SetWeight(organisation, weight)
-	}
-}
-
 // Held lists the lanes that are held.
 func (p *Pool) Held() []Holding {
 	p.mu.Lock()
--- a/internal/database/pool/transaction.go
+++ b/internal/database/pool/transaction.go
@@ -201,11 +201,11 @@
 }
 
 func (t *transaction) expired(now time.Time) bool {
-	o := t.lane.pool.options
+	idle, total := t.lane.pool.options.TransactionLimits(t.organisation)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.state != opened {
 		return false
 	}
-	return now.Sub(t.started) >= o.TransactionTotal || (!t.busy && now.Sub(t.used) >= o.TransactionIdle)
+	return now.Sub(t.started) >= total || (!t.busy && now.Sub(t.used) >= idle)
 }
--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -163,7 +163,9 @@
 	}, s.Place, d.clock.Now)
 	d.fleet.onChange = d.documentsChanged
 	d.fleet.onFault = func(err error) { d.log.Error("document cannot be read", "error", err.Error()) }
-	d.pool = pool.New(d.connector, pool.Options{Fairness: fairness.Options{Ahead: statementsAhead}, OnLost: func(h pool.Holding) {
+	d.pool = pool.New(d.connector, pool.Options{Fairness: fairness.Options{
+		Ahead: statementsAhead, Share: d.shareOf,
+	}, TransactionLimits: d.transactionLimits, OnLost: func(h pool.Holding) {
 		d.log.Warn("lane lost", "server", h.Server, "lane", h.Lane)
 		d.laneEvents.Put(laneLost{lane: lane.Lane{Server: h.Server, Number: h.Lane}})
 	}})
@@ -204,9 +206,6 @@
 	if after.configurationVersion != before.configurationVersion {
 		d.log.Info("configuration in force", "version", after.configurationVersion)
 		d.history.note(before, after, d.fleet.state.Documents().Get(document.Configuration).Origins)
-		for _, e := range after.keys.Entries() {
-			d.pool.SetWeight(e.Organisation, int(after.configuration.For(e.Organisation).Weight))
-		}
 	}
 }
 
--- a/internal/instance/daemon/executor.go
+++ b/internal/instance/daemon/executor.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"tanagercross/internal/database/driver"
 	"tanagercross/internal/fleet/configuration"
 	"tanagercross/internal/instance/api"
+	"tanagercross/internal/organisation/fairness"
 	"tanagercross/internal/organisation/key"
 	"tanagercross/internal/request/execution"
 	"tanagercross/internal/session/outcome"
@@ -20,16 +20,12 @@
 
 // Statement implements api.Executor.
 func (e executor) Statement(ctx context.Context, r api.StatementRequest) api.Reply {
-	values := e.valuesOfKey(r.Key)
-	if refusal, ok := checkSize(r.Statement, values); !ok {
-		return refusal
-	}
 	statement := execution.Statement{
 		Caller: e.caller(r.Call), Group: r.Group, Write: r.Mode == api.Write, Statement: r.Statement,
 		Primary: r.Primary, Unresolved: r.Unresolved,
 	}
 	if r.MaxAge != nil {
-		statement.MaxAge = min(*r.MaxAge, values.MaxAgeLimit)
+		statement.MaxAge = min(*r.MaxAge, e.valuesOfKey(r.Key).MaxAgeLimit)
 		// Data of age zero is only at the primary.
 		statement.Primary = statement.Primary || *r.MaxAge <= 0
 	}
@@ -54,9 +50,6 @@
 
 // Step implements api.Executor.
 func (e executor) Step(ctx context.Context, r api.StepRequest) api.Reply {
-	if refusal, ok := checkSize(r.Statement, e.valuesOfKey(r.Key)); !ok {
-		return refusal
-	}
 	run := execution.Run{Caller: e.caller(r.Call), Transaction: r.Transaction, Statement: r.Statement}
 	return e.execute(ctx, r.Key, run)
 }
@@ -121,13 +114,6 @@
 	return api.Reply{Verdict: verdict, RetryAfter: retryAfter}
 }
 
-func checkSize(s driver.Statement, v configuration.Values) (api.Reply, bool) {
-	if int64(len(s.SQL)) <= v.MaxStatementBytes {
-		return api.Reply{}, true
-	}
-	return api.Reply{Verdict: outcome.NotRun(outcome.RequestTooLarge).WithMessage("statement over the limit")}, false
-}
-
 func (d *Daemon) organisationOf(k key.Hash) string {
 	entry, err := d.fleet.view().keys.Find(k)
 	if err != nil {
@@ -143,6 +129,18 @@
 	return d.fleet.view().values.For(organisation)
 }
 
+// shareOf returns an organisation's part of the queues of this instance's lanes.
+func (d *Daemon) shareOf(organisation string) fairness.Share {
+	v := d.valuesOf(organisation)
+	return fairness.Share{Weight: int(v.Weight), Bound: int(v.QueueLength)}
+}
+
+// transactionLimits returns how long a transaction of an organisation may be idle and open.
+func (d *Daemon) transactionLimits(organisation string) (idle, total time.Duration) {
+	v := d.valuesOf(organisation)
+	return v.TransactionIdle, v.TransactionTotal
+}
+
 // keys implements execution.Keys.
 type keys struct{ *Daemon }
 
@@ -168,5 +166,17 @@
 // Version implements execution.Configuration.
 func (v versions) Version() uint64 { return v.fleet.view().configurationVersion }
 
+// Limits implements execution.Configuration.
+func (v versions) Limits(organisation string) execution.Limits {
+	values := v.valuesOf(organisation)
+	limits := execution.Limits{
+		StatementBytes: values.MaxStatementBytes, AnswerBytes: values.MaxAnswerBytes, ReplicaWait: values.ReplicaWait,
+	}
+	if values.ReplicaWait <= 0 {
+		limits.ReplicaWait = -1
+	}
+	return limits
+}
+
 // Reach implements execution.Configuration.
 func (v versions) Reach(ctx context.Context, version uint64) bool { return v.reach(ctx, version) }
--- a/internal/instance/settings/settings.go
+++ b/internal/instance/settings/settings.go
@@ -48,7 +48,6 @@
 	DatabaseUser    string
 	DatabaseName    string
 	DatabaseSecret  Secret // password; empty if the servers ask for none
-	Peers           []netip.AddrPort
 	LogLevel        slog.Level
 	DrainDeadline   time.Duration
 	MaxConnections  int // open connections of callers
--- a/internal/instance/settings/table.go
+++ b/internal/instance/settings/table.go
@@ -16,13 +16,9 @@
 // MinSecretBytes is the least length of a secret; HMAC-SHA256 has no use for a shorter one.
 const MinSecretBytes = 32
 
-// maxPeers bounds the seed list. A few live seeds are enough, since the roster names all members.
-const maxPeers = 64
-
 const (
 	nameRule    = "1 to 64 of a-z, 0-9, _ and -, starting with a letter"
 	addressRule = "IP address and port, for example 127.0.0.1:8080"
-	peersRule   = "up to 64 IP addresses with port, separated by commas"
 	secretRule  = "at least 32 bytes"
 	secretsRule = "one or more secrets of at least 32 bytes, separated by commas; the first signs"
 	fileRule    = "path of a readable file with secrets of at least 32 bytes, one a line"
@@ -92,7 +88,6 @@
 	{Name: "listen_operators", Unit: "address", Default: "127.0.0.1:8082", Allowed: addressRule, Help: "listener of the operators' API and the metrics", set: address(func(s *Settings) *netip.AddrPort { return &s.ListenOperators })},
 	{Name: "advertise_peers", Unit: "address", Allowed: addressRule, Help: "address under which other instances reach this one; listen_peers if absent", optional: true, set: address(func(s *Settings) *netip.AddrPort { return &s.AdvertisePeers })},
 	{Name: "platform_url", Unit: "URL", Allowed: urlRule, Help: "base URL of the platform's services", set: setPlatform},
-	{Name: "peers", Unit: "addresses", Allowed: peersRule, Help: "instances to contact first", optional: true, set: setPeers},
 	{Name: "fleet_secret", Unit: "text", Allowed: secretsRule, Help: "secret that signs session tokens and peer calls", Secret: true, optional: true, set: func(s *Settings, text string) error { return setSecrets(s, strings.Split(text, ",")) }},
 	{Name: "fleet_secret_file", Unit: "path", Allowed: fileRule, Help: "file with the fleet secrets; replaces fleet_secret", optional: true, set: setSecretsFile},
 	{Name: "operator_secret", Unit: "text", Allowed: secretRule, Help: "secret that operators present", Secret: true, optional: true, set: secret(func(s *Settings) *Secret { return &s.OperatorSecret }, MinSecretBytes)},
@@ -191,21 +186,6 @@
 	return nil
 }
 
-func setPeers(s *Settings, text string) error {
-	parts := strings.Split(text, ",")
-	if len(parts) > maxPeers {
-		return errNotAllowed
-	}
-	for _, part := range parts {
-		a, err := netip.ParseAddrPort(strings.TrimSpace(part))
-		if err != nil {
-			return err
-		}
-		s.Peers = append(s.Peers, a)
-	}
-	return nil
-}
-
 func setLevel(s *Settings, text string) error {
 	levels := map[string]slog.Level{"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError}
 	level, ok := levels[text]
--- a/internal/organisation/fairness/queue.go
+++ b/internal/organisation/fairness/queue.go
@@ -34,13 +34,21 @@
 
 // Options sets the bounds of a queue. Zero fields take the defaults.
 type Options struct {
-	Bound   int           // queued items per organisation
+	Bound   int           // queued items of an organisation for which Share sets none
 	Quantum time.Duration // service time per round and unit of weight
 	Cost    time.Duration // estimate for an organisation without measurements
 	// Ahead is how many of a scheduler's running items start only while the estimates of all running ones are at most
 	// Short. An item behind a long one would wait for it at the server and be charged the wait as service time.
 	Ahead int
 	Short time.Duration
+	// Share returns what is set for an organisation; nil sets nothing. It is asked for each item and must be fast.
+	Share func(organisation string) Share
+}
+
+// Share is an organisation's part of a queue. Zero fields take the defaults: weight 1 and Options.Bound.
+type Share struct {
+	Weight int
+	Bound  int // queued items
 }
 
 // WithDefaults returns a copy with zero fields set.
@@ -88,7 +96,6 @@
 	options Options
 	reject  func(T, outcome.Reason)
 	flows   map[string]*flow[T]
-	weights map[string]int
 	ring    []*flow[T]
 	queued  int
 	running int
@@ -101,15 +108,7 @@
 func NewQueue[T any](o Options, reject func(T, outcome.Reason)) *Queue[T] {
 	return &Queue[T]{
 		options: o.WithDefaults(), reject: reject,
-		flows: make(map[string]*flow[T]), weights: make(map[string]int),
-	}
-}
-
-// SetWeight sets an organisation's weight; the default is 1.
-func (q *Queue[T]) SetWeight(organisation string, weight int) {
-	q.weights[organisation] = max(1, weight)
-	if f := q.flows[organisation]; f != nil {
-		f.weight = max(1, weight)
+		flows: make(map[string]*flow[T]),
 	}
 }
 
@@ -130,18 +129,32 @@
 	return longest
 }
 
+func (q *Queue[T]) share(organisation string) Share {
+	var s Share
+	if q.options.Share != nil {
+		s = q.options.Share(organisation)
+	}
+	s.Weight = max(1, s.Weight)
+	if s.Bound <= 0 {
+		s.Bound = q.options.Bound
+	}
+	return s
+}
+
 // Push queues an item until its deadline. It fails with kind queue_full or with the reason of Stop.
 func (q *Queue[T]) Push(organisation string, value T, deadline time.Time) error {
 	if q.stopped != "" {
 		return failure("push", q.stopped)
 	}
+	share := q.share(organisation)
 	f := q.flows[organisation]
 	if f == nil {
-		f = &flow[T]{name: organisation, weight: max(1, q.weights[organisation]), estimate: q.options.Cost}
+		f = &flow[T]{name: organisation, estimate: q.options.Cost}
 		q.flows[organisation] = f
 		q.ring = append(q.ring, f)
 	}
-	if len(f.items) >= q.options.Bound {
+	f.weight = share.Weight
+	if len(f.items) >= share.Bound {
 		return failure("push", outcome.QueueFull)
 	}
 	f.items = append(f.items, item[T]{value: value, deadline: deadline})
--- a/internal/organisation/fairness/scheduler.go
+++ b/internal/organisation/fairness/scheduler.go
@@ -105,13 +105,6 @@
 	}
 }
 
-// SetWeight sets an organisation's weight; the default is 1.
-func (s *Scheduler[T]) SetWeight(organisation string, weight int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.queue.SetWeight(organisation, weight)
-}
-
 // Load returns the number of queued and running items.
 func (s *Scheduler[T]) Load() int {
 	s.mu.Lock()
--- a/internal/request/execution/execution.go
+++ b/internal/request/execution/execution.go
@@ -289,13 +289,13 @@
 	group := ""
 	switch r := r.(type) {
 	case Statement:
-		if reason := checkStatement(r.Statement); reason != "" {
-			return outcome.NotRun(reason)
+		if v := x.checkText(r.Statement); v.Outcome != outcome.Done {
+			return v
 		}
 		group = r.Group
 	case Run:
-		if reason := checkStatement(r.Statement); reason != "" {
-			return outcome.NotRun(reason)
+		if v := x.checkText(r.Statement); v.Outcome != outcome.Done {
+			return v
 		}
 	case Begin:
 		group = r.Group
@@ -324,6 +324,33 @@
 	return outcome.Verdict{Outcome: outcome.Done}
 }
 
+// checkText checks a statement. Its size is bounded by the configuration that the session has seen, or a newer one.
+func (x *execution) checkText(s driver.Statement) outcome.Verdict {
+	if reason := checkStatement(s); reason != "" {
+		return outcome.NotRun(reason)
+	}
+	if most := x.limits().StatementBytes; most > 0 && int64(len(s.SQL)) > most {
+		return outcome.NotRun(outcome.RequestTooLarge).WithMessage("statement over the limit")
+	}
+	return outcome.Verdict{Outcome: outcome.Done}
+}
+
+func (x *execution) limits() Limits { return x.ports.Configuration.Limits(x.organisation) }
+
+// tooLarge reports whether an answer is over the organisation's limit.
+func (x *execution) tooLarge(r driver.Result) bool {
+	most := x.limits().AnswerBytes
+	return most > 0 && r.Size() > most
+}
+
+// cut returns the result of a write without its rows if they are over the limit; the write has taken effect.
+func (x *execution) cut(r driver.Result) driver.Result {
+	if x.tooLarge(r) {
+		r.Rows, r.Truncated = nil, true
+	}
+	return r
+}
+
 // group returns what the instance knows of a group now.
 func (x *execution) group(name string) (*group.State, bool) { return x.ports.Groups.View().Group(name) }
 
--- a/internal/request/execution/fake_test.go
+++ b/internal/request/execution/fake_test.go
@@ -31,6 +31,7 @@
 	late    []func()
 	faults  int // faults in 100 operations
 	fresh   bool
+	limits  Limits
 	keys    map[string]string // organisation by key hash
 	ops     []operation.Operation
 	servers []string // servers of reads, in the order of attempts
@@ -95,6 +96,7 @@
 func (w *world) Fresh(time.Time) bool                        { return w.fresh }
 func (w *world) Take(context.Context, string) outcome.Reason { return w.rate }
 func (w *world) Version() uint64                             { return 1 }
+func (w *world) Limits(string) Limits                        { return w.limits }
 func (w *world) Reach(_ context.Context, v uint64) bool      { return v <= 1 }
 func (w *world) Now() time.Time                              { return w.now }
 
--- a/internal/request/execution/interactive.go
+++ b/internal/request/execution/interactive.go
@@ -56,7 +56,7 @@
 		return Reply{Verdict: reply.Verdict}
 	}
 	// The position seen inside a transaction is not durable yet, so that the session does not move to it.
-	return Reply{Verdict: reply.Verdict, Result: reply.Result, ServedBy: driver.Primary}
+	return Reply{Verdict: reply.Verdict, Result: x.cut(reply.Result), ServedBy: driver.Primary}
 }
 
 func (x *execution) commit(ctx context.Context, r Commit) Reply {
--- a/internal/request/execution/ports.go
+++ b/internal/request/execution/ports.go
@@ -48,6 +48,15 @@
 	Version() uint64
 	// Reach brings the instance to at least a version and reports whether it is there.
 	Reach(ctx context.Context, version uint64) bool
+	// Limits returns what is in force for an organisation.
+	Limits(organisation string) Limits
+}
+
+// Limits bound the requests of an organisation. Zero bounds nothing.
+type Limits struct {
+	StatementBytes int64
+	AnswerBytes    int64
+	ReplicaWait    time.Duration // as in route.Read
 }
 
 // Groups tells what the instance knows of the database groups.
--- a/internal/request/execution/read.go
+++ b/internal/request/execution/read.go
@@ -52,7 +52,7 @@
 	now := x.ports.Clock.Now()
 	return route.Read{
 		Mode: r.mode(), MaxAge: r.MaxAge, AtLeast: x.session.Position(r.Group), Place: x.ports.Place,
-		Started: now, PrimaryUntil: now.Add(x.options.PrimaryWait),
+		Started: now, PrimaryUntil: now.Add(x.options.PrimaryWait), ReplicaWait: x.limits().ReplicaWait,
 	}
 }
 
@@ -66,6 +66,9 @@
 	if reply.Verdict.Outcome != outcome.Done {
 		return Reply{Verdict: reply.Verdict}
 	}
+	if x.tooLarge(reply.Result) {
+		return Reply{Verdict: outcome.NotRun(outcome.RequestTooLarge).WithMessage("answer over the limit")}
+	}
 	if reason := x.outdated(r, c); reason != "" {
 		return Reply{Verdict: outcome.NotRun(reason)}
 	}
--- a/internal/request/execution/write.go
+++ b/internal/request/execution/write.go
@@ -138,7 +138,7 @@
 		return Reply{Verdict: reply.Verdict}
 	case reply.Verdict.Outcome == outcome.Done && x.term(a.group) <= a.term:
 		x.seen(a.group, a.server, reply.Result.Position, a.asked)
-		return Reply{Verdict: reply.Verdict, Result: reply.Result, ServedBy: driver.Primary}
+		return Reply{Verdict: reply.Verdict, Result: x.cut(reply.Result), ServedBy: driver.Primary}
 	case reply.Verdict.Outcome == outcome.Done:
 		return x.settle(ctx, a, outcome.NotKnown(outcome.NotReplicated))
 	}
--- a/internal/session/route/route.go
+++ b/internal/session/route/route.go
@@ -21,6 +21,7 @@
 package route
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -29,7 +30,7 @@
 	"tanagercross/internal/session/outcome"
 )
 
-// CatchUpWait bounds the wait of a read for a replica that is about to catch up.
+// CatchUpWait bounds the wait of a read for a replica that is about to catch up, if Read.ReplicaWait is zero.
 const CatchUpWait = 50 * time.Millisecond
 
 // PrimaryRetry is the time between two looks for a primary while there is none.
@@ -111,6 +112,8 @@
 	Place   string          // place of the instance
 	Exclude []string        // servers already tried
 	Started time.Time       // when the read was first routed; bounds the wait for a replica
+	// ReplicaWait bounds the wait for a replica that is about to catch up; zero means CatchUpWait, and less no wait.
+	ReplicaWait time.Duration
 	// PrimaryUntil bounds the wait for a primary; zero means no wait.
 	PrimaryUntil time.Time
 }
@@ -143,7 +146,7 @@
 	if c, ok := s.best(ReplicaSamePlace, ReplicaOther, ReplicaExpected); ok {
 		return c.serve(g, r, atLeast)
 	}
-	until := r.Started.Add(CatchUpWait)
+	until := r.Started.Add(cmp.Or(r.ReplicaWait, CatchUpWait))
 	if !s.soonest.IsZero() && !s.soonest.After(until) && now.Before(until) {
 		return Wait{Until: s.soonest, Reason: outcome.ServerBehind}
 	}
--- a/test/fleet/operation_test.go
+++ b/test/fleet/operation_test.go
@@ -292,3 +292,21 @@
 	}
 	f.t.Errorf("the instances do not agree: %+v", shown)
 }
+
+// Guards against an instance that is restarted during an outage of the store and waits for its end, although its peers
+// hold all documents.
+func TestRestartDuringStoreOutage(t *testing.T) {
+	f := start(t, 4, 2)
+	f.Platform.SetOutage(true)
+	defer f.Platform.SetOutage(false)
+	f.kill(3)
+	f.restart(3)
+	for end := time.Now().Add(10 * time.Second); !f.Ready(t.Context(), 3); time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the instance is not ready")
+		}
+	}
+	if got := f.call(3, read(f.Keys["sertao_coop"], "SELECT 1")); got.Outcome != "done" {
+		t.Errorf("read at the restarted instance: %s %s", got.Outcome, got.Reason)
+	}
+}
