Drop the unused leaving mark of server positions

Cause: the groups document alone decides which servers leave; the mark in the exchange was no longer set.

--- a/internal/fleet/exchange/message.go
+++ b/internal/fleet/exchange/message.go
@@ -44,7 +44,6 @@
 	Server   string
 	Position driver.Position
 	Observed time.Time
-	Leaving  bool
 }
 
 // GroupState is the newest known term of a group with the positions of its servers.
--- a/internal/fleet/exchange/table.go
+++ b/internal/fleet/exchange/table.go
@@ -151,12 +151,5 @@
 
 // hash leaves positions out: they change all the time and are sent in turn.
 func (g GroupState) hash() uint64 {
-	h := newHasher().text(g.Group).number(g.Term).text(g.Primary)
-	var leaving uint64
-	for _, s := range g.Servers {
-		if s.Leaving {
-			leaving += newHasher().text(s.Server).sum()
-		}
-	}
-	return h.number(leaving).sum()
+	return newHasher().text(g.Group).number(g.Term).text(g.Primary).sum()
 }
--- a/internal/fleet/peer/message.go
+++ b/internal/fleet/peer/message.go
@@ -165,7 +165,7 @@
 		for _, p := range s.Servers {
 			g.Servers = append(g.Servers, &peerv1.ServerPosition{
 				Server: p.Server, Term: p.Position.Term, Index: p.Position.Index,
-				AgeMilliseconds: milliseconds(now.Sub(p.Observed)), Leaving: p.Leaving,
+				AgeMilliseconds: milliseconds(now.Sub(p.Observed)),
 			})
 		}
 		list = append(list, g)
@@ -180,7 +180,7 @@
 		for _, p := range g.Servers {
 			s.Servers = append(s.Servers, exchange.ServerPosition{
 				Server: p.Server, Position: driver.Position{Term: p.Term, Index: p.Index},
-				Observed: now.Add(-duration(p.AgeMilliseconds)), Leaving: p.Leaving,
+				Observed: now.Add(-duration(p.AgeMilliseconds)),
 			})
 		}
 		states = append(states, s)
