Share the tick loop and the first version of documents

Change: Daemon.ticks iterates over the ticks of the timer service; document.Next builds a version with its write; deployment.SeedKeys serves deployment and scenarios.

--- a/internal/fleet/document/change.go
+++ b/internal/fleet/document/change.go
@@ -78,6 +78,21 @@
 	}
 }
 
+// Next returns the version after a held one, for documents that need no confirmation by members, with its conditional
+// write. The version of the origin is filled in.
+func Next(held Document, content []byte, o Origin) (Document, CommitAction, error) {
+	o.Version = held.Version + 1
+	next := Document{Name: held.Name, Version: o.Version, Content: content, Origins: []Origin{o}}
+	data, err := next.Encode()
+	if err != nil {
+		return Document{}, CommitAction{}, err
+	}
+	return next, CommitAction{
+		Conditions: []store.Condition{{Key: Key(next.Name), Version: held.Version}},
+		Writes:     []store.Write{{Key: Key(next.Name), Value: data}, {Key: VersionKey(next.Name)}},
+	}, nil
+}
+
 // commit returns the conditional write of a document. It also requires the roster version that the proposer counts
 // majorities in.
 func commit(d Document, rosterVersion uint64) (CommitAction, error) {
--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"iter"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -218,6 +219,24 @@
 	}
 }
 
+// ticks yields at each tick of the timer service until the context ends.
+func (d *Daemon) ticks(ctx context.Context, period time.Duration) iter.Seq[time.Time] {
+	return func(yield func(time.Time) bool) {
+		ticks, cancel := d.clock.Subscribe(period)
+		defer cancel()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case now, ok := <-ticks:
+				if !ok || !yield(now) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // spawn runs a task that Stop waits for.
 func (d *Daemon) spawn(f func()) {
 	d.tasks.Add(1)
--- a/internal/instance/daemon/exchanger.go
+++ b/internal/instance/daemon/exchanger.go
@@ -24,14 +24,7 @@
 
 // runExchange exchanges state with peers until the context ends.
 func (d *Daemon) runExchange(ctx context.Context) {
-	ticks, cancel := d.clock.Subscribe(exchange.Period)
-	defer cancel()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks:
-		}
+	for range d.ticks(ctx, exchange.Period) {
 		var targets []string
 		d.fleet.update(func(s *exchange.State, _ time.Time) { targets = s.Targets() })
 		for _, peer := range append(targets, d.liveness.suspects(suspectsPerPeriod, d.clock.Now(), suspectPeriod)...) {
@@ -101,15 +94,8 @@
 
 // runPoll reads the store when it is this instance's turn.
 func (d *Daemon) runPoll(ctx context.Context) {
-	ticks, cancel := d.clock.Subscribe(pollTick)
-	defer cancel()
 	var listed time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks:
-		}
+	for range d.ticks(ctx, pollTick) {
 		due := false
 		d.fleet.update(func(s *exchange.State, now time.Time) {
 			if due = s.PollDue(now); due {
--- a/internal/instance/daemon/join.go
+++ b/internal/instance/daemon/join.go
@@ -26,14 +26,7 @@
 
 // runJoin keeps this instance in the roster under its address.
 func (d *Daemon) runJoin(ctx context.Context) {
-	ticks, cancel := d.clock.Subscribe(joinTick)
-	defer cancel()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks:
-		}
+	for range d.ticks(ctx, joinTick) {
 		if d.draining.Load() || !d.polled.Load() {
 			continue
 		}
@@ -89,14 +82,7 @@
 
 // runRemoval removes members that are gone. Only the first poller does so, because rival changes would conflict.
 func (d *Daemon) runRemoval(ctx context.Context) {
-	ticks, cancel := d.clock.Subscribe(removeTick)
-	defer cancel()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks:
-		}
+	for range d.ticks(ctx, removeTick) {
 		view := d.fleet.view()
 		pollers := exchange.Pollers(view.roster)
 		if len(pollers) == 0 || pollers[0].Name != d.settings.Name || !d.fleet.Fresh(d.clock.Now()) {
@@ -161,19 +147,14 @@
 
 // replace writes the next version of a document that needs no confirmation by members.
 func (d *Daemon) replace(ctx context.Context, name string, content []byte, reason string) {
-	held := d.fleet.document(name)
-	version := held.Version + 1
-	next := document.Document{Name: name, Version: version, Content: content, Origins: []document.Origin{{
-		Version: version, ChangeID: uuid.NewString(), Author: d.settings.Name, Reason: reason, At: time.Now().UTC(),
-	}}}
-	data, err := next.Encode()
+	next, write, err := document.Next(d.fleet.document(name), content, document.Origin{
+		ChangeID: uuid.NewString(), Author: d.settings.Name, Reason: reason, At: time.Now().UTC(),
+	})
 	if err != nil {
 		return
 	}
-	conditions := []store.Condition{{Key: document.Key(name), Version: held.Version}}
-	writes := []store.Write{{Key: document.Key(name), Value: data}, {Key: document.VersionKey(name)}}
 	// A conflict or a lost answer needs no handling: the next poll reads what is there.
-	if d.store.Commit(ctx, conditions, writes) == nil {
+	if d.store.Commit(ctx, write.Conditions, write.Writes) == nil {
 		d.fleet.update(func(s *exchange.State, now time.Time) { s.MergeDocument(next, now) })
 		d.broadcast(ctx)
 	}
--- a/internal/instance/daemon/rates.go
+++ b/internal/instance/daemon/rates.go
@@ -40,14 +40,7 @@
 
 // runLeases keeps the leases of the shards whose home this instance should be.
 func (d *Daemon) runLeases(ctx context.Context) {
-	ticks, cancel := d.clock.Subscribe(leaseTick)
-	defer cancel()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks:
-		}
+	for range d.ticks(ctx, leaseTick) {
 		view := d.fleet.view()
 		if view.roster.Len() == 0 {
 			continue
--- a/internal/instance/daemon/records.go
+++ b/internal/instance/daemon/records.go
@@ -46,15 +46,8 @@
 
 // runRecords removes records of requests that are too old to be asked for again.
 func (d *Daemon) runRecords(ctx context.Context) {
-	ticks, cancel := d.clock.Subscribe(recordsTick)
-	defer cancel()
 	var r removal
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks:
-		}
+	for range d.ticks(ctx, recordsTick) {
 		view := d.table.View()
 		for _, name := range view.Names() {
 			g, _ := view.Group(name)
--- a/internal/instance/daemon/watch.go
+++ b/internal/instance/daemon/watch.go
@@ -38,8 +38,6 @@
 
 // runWatches starts and stops watchers as the roster and the group list change.
 func (d *Daemon) runWatches(ctx context.Context) {
-	ticks, cancel := d.clock.Subscribe(assignmentTick)
-	defer cancel()
 	watches := map[string]*watch{}
 	var assigned *snapshot
 	defer func() {
@@ -47,19 +45,14 @@
 			w.stop()
 		}
 	}()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks:
-			// Ranking the watchers of each group takes long in a large fleet and changes with roster and list only.
-			view := d.fleet.view()
-			if assigned == nil || view.rosterChange != assigned.rosterChange || view.groupsVersion != assigned.groupsVersion {
-				d.assignWatches(ctx, view, watches)
-				assigned = view
-			}
-			d.withdrawEvidence()
+	for range d.ticks(ctx, assignmentTick) {
+		// Ranking the watchers of each group takes long in a large fleet and changes with roster and list only.
+		view := d.fleet.view()
+		if assigned == nil || view.rosterChange != assigned.rosterChange || view.groupsVersion != assigned.groupsVersion {
+			d.assignWatches(ctx, view, watches)
+			assigned = view
 		}
+		d.withdrawEvidence()
 	}
 }
 
--- a/internal/tool/deployment/deployment.go
+++ b/internal/tool/deployment/deployment.go
@@ -180,7 +180,7 @@
 		return err
 	}
 	d.Network.Register(d.Platform.Addr(), PlatformPlace)
-	if err := d.seedKeys(ctx); err != nil {
+	if d.Keys, err = SeedKeys(ctx, d.Platform.Addr(), d.profile.Organisations); err != nil {
 		return err
 	}
 	for _, listed := range config.Instances {
--- a/internal/tool/deployment/seed.go
+++ b/internal/tool/deployment/seed.go
@@ -10,43 +10,35 @@
 	"tanagercross/internal/fleet/document"
 	"tanagercross/internal/organisation/key"
 	"tanagercross/internal/platform/rest"
-	"tanagercross/internal/platform/store"
 )
 
-// seedKeys writes a key for each organisation into the platform's table, as an earlier life of the deployment would
-// have left them.
-func (d *Deployment) seedKeys(ctx context.Context) error {
-	d.Keys = map[string]key.Key{}
+// SeedKeys writes a key for each organisation into the table of a platform without keys, as an earlier life of the fleet
+// would have left them, and returns the keys by organisation.
+func SeedKeys(ctx context.Context, platform string, organisations []string) (map[string]key.Key, error) {
+	keys := map[string]key.Key{}
 	var table key.Table
-	for _, organisation := range d.profile.Organisations {
+	for _, organisation := range organisations {
 		k, err := key.New()
 		if err != nil {
-			return err
+			return nil, err
 		}
 		entry := key.Entry{Hash: k.Hash(), Organisation: organisation, IssuedAt: time.Now().UTC(), IssuedBy: "deployment"}
 		if table, err = table.WithIssued(entry); err != nil {
-			return err
+			return nil, err
 		}
-		d.Keys[organisation] = k
+		keys[organisation] = k
 	}
 	content, err := json.Marshal(table)
 	if err != nil {
-		return eris.Wrap(err, "encode keys")
+		return nil, eris.Wrap(err, "encode keys")
 	}
-	return d.seed(ctx, document.Keys, content)
-}
-
-func (d *Deployment) seed(ctx context.Context, name string, content []byte) error {
-	first := document.Document{
-		Name: name, Version: 1, Content: content,
-		Origins: []document.Origin{{Version: 1, ChangeID: "seed", Author: "deployment", Reason: "first version"}},
-	}
-	data, err := first.Encode()
+	_, write, err := document.Next(document.Document{Name: document.Keys}, content, document.Origin{
+		ChangeID: "seed", Author: "deployment", Reason: "first version",
+	})
 	if err != nil {
-		return err
+		return nil, err
 	}
-	s := rest.New("http://"+d.Platform.Addr(), rest.Options{})
+	s := rest.New("http://"+platform, rest.Options{})
 	defer s.Close()
-	return s.Commit(ctx, []store.Condition{{Key: document.Key(name)}},
-		[]store.Write{{Key: document.Key(name), Value: data}, {Key: document.VersionKey(name)}})
+	return keys, s.Commit(ctx, write.Conditions, write.Writes)
 }
--- a/internal/tool/scenario/command_fleet.go
+++ b/internal/tool/scenario/command_fleet.go
@@ -2,17 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
+	"maps"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 
-	"tanagercross/internal/fleet/document"
-	"tanagercross/internal/organisation/key"
 	"tanagercross/internal/platform/rest"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/tool/deployment"
 )
 
 // commandFleet: fleet start [instances=3] [organisations=sertao_coop,agreste_coop]
@@ -56,34 +54,9 @@
 }
 
 func (f *fleet) seedKeys(organisations []string) error {
-	var table key.Table
-	for _, organisation := range organisations {
-		k, err := key.New()
-		if err != nil {
-			return err
-		}
-		entry := key.Entry{Hash: k.Hash(), Organisation: organisation, IssuedAt: time.Now().UTC(), IssuedBy: "scenario"}
-		if table, err = table.WithIssued(entry); err != nil {
-			return err
-		}
-		f.keys[organisation] = k
-	}
-	content, err := json.Marshal(table)
-	if err != nil {
-		return eris.Wrap(err, "keys")
-	}
-	first := document.Document{
-		Name: document.Keys, Version: 1, Content: content,
-		Origins: []document.Origin{{Version: 1, ChangeID: "seed", Author: "scenario", Reason: "first version"}},
-	}
-	data, err := first.Encode()
-	if err != nil {
-		return err
-	}
-	s := rest.New("http://"+f.platform.clients, rest.Options{})
-	defer s.Close()
-	return s.Commit(context.Background(), []store.Condition{{Key: document.Key(document.Keys)}},
-		[]store.Write{{Key: document.Key(document.Keys), Value: data}, {Key: document.VersionKey(document.Keys)}})
+	keys, err := deployment.SeedKeys(context.Background(), f.platform.clients, organisations)
+	maps.Copy(f.keys, keys)
+	return err
 }
 
 // instanceList is the platform's list of instances. Entries are of the form name=place.
