--- a/internal/fleet/lease/holder.go
+++ b/internal/fleet/lease/holder.go
@@ -37,10 +37,13 @@
 	incarnation uint64
 	shards      map[Shard]*candidacy
 	epochs      map[Shard]uint64
-	rounds      uint64
-	released    []Round
-	majority    int
-	voters      int
+	newest      uint64 // newest epoch of any shard
+	// retry is when refused shards are asked for again, all of them in one round.
+	retry    time.Time
+	rounds   uint64
+	released []Round
+	majority int
+	voters   int
 }
 
 // NewHolder returns a holder that wants no shard. The incarnation must differ from those of earlier processes of the
@@ -76,10 +79,23 @@
 
 // release gives the votes of a shard back and begins a new epoch, in which votes do not count as the same.
 func (h *Holder) release(s Shard) {
-	b := h.ballot(h.epochs[s])
+	h.giveBack(s, h.ballot(h.epochs[s]))
+	h.epochs[s] = (h.epochs[s] + 1) % (1 << epochBits)
+	if h.newest = max(h.newest, h.epochs[s]); h.epochs[s] == 0 {
+		h.newest = 0
+	}
+}
+
+// giveBack adds a shard to the release of its epoch, so that the shards of an epoch are released in one round.
+func (h *Holder) giveBack(s Shard, b Ballot) {
+	for i := range h.released {
+		if r := &h.released[i].Ballot; r.Incarnation == b.Incarnation {
+			r.Shards = append(r.Shards, s)
+			return
+		}
+	}
 	b.Release, b.Shards = true, []Shard{s}
 	h.released = append(h.released, Round{Ballot: b})
-	h.epochs[s] = (h.epochs[s] + 1) % (1 << epochBits)
 }
 
 func (h *Holder) ballot(epoch uint64) Ballot {
@@ -90,16 +106,25 @@
 // Votes of a round that was lost are released, so that two candidates cannot split a committee for good.
 func (h *Holder) Tick(now time.Time, random Random) []Round {
 	started := make(map[uint64]*Round)
+	if !h.anyDue(now) {
+		return h.pending(started)
+	}
+	backOff := BackOff + time.Duration(random(int64(Jitter)))
 	for _, s := range slices.Sorted(maps.Keys(h.shards)) {
 		c := h.shards[s]
-		if now.Before(c.next) {
+		// A lease that is due soon is renewed with the others: one round in place of many.
+		if now.Before(c.next) && !(c.wins && now.Add(Renewal/2).After(c.next)) {
 			continue
 		}
 		if c.round != 0 && !c.wins && !now.Before(c.until) {
 			h.release(s)
-			c.round, c.next = 0, now.Add(BackOff+time.Duration(random(int64(Jitter))))
+			c.round, c.next = 0, now.Add(backOff)
 			continue
 		}
+		if c.round == 0 {
+			// No vote is out, so that the shard may go on in the newest epoch and share its rounds.
+			h.epochs[s] = h.newest
+		}
 		epoch := h.epochs[s]
 		r := started[epoch]
 		if r == nil {
@@ -111,6 +136,20 @@
 		c.round, c.sent, c.next = r.Number, now, now.Add(Renewal)
 		c.voters, c.denied, c.wins = c.voters[:0], c.denied[:0], false
 	}
+	return h.pending(started)
+}
+
+func (h *Holder) anyDue(now time.Time) bool {
+	for _, c := range h.shards {
+		if !now.Before(c.next) {
+			return true
+		}
+	}
+	return false
+}
+
+// pending returns the releases and the started rounds in order.
+func (h *Holder) pending(started map[uint64]*Round) []Round {
 	rounds := h.released
 	h.released = nil
 	for _, r := range started {
@@ -144,6 +183,9 @@
 
 // Refused takes a voter's refusal of shards of a round. A round that can no longer win is given up at once.
 func (h *Holder) Refused(now time.Time, round uint64, voter string, shards []Shard, random Random) {
+	if !now.Before(h.retry) {
+		h.retry = now.Add(RetryRefused + time.Duration(random(int64(RetryRefused))))
+	}
 	for _, s := range shards {
 		c := h.shards[s]
 		if c == nil || c.round != round || c.wins || now.Before(c.until) || slices.Contains(c.denied, voter) {
@@ -152,7 +194,7 @@
 		c.denied = append(c.denied, voter)
 		if h.voters-len(c.denied) < h.majority {
 			h.release(s)
-			c.round, c.next = 0, now.Add(RetryRefused+time.Duration(random(int64(RetryRefused))))
+			c.round, c.next = 0, h.retry
 		}
 	}
 }
--- a/internal/tool/experiment/controlcost.go
+++ b/internal/tool/experiment/controlcost.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// settle covers the start of leases, lanes and watches.
-	settle     = 3 * time.Second
+	// settle covers the start of leases, lanes and watches: voters abstain for 7 s, and candidates ask again meanwhile.
+	settle     = 12 * time.Second
 	kilobyte   = 1024.0
 	megabyte   = 1 << 20
 	percentage = 100.0
