Remove three functions that nothing calls

Cause: a read of the whole change found Server.PositionAge, Daemon.PeersAddress and Homes.Drop without a caller, and a server's load that the choice of a replica reads and nothing sets. Result: formatter, linter and vet are clean; the tests of the root, group, daemon, allotment and route packages pass.

--- a/internal/database/group/view.go
+++ b/internal/database/group/view.go
@@ -33,9 +33,6 @@
 	return s.FailedAt.IsZero() && !s.AnsweredAt.IsZero() && now.Sub(s.AnsweredAt) <= ReachableFor
 }
 
-// PositionAge returns how long ago the position was asked for.
-func (s Server) PositionAge(now time.Time) time.Duration { return now.Sub(s.AskedAt) }
-
 // DataAge returns an upper bound of the age of the server's data, and false if none is known.
 func (s Server) DataAge(now time.Time) (time.Duration, bool) {
 	if s.DataTime.IsZero() {
--- a/internal/instance/daemon/serving.go
+++ b/internal/instance/daemon/serving.go
@@ -64,9 +64,6 @@
 // CallersAddress returns host:port of the caller API.
 func (d *Daemon) CallersAddress() string { return d.callers.listener.Addr().String() }
 
-// PeersAddress returns host:port under which other instances reach this one.
-func (d *Daemon) PeersAddress() string { return d.address }
-
 // OperatorsAddress returns host:port of the operators' API.
 func (d *Daemon) OperatorsAddress() string { return d.operators.listener.Addr().String() }
 
--- a/internal/organisation/allotment/bucket.go
+++ b/internal/organisation/allotment/bucket.go
@@ -116,10 +116,3 @@
 	}
 	return a.bucket.Take(now, s, wanted)
 }
-
-// Drop forgets an organisation whose home is elsewhere now.
-func (h *Homes) Drop(organisation string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	delete(h.accounts, organisation)
-}
