--- /dev/null
+++ b/internal/database/gate/gate.go
@@ -0,0 +1,441 @@
+// Package gate runs statements on one database server through a bounded set of connections.
+//
+// A server connection belongs to one organisation. The gate reuses connections of the same organisation, gives them the
+// session values and prepared statements of the call, shares the server's slots fairly between organisations, and keeps
+// open transactions on their connection.
+//
+// # Usage
+//
+//	g := gate.New(target, dialer, gate.Options{Slots: 2, Connections: 24})
+//	defer g.Close()
+//	answer := g.Execute(ctx, call)
+//	proof, ok := g.Head(ctx, 300*time.Millisecond)
+//
+// Execute returns fate NotSent only if the caller's statement did not reach the server. Statements with scope Leader run
+// inside a plain transaction, because a server that has lost the lead still answers single reads.
+package gate
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/proof"
+	"tanagercross/internal/database/statement"
+	"tanagercross/internal/instance/clock"
+	"tanagercross/internal/organisation/fairness"
+	"tanagercross/internal/session/outcome"
+)
+
+// Limits of a gate.
+const (
+	defaultSlots       = 2
+	defaultConnections = 8
+	// aheadStatements are sent beyond the slots, so that a slot that becomes free finds the next one.
+	aheadStatements = 1
+	// queuedStatements bounds the queue of one organisation.
+	queuedStatements = 24
+	dialTimeout      = 600 * time.Millisecond
+	controlTimeout   = 400 * time.Millisecond // for statements that occupy no slot
+	idleConnection   = 45 * time.Second       // servers close connections after a minute
+	maximumPrepared  = 48                     // prepared statements on one connection
+	flushAfter       = 2                      // failures in a row after which idle connections are closed
+	tooManyPause     = 2 * time.Second        // without new connections after the server refused one
+)
+
+// Options sets the bounds of a gate. Zero fields take the defaults.
+type Options struct {
+	Slots           int // statements that the server runs at the same time
+	Connections     int
+	TransactionIdle time.Duration        // longest pause inside a transaction; 0 for no limit
+	Boot            func() time.Duration // clock that counts suspended time; nil for that of the machine
+}
+
+// WithDefaults returns a copy with zero fields set.
+func (o Options) WithDefaults() Options {
+	if o.Slots <= 0 {
+		o.Slots = defaultSlots
+	}
+	if o.Connections <= 0 {
+		o.Connections = defaultConnections
+	}
+	if o.Boot == nil {
+		o.Boot = clock.Boot
+	}
+	return o
+}
+
+// link is a connection with what is known of its state on the server.
+type link struct {
+	conn         statement.Conn
+	organisation string
+	session      string // that used it last
+	values       map[string]string
+	prepared     map[string]bool
+	released     time.Duration
+}
+
+type transaction struct {
+	mu       sync.Mutex // held while a statement runs
+	link     *link
+	session  string
+	used     time.Duration
+	finished bool
+	scope    statement.Scope
+	wrote    bool
+}
+
+// Gate runs statements on one server. It is safe for concurrent use.
+type Gate struct {
+	target    statement.Target
+	dialer    statement.Dialer
+	options   Options
+	scheduler *fairness.Scheduler[string]
+
+	mu           sync.Mutex
+	connections  int // open or being opened
+	limit        int
+	idle         map[string][]*link
+	waiting      []chan struct{}
+	transactions map[uint64]*transaction
+	unanswered   map[*link]time.Duration // when the last commands were sent
+	sequence     uint64
+	closed       bool
+	refusedUntil time.Duration
+	opened       uint64
+	health       Health
+	head         proof.Proof
+	position     driver.Position
+	organisation string // that used the gate last
+}
+
+// Health is what the gate has seen of its server.
+type Health struct {
+	Failures     int           // in a row
+	Since        time.Duration // of the first of them
+	Refused      bool          // nothing listened at the address at the last attempt
+	Answered     time.Duration // last answer
+	NotLeading   bool          // the last statement that needs a leader was refused
+	NotLeadingAt time.Duration
+}
+
+// New returns a gate without connections.
+func New(t statement.Target, d statement.Dialer, o Options) *Gate {
+	o = o.WithDefaults()
+	return &Gate{
+		target: t, dialer: d, options: o, limit: o.Connections,
+		scheduler: fairness.NewScheduler[string](fairness.Options{Bound: queuedStatements}, o.Slots+aheadStatements),
+		idle:      map[string][]*link{}, transactions: map[uint64]*transaction{},
+		unanswered: map[*link]time.Duration{}, sequence: uint64(time.Now().UnixNano()),
+	}
+}
+
+// Target returns the server that the gate serves.
+func (g *Gate) Target() statement.Target { return g.target }
+
+// SetConnections changes the bound of connections.
+func (g *Gate) SetConnections(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.options.Connections = max(1, n)
+	g.limit = g.options.Connections
+}
+
+// Health returns what the gate has seen of its server.
+func (g *Gate) Health() Health {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.health
+}
+
+// Position returns the newest position that the server reported.
+func (g *Gate) Position() driver.Position {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.position
+}
+
+// Counts returns the open connections, the open transactions, the queued and running statements and the connections
+// opened so far.
+func (g *Gate) Counts() (connections, transactions, load int, opened uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.connections, len(g.transactions), g.scheduler.Load(), g.opened
+}
+
+// Load returns the number of queued and running statements.
+func (g *Gate) Load() int { return g.scheduler.Load() }
+
+// Execute runs a statement. The context bounds waiting and running.
+func (g *Gate) Execute(ctx context.Context, c statement.Call) statement.Answer {
+	if c.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.Timeout)
+		defer cancel()
+	}
+	switch c.Step {
+	case statement.Next, statement.End:
+		return g.continueTransaction(ctx, c)
+	}
+	ticket, l, refusal := g.enter(ctx, c)
+	if l == nil {
+		return refusal
+	}
+	defer ticket.Release()
+	if c.Step == statement.First {
+		return g.startTransaction(ctx, l, c)
+	}
+	answer, clean := g.single(ctx, l, c)
+	if clean {
+		g.release(l)
+	} else {
+		g.drop(l)
+	}
+	return answer
+}
+
+// enter waits for a turn and a connection. Without a connection the answer says why.
+func (g *Gate) enter(ctx context.Context, c statement.Call) (*fairness.Ticket, *link, statement.Answer) {
+	for {
+		ticket, err := g.scheduler.Acquire(ctx, c.Organisation, c.Session)
+		if err != nil {
+			code := statement.Busy
+			if fairness.ReasonOf(err) == outcome.QueueFull {
+				code = statement.TooMany
+			}
+			return nil, nil, statement.Refused(code, "queue: "+string(fairness.ReasonOf(err)))
+		}
+		l, wait, err := g.borrow(ctx, c)
+		if l != nil {
+			return ticket, l, statement.Answer{}
+		}
+		ticket.Release()
+		if err != nil {
+			return nil, nil, dialRefusal(err)
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			g.forget(wait)
+			return nil, nil, statement.Refused(statement.TooMany, "no connection became free")
+		}
+	}
+}
+
+// dialRefusal turns a failed dial into an answer. Code WrongServer and others of the server pass through.
+func dialRefusal(err error) statement.Answer {
+	var d *statement.DialError
+	if errors.As(err, &d) && d.Code != "" {
+		return statement.Refused(d.Code, err.Error())
+	}
+	return statement.Refused(statement.WrongServer, "unreachable: "+err.Error())
+}
+
+// borrow returns a connection, or a channel that is closed when one may have become free.
+func (g *Gate) borrow(ctx context.Context, c statement.Call) (*link, chan struct{}, error) {
+	g.mu.Lock()
+	g.organisation = c.Organisation
+	if g.closed {
+		g.mu.Unlock()
+		return nil, nil, &statement.DialError{Err: errClosed}
+	}
+	if l := g.take(c); l != nil {
+		g.mu.Unlock()
+		return l, nil, nil
+	}
+	if g.connections >= g.limit || g.options.Boot() < g.refusedUntil {
+		evicted := g.oldest()
+		if evicted == nil {
+			wait := make(chan struct{})
+			g.waiting = append(g.waiting, wait)
+			g.mu.Unlock()
+			return nil, wait, nil
+		}
+		evicted.conn.Close()
+		g.connections--
+	}
+	g.connections++
+	g.mu.Unlock()
+	l, err := g.dial(ctx, c.Organisation)
+	return l, nil, err
+}
+
+var errClosed = errors.New("gate closed")
+
+// take removes an idle connection of the organisation from the pool, if possible the one that the session used last.
+func (g *Gate) take(c statement.Call) *link {
+	links := g.idle[c.Organisation]
+	if len(links) == 0 {
+		return nil
+	}
+	best := len(links) - 1
+	for n, l := range links {
+		if l.session == c.Session {
+			best = n
+		}
+	}
+	l := links[best]
+	g.idle[c.Organisation] = append(links[:best:best], links[best+1:]...)
+	return l
+}
+
+// oldest removes the connection that has been idle for the longest time.
+func (g *Gate) oldest() *link {
+	var oldest *link
+	for _, links := range g.idle {
+		if len(links) > 0 && (oldest == nil || links[0].released < oldest.released) {
+			oldest = links[0]
+		}
+	}
+	if oldest != nil {
+		g.idle[oldest.organisation] = g.idle[oldest.organisation][1:]
+	}
+	return oldest
+}
+
+func (g *Gate) dial(ctx context.Context, organisation string) (*link, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	t := g.target
+	t.Organisation = organisation
+	conn, position, err := g.dialer.Dial(ctx, t)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil && g.closed {
+		conn.Close()
+		err = &statement.DialError{Err: errClosed}
+	}
+	if err != nil {
+		g.connections--
+		g.wake()
+		var d *statement.DialError
+		if errors.As(err, &d) && d.Code == statement.TooMany {
+			g.refusedUntil = g.options.Boot() + tooManyPause
+		}
+		g.failed(errors.As(err, &d) && d.Refused)
+		return nil, err
+	}
+	g.opened++
+	g.answered(position)
+	return &link{conn: conn, organisation: organisation, values: map[string]string{}, prepared: map[string]bool{}}, nil
+}
+
+// failed and answered keep the health of the server; the caller holds the lock.
+func (g *Gate) failed(refused bool) {
+	if g.health.Failures == 0 {
+		g.health.Since = g.options.Boot()
+	}
+	g.health.Failures++
+	g.health.Refused = refused
+	if g.health.Failures >= flushAfter {
+		g.flush()
+	}
+}
+
+func (g *Gate) answered(p driver.Position) {
+	g.health.Failures, g.health.Refused, g.health.Answered = 0, false, g.options.Boot()
+	if p.Compare(g.position) > 0 {
+		g.position = p
+	}
+}
+
+// flush closes all idle connections.
+func (g *Gate) flush() {
+	for organisation, links := range g.idle {
+		for _, l := range links {
+			l.conn.Close()
+			g.connections--
+		}
+		delete(g.idle, organisation)
+	}
+}
+
+func (g *Gate) wake() {
+	if len(g.waiting) > 0 {
+		close(g.waiting[0])
+		g.waiting = g.waiting[1:]
+	}
+}
+
+// forget passes a wake-up on that a caller no longer needs.
+func (g *Gate) forget(wait chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for n, w := range g.waiting {
+		if w == wait {
+			g.waiting = append(g.waiting[:n:n], g.waiting[n+1:]...)
+			return
+		}
+	}
+	g.wake()
+}
+
+// release returns a clean connection to the pool.
+func (g *Gate) release(l *link) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed || g.connections > g.limit {
+		l.conn.Close()
+		g.connections--
+		g.wake()
+		return
+	}
+	l.released = g.options.Boot()
+	g.idle[l.organisation] = append(g.idle[l.organisation], l)
+	g.wake()
+}
+
+// drop closes a connection whose state is not known.
+func (g *Gate) drop(l *link) {
+	l.conn.Close()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.connections--
+	g.wake()
+}
+
+// Sweep ends idle connections and transactions whose pause is too long. It is called at each tick.
+func (g *Gate) Sweep() {
+	now := g.options.Boot()
+	g.mu.Lock()
+	for organisation, links := range g.idle {
+		kept := links[:0]
+		for _, l := range links {
+			if now-l.released < idleConnection {
+				kept = append(kept, l)
+				continue
+			}
+			l.conn.Close()
+			g.connections--
+		}
+		g.idle[organisation] = kept
+	}
+	var expired []uint64
+	for id, t := range g.transactions {
+		if g.options.TransactionIdle > 0 && t.mu.TryLock() {
+			if now-t.used > g.options.TransactionIdle {
+				expired = append(expired, id)
+			}
+			t.mu.Unlock()
+		}
+	}
+	g.mu.Unlock()
+	for _, id := range expired {
+		g.abandon(id)
+	}
+}
+
+// Close closes idle connections at once and the others as they come back.
+func (g *Gate) Close() {
+	g.scheduler.Stop(outcome.ServerLeaving)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	g.flush()
+	for _, w := range g.waiting {
+		close(w)
+	}
+	g.waiting = nil
+}
--- /dev/null
+++ b/internal/database/gate/run.go
@@ -0,0 +1,364 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/proof"
+	"tanagercross/internal/database/statement"
+)
+
+// prelude returns the commands that give a connection the state that a call needs.
+func (l *link) prelude(c statement.Call) []statement.Command {
+	var commands []statement.Command
+	reset := len(l.prepared) >= maximumPrepared
+	for name := range l.values {
+		if !holds(c.Values, name) {
+			reset = true
+		}
+	}
+	if reset && (c.Step == statement.Single || c.Step == statement.First) {
+		commands = append(commands, statement.Reset{})
+		l.values, l.prepared = map[string]string{}, map[string]bool{}
+	}
+	for _, v := range c.Values {
+		if present, ok := l.values[v.Name]; !ok || present != v.Value {
+			commands = append(commands, statement.Assign{Value: v})
+			l.values[v.Name] = v.Value
+		}
+	}
+	if p := c.Preparation; p != nil && !l.prepared[p.Name] {
+		commands = append(commands, statement.Define{Preparation: *p})
+		l.prepared[p.Name] = true
+	}
+	return commands
+}
+
+func holds(values []statement.Value, name string) bool {
+	for _, v := range values {
+		if v.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func deadlineOf(ctx context.Context, limit time.Duration) time.Time {
+	deadline := time.Now().Add(limit)
+	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
+		return d
+	}
+	return deadline
+}
+
+// longestStatement bounds a statement without a deadline of its own.
+const longestStatement = 10 * time.Second
+
+// prepare runs the prelude and, if asked for, opens a transaction. All answers are awaited before the caller's statement
+// is sent: after a failed command it would run with other values or outside of its transaction. A refusal is returned
+// with clean set if the connection can be used again.
+func (g *Gate) prepare(ctx context.Context, l *link, c statement.Call, open *statement.Open) (refusal *statement.Answer, clean bool) {
+	commands := l.prelude(c)
+	l.session = c.Session
+	if open != nil {
+		commands = append(commands, *open)
+	}
+	if len(commands) == 0 {
+		return nil, true
+	}
+	asked := g.options.Boot()
+	answers, err := g.send(l, deadlineOf(ctx, controlTimeout), commands...)
+	if err != nil {
+		g.noteFailure()
+		r := statement.Refused(statement.Aborted, "connection lost before the statement was sent")
+		return &r, false
+	}
+	for n, a := range answers {
+		if a.Code == "" {
+			continue
+		}
+		r := statement.Refused(a.Code, a.Text)
+		r.Position = a.Position
+		opening := open != nil && n == len(answers)-1
+		if opening && a.Code == statement.ReadOnly {
+			g.noteNotLeading()
+		}
+		// A connection whose transaction did not open is clean, unless the server says otherwise.
+		return &r, opening && a.State == statement.Idle
+	}
+	last := answers[len(answers)-1]
+	g.noteAnswer(last.Position)
+	if open != nil && !open.ReadOnly {
+		g.noteHead(last.Position, asked)
+	}
+	return nil, true
+}
+
+// single runs a statement outside of a caller's transaction.
+func (g *Gate) single(ctx context.Context, l *link, c statement.Call) (answer statement.Answer, clean bool) {
+	proving := c.Scope == statement.Leader && !c.Writes()
+	var open *statement.Open
+	if proving {
+		open = &statement.Open{}
+	}
+	if refusal, clean := g.prepare(ctx, l, c, open); refusal != nil {
+		return *refusal, clean
+	}
+	forward := statement.Forward{ID: c.ID, Body: c.Body}
+	if c.Scope == statement.Replica {
+		forward.After = c.After
+	}
+	commands := []statement.Command{forward}
+	if proving {
+		commands = append(commands, statement.Close{})
+	}
+	asked := g.options.Boot()
+	answers, err := g.send(l, deadlineOf(ctx, longestStatement), commands...)
+	if len(answers) == 0 {
+		g.noteFailure()
+		return statement.NoAnswer("no answer from the server"), false
+	}
+	answer = answers[0]
+	g.noteAnswer(answer.Position)
+	if answer.Code == statement.ReadOnly {
+		g.noteNotLeading()
+	}
+	if answer.OK() && c.Scope == statement.Leader && c.Writes() {
+		g.noteHead(answer.Position, asked)
+	}
+	if answer.Code == statement.NoStatement {
+		l.prepared = map[string]bool{}
+	}
+	last := answers[len(answers)-1]
+	return answer, err == nil && last.State == statement.Idle && (last.Code == "" || len(answers) == 1)
+}
+
+func (g *Gate) startTransaction(ctx context.Context, l *link, c statement.Call) statement.Answer {
+	open := &statement.Open{}
+	if c.Scope == statement.Replica {
+		open.ReadOnly, open.After = true, c.After
+	}
+	if refusal, clean := g.prepare(ctx, l, c, open); refusal != nil {
+		if clean {
+			g.release(l)
+		} else {
+			g.drop(l)
+		}
+		return *refusal
+	}
+	g.mu.Lock()
+	g.sequence++
+	id := g.sequence
+	t := &transaction{link: l, session: c.Session, used: g.options.Boot(), scope: c.Scope}
+	t.mu.Lock()
+	g.transactions[id] = t
+	g.mu.Unlock()
+	defer t.mu.Unlock()
+	answer := g.run(ctx, id, t, c)
+	answer.Transaction = id
+	return answer
+}
+
+// run forwards a statement inside a transaction; the caller holds the transaction's lock.
+func (g *Gate) run(ctx context.Context, id uint64, t *transaction, c statement.Call) statement.Answer {
+	answers, err := g.send(t.link, deadlineOf(ctx, longestStatement), statement.Forward{ID: c.ID, Body: c.Body})
+	t.used = g.options.Boot()
+	if err != nil {
+		g.noteFailure()
+		g.finish(id, t, false)
+		return statement.NoAnswer("no answer from the server")
+	}
+	a := answers[0]
+	g.noteAnswer(a.Position)
+	if a.Code == statement.ReadOnly {
+		g.noteNotLeading()
+	}
+	if a.State == statement.Idle {
+		g.finish(id, t, true)
+	}
+	return a
+}
+
+func (g *Gate) continueTransaction(ctx context.Context, c statement.Call) statement.Answer {
+	g.mu.Lock()
+	t := g.transactions[c.Transaction]
+	g.mu.Unlock()
+	if t == nil || t.session != c.Session {
+		return statement.Refused(statement.Aborted, "the transaction has ended")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.finished {
+		return statement.Refused(statement.Aborted, "the transaction has ended")
+	}
+	if _, ok := c.Body.(statement.Rollback); ok {
+		return g.rollback(ctx, c.Transaction, t)
+	}
+	ticket, err := g.scheduler.Acquire(ctx, c.Organisation, c.Session)
+	if err != nil {
+		_ = g.rollback(ctx, c.Transaction, t)
+		return statement.Refused(statement.Aborted, "queue")
+	}
+	defer ticket.Release()
+	if refusal, _ := g.prepare(ctx, t.link, c, nil); refusal != nil {
+		g.finish(c.Transaction, t, false)
+		return statement.Refused(statement.Aborted, refusal.Text)
+	}
+	return g.run(ctx, c.Transaction, t, c)
+}
+
+// rollback ends a transaction; its connection is closed if the server does not confirm.
+func (g *Gate) rollback(ctx context.Context, id uint64, t *transaction) statement.Answer {
+	answers, err := g.send(t.link, deadlineOf(ctx, controlTimeout), statement.Close{})
+	clean := err == nil && answers[0].Code == "" && answers[0].State == statement.Idle
+	g.finish(id, t, clean)
+	return statement.Answer{Fate: statement.Answered, State: statement.Idle}
+}
+
+// finish ends a transaction; the caller holds its lock.
+func (g *Gate) finish(id uint64, t *transaction, clean bool) {
+	g.mu.Lock()
+	delete(g.transactions, id)
+	g.mu.Unlock()
+	t.finished = true
+	if clean {
+		g.release(t.link)
+	} else {
+		g.drop(t.link)
+	}
+}
+
+// abandon rolls back a transaction whose caller is gone.
+func (g *Gate) abandon(id uint64) {
+	g.mu.Lock()
+	t := g.transactions[id]
+	g.mu.Unlock()
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.finished {
+		g.rollback(context.Background(), id, t)
+	}
+}
+
+func (g *Gate) noteFailure() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.failed(false)
+}
+
+func (g *Gate) noteAnswer(p driver.Position) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.answered(p)
+}
+
+func (g *Gate) noteNotLeading() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.health.NotLeading, g.health.NotLeadingAt = true, g.options.Boot()
+}
+
+// noteHead keeps a position that the server gave while it led.
+func (g *Gate) noteHead(p driver.Position, asked time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p.Compare(g.head.Position) >= 0 && asked >= g.head.Asked {
+		g.head = proof.Proof{Position: p, Asked: asked}
+		g.health.NotLeading = false
+	}
+}
+
+// LastHead returns the newest position that the server gave while it led.
+func (g *Gate) LastHead() (proof.Proof, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.head, g.head.Asked > 0
+}
+
+// Head returns a position that the server gave while it led, at most maximum ago. It asks the server if none is known.
+func (g *Gate) Head(ctx context.Context, maximum time.Duration, organisation string) (proof.Proof, bool) {
+	if p, ok := g.LastHead(); ok && g.options.Boot()-p.Asked <= maximum {
+		return p, true
+	}
+	c := statement.Call{Organisation: g.lastOrganisation(organisation), Step: statement.Single}
+	ticket, l, _ := g.enter(ctx, c)
+	if l == nil {
+		return proof.Proof{}, false
+	}
+	defer ticket.Release()
+	asked := g.options.Boot()
+	if refusal, clean := g.prepare(ctx, l, statement.Call{Values: l.present()}, &statement.Open{}); refusal != nil {
+		g.end(l, clean)
+		return proof.Proof{}, false
+	}
+	answers, err := g.send(l, deadlineOf(ctx, controlTimeout), statement.Close{})
+	g.end(l, err == nil && answers[0].State == statement.Idle)
+	p, ok := g.LastHead()
+	return p, ok && p.Asked >= asked
+}
+
+func (g *Gate) lastOrganisation(other string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.organisation != "" {
+		return g.organisation
+	}
+	return other
+}
+
+// present returns the session values that the connection has.
+func (l *link) present() []statement.Value {
+	values := make([]statement.Value, 0, len(l.values))
+	for name, value := range l.values {
+		values = append(values, statement.Value{Name: name, Value: value})
+	}
+	return values
+}
+
+func (g *Gate) end(l *link, clean bool) {
+	if clean {
+		g.release(l)
+		return
+	}
+	g.drop(l)
+}
+
+// Report asks the server for its report on a connection of its own.
+func Report(ctx context.Context, d statement.Dialer, t statement.Target, limit time.Duration, c statement.Command) (statement.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	conn, _, err := d.Dial(ctx, t)
+	if err != nil {
+		return statement.Report{}, err
+	}
+	defer conn.Close()
+	return conn.Report(deadlineOf(ctx, limit), c)
+}
+
+// send runs commands on a connection and keeps the time of those that are not answered yet.
+func (g *Gate) send(l *link, deadline time.Time, commands ...statement.Command) ([]statement.Answer, error) {
+	g.mu.Lock()
+	g.unanswered[l] = g.options.Boot()
+	g.mu.Unlock()
+	answers, err := l.conn.Run(deadline, commands...)
+	g.mu.Lock()
+	delete(g.unanswered, l)
+	g.mu.Unlock()
+	return answers, err
+}
+
+// Silent returns for how long the server has answered nothing although a statement waits for its answer.
+func (g *Gate) Silent() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.options.Boot()
+	var longest time.Duration
+	for _, sent := range g.unanswered {
+		longest = max(longest, now-max(sent, g.health.Answered))
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/database/succession/succession.go
@@ -0,0 +1,121 @@
+// Package succession decides when the primary of a group is to be replaced and which server takes over. It does no I/O.
+//
+// # Usage
+//
+//	switch succession.Judge(evidence) {
+//	case succession.Replace:
+//		next, ok := succession.Choose(reports, needed)
+//	case succession.Keep, succession.Wait:
+//	}
+//
+// A change of primary loses what the old primary acknowledged and the next one has not received, so a primary that others
+// reach is kept.
+package succession
+
+import (
+	"time"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/statement"
+)
+
+// Limits of evidence.
+const (
+	// SilentAfter is how long a server answers nothing before it is examined.
+	SilentAfter = 300 * time.Millisecond
+	// FailuresBefore is how many failures in a row make a server suspect.
+	FailuresBefore = 2
+)
+
+// Evidence is what is known of a group whose primary is in doubt.
+type Evidence struct {
+	Primary      string // id; empty if none is known
+	Listed       bool   // the primary has an entry in the store
+	Leaving      bool   // the primary is about to stop
+	ReachedHere  bool   // this instance got an answer from it
+	ReachedThere bool   // another instance got an answer from it
+	Leads        bool   // the answer says that it leads
+	Asked        bool   // another instance could be asked
+	Leaderless   time.Duration
+}
+
+// Verdict is what to do about a primary.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Keep    Verdict = iota
+	Wait            // more evidence is needed
+	Replace         // the primary is gone
+	Relieve         // the primary serves, but leaves: it gives up the lead first
+)
+
+// leaderlessBefore is how long a group has no primary before one is made. A server that restarts reports its role within
+// that time.
+const leaderlessBefore = 700 * time.Millisecond
+
+// Judge decides what to do.
+func Judge(e Evidence) Verdict {
+	reached := e.ReachedHere || e.ReachedThere
+	switch {
+	case e.Primary == "" || reached && !e.Leads:
+		if e.Leaderless >= leaderlessBefore {
+			return Replace
+		}
+		return Wait
+	case reached && e.Leaving:
+		return Relieve
+	case reached:
+		return Keep
+	case !e.Asked && e.Listed && e.Leaderless < leaderlessBefore:
+		return Wait
+	}
+	return Replace
+}
+
+// Report is a server's answer during a change of primary.
+type Report struct {
+	Server string
+	Place  string
+	statement.Report
+}
+
+// Needed returns how many of a group's replicas must report before one is chosen. With synchronous replicas a commit is
+// known to be on that many of them, so that the others may be missing.
+func Needed(replicas, syncReplicas int) int {
+	if syncReplicas <= 0 {
+		return 1
+	}
+	return max(1, replicas-syncReplicas+1)
+}
+
+// Choose returns the server that received the most, preferring the place of the old primary.
+func Choose(reports []Report, place string) (Report, bool) {
+	var best Report
+	found := false
+	for _, r := range reports {
+		c := r.Received.Compare(best.Received)
+		if !found || c > 0 || c == 0 && r.Place == place && best.Place != place {
+			best, found = r, true
+		}
+	}
+	return best, found
+}
+
+// Term returns a term above all that the servers know.
+func Term(reports []Report, known uint64) uint64 {
+	for _, r := range reports {
+		known = max(known, r.Term, r.Received.Term)
+	}
+	return known + 1
+}
+
+// Leading returns the server that already leads in a term above the old one.
+func Leading(reports []Report, old string) (Report, bool) {
+	for _, r := range reports {
+		if r.Role == driver.Primary && r.Server != old {
+			return r, true
+		}
+	}
+	return Report{}, false
+}
--- /dev/null
+++ b/internal/fleet/belief/belief.go
@@ -0,0 +1,387 @@
+// Package belief holds what an instance knows of its deployment: the configuration, the servers, the members, the leaders
+// of groups, who is alive, and what callers of each place ask for.
+//
+// Documents come from the platform's store, read by the instance itself or by another one. A document is replaced only by
+// one of a higher version, so that nothing goes back within a process.
+//
+// # Usage
+//
+//	t := belief.NewTable(self, decoder)
+//	t.Merge(now, beliefs)
+//	configuration := t.Configuration()
+//	leader, ok := t.Leader("meals-1")
+//
+// Moments are readings of a clock that counts suspended time.
+package belief
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/fleet/catalog"
+	"tanagercross/internal/fleet/roster"
+)
+
+const (
+	// AliveFor is how long an instance counts as alive after it was last heard.
+	AliveFor = 1500 * time.Millisecond
+	// suspectFor is how long an instance is passed over after a call to it failed.
+	suspectFor = 800 * time.Millisecond
+	// presenceFor is how long a report about an instance of another place holds.
+	presenceFor = 3 * time.Second
+	// missingFor is how long a server whose entry is missing is kept after an outage of the store.
+	missingFor = 2500 * time.Millisecond
+	// outageAfter is the pause between two reads that counts as an outage.
+	outageAfter = 4 * time.Second
+	// cutFor is how long a report that an instance does not reach a server holds.
+	cutFor = 2 * time.Second
+)
+
+// Row is a row of the store.
+type Row struct {
+	Key     string
+	Value   []byte
+	Version uint64
+}
+
+// Rows is the content of a table at one version of the store.
+type Rows struct {
+	Version uint64
+	Rows    []Row
+	Read    time.Duration // moment before the read
+}
+
+// Leader is the primary of a group. Term 0 means that only the server's own entry tells so.
+type Leader struct {
+	Group  string
+	Server string
+	Term   uint64
+}
+
+// Presence is an instance as last heard.
+type Presence struct {
+	Name        string
+	Address     string
+	Place       string
+	Incarnation uint64
+	Leaving     bool
+	Down        bool     // not heard by the steward of its place; told to other places only
+	Unreachable []string // ids of servers
+	Heard       time.Duration
+}
+
+// Demand is what callers of a place asked for, in operations per second.
+type Demand struct {
+	Place string
+	Rates map[string]float64
+	Live  int
+	Heard time.Duration
+}
+
+// Beliefs is a set of what one instance tells another. Documents without content are only versions.
+type Beliefs struct {
+	ConfigurationVersion uint64
+	ServersVersion       uint64
+	MembersVersion       uint64
+	Configuration        Rows // one row
+	Servers              Rows
+	Members              Rows
+	Leaders              []Leader
+	Presences            []Presence
+	Demands              []Demand
+}
+
+// Decoder turns rows of the store into values.
+type Decoder interface {
+	Configuration(value []byte) (catalog.Configuration, error)
+	Server(id string, value []byte) (catalog.Server, error)
+	Member(name string, value []byte) (roster.Member, error)
+}
+
+// Observer is told of what changes. Calls come one at a time.
+type Observer interface {
+	ConfigurationChanged(before, after catalog.Configuration, age time.Duration)
+	ServersChanged(before, after catalog.Servers, age time.Duration)
+	LeaderChanged(before, after Leader)
+	RowIgnored(key string, err error)
+}
+
+// Table is what one instance knows. It is safe for concurrent use.
+type Table struct {
+	self     Presence
+	decoder  Decoder
+	observer Observer
+
+	mu            sync.RWMutex
+	configuration catalog.Configuration
+	document      Rows
+	servers       catalog.Servers
+	serverRows    Rows
+	missing       map[string]time.Duration // servers without an entry, kept until then
+	outageUntil   time.Duration
+	members       roster.Roster
+	memberRows    Rows
+	leaders       map[string]Leader
+	disproved     map[string]disproval
+	presences     map[string]Presence
+	demands       map[string]Demand
+	suspects      map[string]time.Duration
+	cuts          map[string]time.Duration // servers that this instance does not reach, until then
+	changed       chan struct{}
+}
+
+// disproval is a leader that refused to lead.
+type disproval struct {
+	leader Leader
+	at     time.Duration
+}
+
+// reportDelay is how long a server's report of a new role may be under way to the store and the reader.
+const reportDelay = 300 * time.Millisecond
+
+// NewTable returns the table of an instance that knows only itself.
+func NewTable(self Presence, d Decoder, o Observer) *Table {
+	t := &Table{
+		self: self, decoder: d, observer: o, missing: map[string]time.Duration{}, leaders: map[string]Leader{},
+		disproved: map[string]disproval{}, presences: map[string]Presence{}, demands: map[string]Demand{},
+		suspects: map[string]time.Duration{}, cuts: map[string]time.Duration{}, changed: make(chan struct{}),
+	}
+	t.members = roster.New(0, []roster.Member{{Name: self.Name, Address: self.Address, Place: self.Place}})
+	return t
+}
+
+// Self returns the instance's own presence.
+func (t *Table) Self() Presence {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.self
+}
+
+// Leave marks the instance as leaving.
+func (t *Table) Leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.self.Leaving = true
+}
+
+// Configuration returns the configuration in force.
+func (t *Table) Configuration() catalog.Configuration {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.configuration
+}
+
+// Servers returns the servers.
+func (t *Table) Servers() catalog.Servers {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.servers
+}
+
+// Roster returns the instances.
+func (t *Table) Roster() roster.Roster {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.members
+}
+
+// Ages returns the moments before the reads on which configuration, servers and members rest; 0 if never read.
+func (t *Table) Ages() (configuration, servers, members time.Duration) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.document.Read, t.serverRows.Read, t.memberRows.Read
+}
+
+// Changed returns a channel that is closed at the next change of leaders or servers.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.changed
+}
+
+func (t *Table) signal() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// SetConfiguration takes the configuration row as read.
+func (t *Table) SetConfiguration(r Rows) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(r.Rows) == 1 && r.Rows[0].Version > t.version() {
+		c, err := t.decoder.Configuration(r.Rows[0].Value)
+		if err != nil {
+			t.observer.RowIgnored(r.Rows[0].Key, err)
+			return
+		}
+		before := t.configuration
+		t.configuration, t.document.Rows = c, r.Rows
+		t.observer.ConfigurationChanged(before, c, r.Read)
+		t.signal()
+	}
+	t.document.Read = max(t.document.Read, r.Read)
+}
+
+// version returns the row version of the configuration.
+func (t *Table) version() uint64 {
+	if len(t.document.Rows) == 0 {
+		return 0
+	}
+	return t.document.Rows[0].Version
+}
+
+// SetServers takes the servers' rows as read. After an outage of the store, servers whose entries are missing are kept
+// for a moment, because the entries of live servers come back.
+func (t *Table) SetServers(now time.Duration, r Rows) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.Version < t.serverRows.Version || r.Read < t.serverRows.Read {
+		return
+	}
+	if t.serverRows.Read > 0 && r.Read-t.serverRows.Read > outageAfter {
+		t.outageUntil = now + missingFor
+	}
+	var list []catalog.Server
+	seen := map[string]bool{}
+	for _, row := range r.Rows {
+		s, err := t.decoder.Server(row.Key, row.Value)
+		if err != nil {
+			t.observer.RowIgnored(row.Key, err)
+			continue
+		}
+		seen[s.ID] = true
+		list = append(list, s)
+	}
+	if now < t.outageUntil {
+		for _, s := range t.servers.All() {
+			if !seen[s.ID] {
+				list = append(list, s)
+			}
+		}
+	}
+	before := t.servers
+	t.servers, t.serverRows = catalog.NewServers(r.Version, list), r
+	if !slices.Equal(before.All(), t.servers.All()) {
+		t.observer.ServersChanged(before, t.servers, r.Read)
+		t.adoptRoles()
+		t.signal()
+		return
+	}
+	t.servers = before
+}
+
+// adoptRoles derives leaders from the servers' own reports where nothing better is known.
+func (t *Table) adoptRoles() {
+	for _, s := range t.servers.All() {
+		if s.Role != driver.Primary {
+			continue
+		}
+		present, known := t.leaders[s.Group]
+		if known {
+			holder, listed := t.servers.Server(present.Server)
+			if present.Server == s.ID || listed && holder.Role == driver.Primary {
+				continue
+			}
+		}
+		// The list may be older than the refusal, or than the promotion of another server.
+		if d, ok := t.disproved[s.Group]; ok && d.leader.Server == s.ID && t.serverRows.Read < d.at+reportDelay {
+			continue
+		}
+		t.setLeader(Leader{Group: s.Group, Server: s.ID, Term: 0})
+	}
+}
+
+func (t *Table) setLeader(l Leader) {
+	before := t.leaders[l.Group]
+	if before == l {
+		return
+	}
+	t.leaders[l.Group] = l
+	if before.Server != l.Server {
+		t.observer.LeaderChanged(before, l)
+	}
+	t.signal()
+}
+
+// Leader returns the primary of a group.
+func (t *Table) Leader(group string) (Leader, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	l, ok := t.leaders[group]
+	return l, ok
+}
+
+// Lead takes a leader with the term in which it was proved to lead. A lower term than the known one changes nothing.
+func (t *Table) Lead(now time.Duration, l Leader) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lead(now, l)
+}
+
+func (t *Table) lead(now time.Duration, l Leader) {
+	if d, ok := t.disproved[l.Group]; ok && l.Term <= d.leader.Term {
+		return // a server that refused to lead leads again only in a later term
+	}
+	present, known := t.leaders[l.Group]
+	if !known || l.Term > present.Term {
+		if known && present.Server != l.Server {
+			t.disproved[l.Group] = disproval{leader: present, at: now}
+		}
+		t.setLeader(l)
+	}
+}
+
+// Disprove takes back that a server leads, because it refused to.
+func (t *Table) Disprove(now time.Duration, group, server string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l, ok := t.leaders[group]
+	if !ok || l.Server != server {
+		return
+	}
+	// The server's term may not be known, but it is not below that of an earlier refusal.
+	l.Term = max(l.Term, t.disproved[group].leader.Term)
+	t.disproved[group] = disproval{leader: l, at: now}
+	delete(t.leaders, group)
+	t.observer.LeaderChanged(l, Leader{Group: group})
+	for _, s := range t.servers.Of(group) {
+		if s.Role == driver.Primary && s.ID != server {
+			t.setLeader(Leader{Group: group, Server: s.ID})
+		}
+	}
+}
+
+// SetMembers takes the instances' rows as read.
+func (t *Table) SetMembers(r Rows) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.Version < t.memberRows.Version {
+		return
+	}
+	members := []roster.Member{{Name: t.self.Name, Address: t.self.Address, Place: t.self.Place}}
+	for _, row := range r.Rows {
+		m, err := t.decoder.Member(row.Key, row.Value)
+		if err != nil {
+			t.observer.RowIgnored(row.Key, err)
+			continue
+		}
+		if m.Name != t.self.Name {
+			members = append(members, m)
+		}
+	}
+	t.members, t.memberRows = roster.New(r.Version, members), r
+}
+
+// MemberRow returns the row version of an instance.
+func (t *Table) MemberRow(name string) (uint64, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, row := range t.memberRows.Rows {
+		if row.Key == name {
+			return row.Version, true
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/fleet/belief/presence.go
@@ -0,0 +1,285 @@
+package belief
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"tanagercross/internal/fleet/roster"
+)
+
+// Hear takes a presence that was heard at a moment.
+func (t *Table) Hear(p Presence) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hear(p)
+}
+
+func (t *Table) hear(p Presence) {
+	if p.Name == t.self.Name {
+		return
+	}
+	present, known := t.presences[p.Name]
+	if known && p.Heard < present.Heard {
+		return
+	}
+	t.presences[p.Name] = p
+	// An instance that the table of members does not list yet has just joined.
+	m, listed := t.members.Member(p.Name)
+	if p.Address != "" && (!listed || m.Address != p.Address) {
+		members := slices.DeleteFunc(slices.Clone(t.members.Members()), func(m roster.Member) bool { return m.Name == p.Name })
+		members = append(members, roster.Member{Name: p.Name, Address: p.Address, Place: p.Place})
+		t.members = roster.New(t.members.Version(), members)
+	}
+}
+
+// Suspect passes an instance over for a moment, because a call to it failed.
+func (t *Table) Suspect(now time.Duration, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.suspects[name] = now + suspectFor
+}
+
+// Trust ends a suspicion, because the instance answered.
+func (t *Table) Trust(now time.Duration, name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.suspects, name)
+	if p, ok := t.presences[name]; ok {
+		p.Heard = max(p.Heard, now)
+		t.presences[name] = p
+	}
+}
+
+// Heard returns when an instance was last heard; 0 if never.
+func (t *Table) Heard(name string) time.Duration {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.presences[name].Heard
+}
+
+// Live returns how many instances of the own place were heard lately, itself included, and how many there are.
+func (t *Table) Live(now time.Duration) (live, all int) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, m := range t.members.Members() {
+		if m.Place != t.self.Place {
+			continue
+		}
+		all++
+		if m.Name == t.self.Name || now-t.presences[m.Name].Heard < AliveFor {
+			live++
+		}
+	}
+	return live, all
+}
+
+// alive reports whether an instance can be called. Instances of other places count as alive until something else is
+// heard.
+func (t *Table) alive(now time.Duration, m roster.Member) bool {
+	if m.Name == t.self.Name {
+		return !t.self.Leaving
+	}
+	if now < t.suspects[m.Name] {
+		return false
+	}
+	p, heard := t.presences[m.Name]
+	if m.Place == t.self.Place {
+		return heard && !p.Leaving && now-p.Heard < AliveFor
+	}
+	return !heard || now-p.Heard > presenceFor || !p.Leaving && !p.Down
+}
+
+// Holders returns the instances through which a server is to be used, best first. All instances derive the same order
+// from the same members; those that do not reach the server come last.
+func (t *Table) Holders(now time.Duration, server, place string) []roster.Member {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var usable, cut []roster.Member
+	for _, m := range t.members.Rank(server, place) {
+		switch {
+		case !t.alive(now, m):
+		case t.reaches(now, m.Name, server):
+			usable = append(usable, m)
+		default:
+			cut = append(cut, m)
+		}
+	}
+	return append(usable, cut...)
+}
+
+func (t *Table) reaches(now time.Duration, name, server string) bool {
+	if name == t.self.Name {
+		return now >= t.cuts[server]
+	}
+	p := t.presences[name]
+	return now-p.Heard > presenceFor || !slices.Contains(p.Unreachable, server)
+}
+
+// Cut notes that this instance does not reach a server.
+func (t *Table) Cut(now time.Duration, server string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cuts[server] = now + cutFor
+}
+
+// Reached notes that this instance reaches a server.
+func (t *Table) Reached(server string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.cuts, server)
+}
+
+// Stewards returns the instances of a place in the order in which they act for it.
+func (t *Table) Stewards(place string) []roster.Member {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	all := t.members.Rank("steward", place)
+	n := slices.IndexFunc(all, func(m roster.Member) bool { return m.Place != place })
+	if n >= 0 {
+		all = all[:n]
+	}
+	return all
+}
+
+// Suspected reports whether a call to an instance failed lately or it is leaving.
+func (t *Table) Suspected(now time.Duration, name string) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return now < t.suspects[name] || t.presences[name].Leaving
+}
+
+// Places returns the places that have instances, sorted.
+func (t *Table) Places() []string {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	places := map[string]bool{}
+	for _, m := range t.members.Members() {
+		places[m.Place] = true
+	}
+	return slices.Sorted(maps.Keys(places))
+}
+
+// SetDemand takes the demand of a place.
+func (t *Table) SetDemand(d Demand) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setDemand(d)
+}
+
+func (t *Table) setDemand(d Demand) {
+	if d.Heard >= t.demands[d.Place].Heard {
+		t.demands[d.Place] = d
+	}
+}
+
+// Demands returns the demand of all places that is known.
+func (t *Table) Demands() map[string]Demand {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return maps.Clone(t.demands)
+}
+
+// Presence returns this instance as it tells others.
+func (t *Table) Presence(now time.Duration) Presence {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	p := t.self
+	p.Heard = now
+	for server, until := range t.cuts {
+		if now < until {
+			p.Unreachable = append(p.Unreachable, server)
+		}
+	}
+	return p
+}
+
+// Beliefs returns what to tell an instance that has documents of the given versions. An instance of another place is told
+// only of the instances that are not to be used.
+func (t *Table) Beliefs(now time.Duration, has Beliefs, place string) Beliefs {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	b := Beliefs{ConfigurationVersion: t.version(), ServersVersion: t.serverRows.Version, MembersVersion: t.memberRows.Version}
+	b.Configuration.Read, b.Servers.Read, b.Members.Read = t.document.Read, t.serverRows.Read, t.memberRows.Read
+	if b.ConfigurationVersion > has.ConfigurationVersion {
+		b.Configuration = t.document
+	}
+	near := place == t.self.Place
+	if b.ServersVersion > has.ServersVersion && (near || has.ServersVersion == 0 || now-has.Servers.Read > outageAfter) {
+		b.Servers = t.serverRows
+	}
+	if b.MembersVersion > has.MembersVersion {
+		b.Members = t.memberRows
+	}
+	for _, l := range t.leaders {
+		if l.Term > 0 {
+			b.Leaders = append(b.Leaders, l)
+		}
+	}
+	for _, p := range t.presences {
+		if !near && p.Place != t.self.Place {
+			continue
+		}
+		if near {
+			b.Presences = append(b.Presences, p)
+			continue
+		}
+		p.Down = now-p.Heard >= AliveFor
+		if p.Down || p.Leaving || len(p.Unreachable) > 0 {
+			p.Heard = now
+			b.Presences = append(b.Presences, p)
+		}
+	}
+	for _, d := range t.demands {
+		if near || d.Place == t.self.Place {
+			b.Demands = append(b.Demands, d)
+		}
+	}
+	return b
+}
+
+// Versions returns the versions and ages of the documents, without content.
+func (t *Table) Versions() Beliefs {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	b := Beliefs{ConfigurationVersion: t.version(), ServersVersion: t.serverRows.Version, MembersVersion: t.memberRows.Version}
+	b.Configuration.Read, b.Servers.Read, b.Members.Read = t.document.Read, t.serverRows.Read, t.memberRows.Read
+	return b
+}
+
+func (t *Table) extendServers(read time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.serverRows.Read = max(t.serverRows.Read, read)
+}
+
+// Merge takes what another instance told.
+func (t *Table) Merge(now time.Duration, b Beliefs) {
+	// Content, or the same version as the own one, extends the age on which the own document rests.
+	mine := t.Versions()
+	if len(b.Configuration.Rows) > 0 || b.ConfigurationVersion == mine.ConfigurationVersion {
+		t.SetConfiguration(b.Configuration)
+	}
+	switch {
+	case len(b.Servers.Rows) > 0:
+		t.SetServers(now, b.Servers)
+	case b.ServersVersion == mine.ServersVersion:
+		t.extendServers(b.Servers.Read)
+	}
+	if b.Members.Version > mine.MembersVersion {
+		t.SetMembers(b.Members)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, l := range b.Leaders {
+		t.lead(now, l)
+	}
+	for _, p := range b.Presences {
+		t.hear(p)
+	}
+	for _, d := range b.Demands {
+		if d.Place != t.self.Place {
+			t.setDemand(d)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/relay/message.go
@@ -0,0 +1,233 @@
+package relay
+
+import (
+	"math"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/statement"
+	"tanagercross/internal/fleet/belief"
+	relayv1 "tanagercross/internal/genproto/relay/v1"
+)
+
+// Kinds of statements in messages.
+const (
+	kindRead uint32 = iota
+	kindWrite
+	kindExecute
+	kindCommit
+	kindRollback
+)
+
+// age returns the time since a moment in milliseconds, rounded up. An unknown moment is as old as can be told.
+func age(now, moment time.Duration) uint32 {
+	if moment <= 0 {
+		return math.MaxUint32
+	}
+	return uint32(min(int64(math.MaxUint32-1), max(0, (now-moment).Milliseconds()+1)))
+}
+
+// moment is the inverse of age for a receiver.
+func moment(now time.Duration, age uint32) time.Duration {
+	if age == math.MaxUint32 {
+		return 0
+	}
+	return max(1, now-time.Duration(age)*time.Millisecond)
+}
+
+func encodePosition(p driver.Position) *relayv1.Position {
+	if p == (driver.Position{}) {
+		return nil
+	}
+	return &relayv1.Position{Term: p.Term, Index: p.Index}
+}
+
+func decodePosition(p *relayv1.Position) driver.Position {
+	return driver.Position{Term: p.GetTerm(), Index: p.GetIndex()}
+}
+
+func encodeCall(server string, c statement.Call) (*relayv1.ExecuteRequest, error) {
+	r := &relayv1.ExecuteRequest{
+		Server: server, Organisation: c.Organisation, Session: c.Session, Transaction: c.Transaction,
+		Step: uint32(c.Step), Scope: uint32(c.Scope), ReadOnly: c.ReadOnly, After: encodePosition(c.After),
+		MaximumAgeMilliseconds: uint32(c.MaximumAge.Milliseconds()), Id: c.ID,
+		TimeoutMilliseconds: uint32(c.Timeout.Milliseconds()),
+	}
+	switch b := c.Body.(type) {
+	case statement.Read:
+		r.Kind, r.Arguments = kindRead, b.Arguments
+	case statement.Write:
+		r.Kind, r.Arguments = kindWrite, b.Arguments
+	case statement.Execute:
+		r.Kind, r.Arguments = kindExecute, b.Arguments
+	case statement.Commit:
+		r.Kind = kindCommit
+	case statement.Rollback:
+		r.Kind = kindRollback
+	default:
+		return nil, eris.Errorf("statement %T is not forwarded", c.Body)
+	}
+	for _, v := range c.Values {
+		r.Values = append(r.Values, &relayv1.Value{Name: v.Name, Value: v.Value})
+	}
+	if p := c.Preparation; p != nil {
+		r.Preparation = &relayv1.Preparation{Name: p.Name, Writes: p.Writes, Shape: p.Shape}
+	}
+	return r, nil
+}
+
+func decodeCall(r *relayv1.ExecuteRequest) (statement.Call, error) {
+	c := statement.Call{
+		Organisation: r.Organisation, Session: r.Session, Transaction: r.Transaction, Step: statement.Step(r.Step),
+		Scope: statement.Scope(r.Scope), ReadOnly: r.ReadOnly, After: decodePosition(r.After),
+		MaximumAge: time.Duration(r.MaximumAgeMilliseconds) * time.Millisecond, ID: r.Id,
+		Timeout: time.Duration(r.TimeoutMilliseconds) * time.Millisecond,
+	}
+	if c.Step > statement.End || c.Scope > statement.Replica {
+		return c, eris.Errorf("step %d or scope %d", r.Step, r.Scope)
+	}
+	if p := r.Preparation; p != nil {
+		c.Preparation = &statement.Preparation{Name: p.Name, Writes: p.Writes, Shape: p.Shape}
+	}
+	for _, v := range r.Values {
+		c.Values = append(c.Values, statement.Value{Name: v.Name, Value: v.Value})
+	}
+	switch r.Kind {
+	case kindRead:
+		c.Body = statement.Read{Arguments: r.Arguments}
+	case kindWrite:
+		c.Body = statement.Write{Arguments: r.Arguments}
+	case kindExecute:
+		if c.Preparation == nil {
+			return c, eris.New("execute without a preparation")
+		}
+		c.Body = statement.Execute{Name: c.Preparation.Name, Arguments: r.Arguments}
+	case kindCommit:
+		c.Body = statement.Commit{}
+	case kindRollback:
+		c.Body = statement.Rollback{}
+	default:
+		return c, eris.Errorf("kind %d", r.Kind)
+	}
+	return c, nil
+}
+
+func encodeAnswer(a statement.Answer) *relayv1.ExecuteResponse {
+	return &relayv1.ExecuteResponse{
+		Rows: a.Rows, Signature: a.Signature, Code: string(a.Code), Text: a.Text, State: uint32(a.State),
+		Position: encodePosition(a.Position), Transaction: a.Transaction, Fate: uint32(a.Fate),
+	}
+}
+
+func decodeAnswer(r *relayv1.ExecuteResponse) statement.Answer {
+	a := statement.Answer{
+		Rows: r.Rows, Signature: r.Signature, Code: statement.Code(r.Code), Text: r.Text,
+		State: statement.State(r.State), Position: decodePosition(r.Position), Transaction: r.Transaction,
+		Fate: statement.Fate(r.Fate),
+	}
+	if a.Fate > statement.Lost || a.State > statement.FailedTransaction {
+		return statement.NoAnswer("the answer of an instance is not understood")
+	}
+	return a
+}
+
+func encodeRates(rates map[string]float64) map[string]float32 {
+	out := make(map[string]float32, len(rates))
+	for name, r := range rates {
+		out[name] = float32(r)
+	}
+	return out
+}
+
+func decodeRates(rates map[string]float32) map[string]float64 {
+	out := make(map[string]float64, len(rates))
+	for name, r := range rates {
+		if r >= 0 { // drops NaN
+			out[name] = float64(r)
+		}
+	}
+	return out
+}
+
+func encodePresence(p belief.Presence, now time.Duration) *relayv1.Presence {
+	return &relayv1.Presence{
+		Name: p.Name, Address: p.Address, Place: p.Place, Incarnation: p.Incarnation, Leaving: p.Leaving, Down: p.Down,
+		AgeMilliseconds: age(now, p.Heard), Unreachable: p.Unreachable,
+	}
+}
+
+func decodePresence(p *relayv1.Presence, now time.Duration) belief.Presence {
+	return belief.Presence{
+		Name: p.GetName(), Address: p.GetAddress(), Place: p.GetPlace(), Incarnation: p.GetIncarnation(),
+		Leaving: p.GetLeaving(), Down: p.GetDown(), Unreachable: p.GetUnreachable(), Heard: moment(now, p.GetAgeMilliseconds()),
+	}
+}
+
+func encodeLeader(l belief.Leader) *relayv1.Leader {
+	return &relayv1.Leader{Group: l.Group, Server: l.Server, Term: l.Term}
+}
+
+func decodeLeader(l *relayv1.Leader) belief.Leader {
+	return belief.Leader{Group: l.GetGroup(), Server: l.GetServer(), Term: l.GetTerm()}
+}
+
+func encodeRows(r belief.Rows, now time.Duration) *relayv1.Rows {
+	out := &relayv1.Rows{Version: r.Version, AgeMilliseconds: age(now, r.Read)}
+	for _, row := range r.Rows {
+		out.Rows = append(out.Rows, &relayv1.Row{Key: row.Key, Value: row.Value, Version: row.Version})
+	}
+	return out
+}
+
+func decodeRows(r *relayv1.Rows, now time.Duration) belief.Rows {
+	out := belief.Rows{Version: r.GetVersion()}
+	if r != nil {
+		out.Read = moment(now, r.AgeMilliseconds)
+	}
+	for _, row := range r.GetRows() {
+		out.Rows = append(out.Rows, belief.Row{Key: row.Key, Value: row.Value, Version: row.Version})
+	}
+	return out
+}
+
+func encodeBeliefs(b belief.Beliefs, now time.Duration) *relayv1.Beliefs {
+	out := &relayv1.Beliefs{
+		ConfigurationVersion: b.ConfigurationVersion, ServersVersion: b.ServersVersion, MembersVersion: b.MembersVersion,
+		Configuration: encodeRows(b.Configuration, now), Servers: encodeRows(b.Servers, now),
+		Members: encodeRows(b.Members, now),
+	}
+	for _, l := range b.Leaders {
+		out.Leaders = append(out.Leaders, encodeLeader(l))
+	}
+	for _, p := range b.Presences {
+		out.Presences = append(out.Presences, encodePresence(p, now))
+	}
+	for _, d := range b.Demands {
+		out.Demands = append(out.Demands, &relayv1.Demand{
+			Place: d.Place, Rates: encodeRates(d.Rates), AgeMilliseconds: age(now, d.Heard), Live: uint32(max(0, d.Live)),
+		})
+	}
+	return out
+}
+
+func decodeBeliefs(b *relayv1.Beliefs, now time.Duration) belief.Beliefs {
+	out := belief.Beliefs{
+		ConfigurationVersion: b.GetConfigurationVersion(), ServersVersion: b.GetServersVersion(),
+		MembersVersion: b.GetMembersVersion(), Configuration: decodeRows(b.GetConfiguration(), now),
+		Servers: decodeRows(b.GetServers(), now), Members: decodeRows(b.GetMembers(), now),
+	}
+	for _, l := range b.GetLeaders() {
+		out.Leaders = append(out.Leaders, decodeLeader(l))
+	}
+	for _, p := range b.GetPresences() {
+		out.Presences = append(out.Presences, decodePresence(p, now))
+	}
+	for _, d := range b.GetDemands() {
+		out.Demands = append(out.Demands, belief.Demand{
+			Place: d.Place, Rates: decodeRates(d.Rates), Heard: moment(now, d.AgeMilliseconds), Live: int(d.Live),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/relay/relay.go
@@ -0,0 +1,228 @@
+// Package relay connects entry instances to each other with connect-go over HTTP/2 without TLS.
+//
+// # Usage
+//
+//	server := relay.NewServer(relay.NewHandler(services, clock.Boot))
+//	go server.Serve(listener)
+//
+//	client := relay.NewClient(clock.Boot)
+//	answer := client.Execute(ctx, "10.1.0.27:7560", "meals-1-a", call)
+//
+// Execute returns fate NotSent if no connection was obtained or the receiver says so, and Lost for any other failure.
+// Ages are sent instead of moments, because clocks of two instances are not compared.
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"tanagercross/internal/database/proof"
+	"tanagercross/internal/database/statement"
+	"tanagercross/internal/fleet/belief"
+	relayv1 "tanagercross/internal/genproto/relay/v1"
+	"tanagercross/internal/genproto/relay/v1/relayv1connect"
+	"tanagercross/internal/organisation/allotment"
+)
+
+// Limits of calls.
+const (
+	exchangeTimeout = 500 * time.Millisecond
+	takeTimeout     = 300 * time.Millisecond
+	headTimeout     = 400 * time.Millisecond
+	probeTimeout    = 900 * time.Millisecond
+	succeedTimeout  = time.Second
+	dialTimeout     = 400 * time.Millisecond
+	idleTimeout     = 90 * time.Second
+	// A connection on which nothing arrives is pinged, so that one to an unreachable instance is replaced.
+	pingAfter           = 700 * time.Millisecond
+	pingTimeout         = 500 * time.Millisecond
+	readHeaderTimeout   = 5 * time.Second
+	maximumStreams      = 1000
+	maximumMessageBytes = 16 << 20
+	// answerMargin is added to a statement's time for the way of the answer.
+	answerMargin = 150 * time.Millisecond
+)
+
+// Error is the error type of the package.
+type Error struct {
+	Operation string
+	Sent      bool // the receiver may have handled the call
+	Err       error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("relay: %s: %v", e.Operation, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Exchange is what one instance tells another.
+type Exchange struct {
+	Sender  belief.Presence
+	Rates   map[string]float64 // the sender's own demand by organisation
+	Beliefs belief.Beliefs
+	Steward bool // the sender acts for its place
+}
+
+// Probe is what an instance sees of a server.
+type Probe struct {
+	Reached bool
+	Primary bool
+}
+
+// Succession asks for a new primary of a group.
+type Succession struct {
+	Group   string
+	Primary string // id of the server to replace; empty if none is known
+	Planned bool   // the primary still serves
+}
+
+// Services is what an instance offers to others.
+type Services interface {
+	Execute(ctx context.Context, server string, c statement.Call) statement.Answer
+	Exchange(ctx context.Context, e Exchange) belief.Beliefs
+	Take(ctx context.Context, from, organisation string, wanted int) allotment.Grant
+	Head(ctx context.Context, server string) (proof.Proof, bool)
+	Probe(ctx context.Context, server string) Probe
+	Succeed(ctx context.Context, s Succession) (accepted bool, l belief.Leader)
+}
+
+// NewServer returns an HTTP server for a handler that speaks HTTP/2 without TLS.
+func NewServer(h http.Handler) *http.Server {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler: h, Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout,
+		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maximumStreams},
+	}
+}
+
+// Client calls other instances. It is safe for concurrent use.
+type Client struct {
+	http  *http.Client
+	boot  func() time.Duration
+	mu    sync.Mutex
+	peers map[string]relayv1connect.RelayServiceClient
+}
+
+// NewClient returns a client without connections.
+func NewClient(boot func() time.Duration) *Client {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	return &Client{
+		http: &http.Client{Transport: &http.Transport{
+			Protocols: &protocols, IdleConnTimeout: idleTimeout, DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		}},
+		boot: boot, peers: map[string]relayv1connect.RelayServiceClient{},
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func (c *Client) peer(address string) relayv1connect.RelayServiceClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.peers[address]
+	if !ok {
+		// Messages are small, and compressing them costs more than it saves.
+		p = relayv1connect.NewRelayServiceClient(c.http, "http://"+address,
+			connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maximumMessageBytes))
+		c.peers[address] = p
+	}
+	return p
+}
+
+type method[I, O any] func(context.Context, *connect.Request[I]) (*connect.Response[O], error)
+
+func call[I, O any](ctx context.Context, operation string, m method[I, O], in *I, limit time.Duration) (*O, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	response, err := m(ctx, connect.NewRequest(in))
+	if err != nil {
+		return nil, &Error{Operation: operation, Sent: connected.Load(), Err: eris.Wrap(err, "call")}
+	}
+	return response.Msg, nil
+}
+
+// Execute runs a statement on a server through the instance at an address.
+func (c *Client) Execute(ctx context.Context, address, server string, s statement.Call) (statement.Answer, error) {
+	in, err := encodeCall(server, s)
+	if err != nil {
+		return statement.Answer{}, &Error{Operation: "execute", Err: err}
+	}
+	out, err := call(ctx, "execute", c.peer(address).Execute, in, s.Timeout+answerMargin)
+	if err != nil {
+		return statement.Answer{}, err
+	}
+	return decodeAnswer(out), nil
+}
+
+// Exchange tells an instance what this one knows and returns what it knows.
+func (c *Client) Exchange(ctx context.Context, address string, e Exchange) (belief.Beliefs, error) {
+	sent := c.boot()
+	in := &relayv1.ExchangeRequest{
+		Sender: encodePresence(e.Sender, sent), Rates: encodeRates(e.Rates), Beliefs: encodeBeliefs(e.Beliefs, sent),
+		Steward: e.Steward,
+	}
+	out, err := call(ctx, "exchange", c.peer(address).Exchange, in, exchangeTimeout)
+	if err != nil {
+		return belief.Beliefs{}, err
+	}
+	// Ages count from the answer's departure, which is not before the request was sent.
+	return decodeBeliefs(out.Beliefs, sent), nil
+}
+
+// Take asks an instance for rate tokens.
+func (c *Client) Take(ctx context.Context, address, from, organisation string, wanted int) (allotment.Grant, error) {
+	in := &relayv1.TakeRequest{From: from, Organisation: organisation, Wanted: uint32(max(0, wanted))}
+	out, err := call(ctx, "take", c.peer(address).Take, in, takeTimeout)
+	if err != nil {
+		return allotment.Grant{}, err
+	}
+	return allotment.Grant{Granted: int(out.Granted), RetryAfter: time.Duration(out.RetryMilliseconds) * time.Millisecond}, nil
+}
+
+// Head asks the instance that uses a primary for a position that the primary confirmed.
+func (c *Client) Head(ctx context.Context, address, server string) (proof.Proof, bool, error) {
+	sent := c.boot()
+	out, err := call(ctx, "head", c.peer(address).Head, &relayv1.HeadRequest{Server: server}, headTimeout)
+	if err != nil || !out.Proved {
+		return proof.Proof{}, false, err
+	}
+	age := time.Duration(out.AgeMilliseconds) * time.Millisecond
+	return proof.Proof{Position: decodePosition(out.Position), Asked: sent - age}, true, nil
+}
+
+// Probe asks an instance whether it reaches a server.
+func (c *Client) Probe(ctx context.Context, address, server string) (Probe, error) {
+	out, err := call(ctx, "probe", c.peer(address).Probe, &relayv1.ProbeRequest{Server: server}, probeTimeout)
+	if err != nil {
+		return Probe{}, err
+	}
+	return Probe{Reached: out.Reached, Primary: out.Primary}, nil
+}
+
+// Succeed asks an instance to replace a primary.
+func (c *Client) Succeed(ctx context.Context, address string, s Succession) (bool, belief.Leader, error) {
+	in := &relayv1.SucceedRequest{Group: s.Group, Primary: s.Primary, Planned: s.Planned}
+	out, err := call(ctx, "succeed", c.peer(address).Succeed, in, succeedTimeout)
+	if err != nil {
+		return false, belief.Leader{}, err
+	}
+	return out.Accepted, decodeLeader(out.Leader), nil
+}
--- /dev/null
+++ b/internal/instance/entry/entry.go
@@ -0,0 +1,190 @@
+// Package entry runs an instance on a platform that keeps what must last: it serves callers' sessions, uses the servers of
+// its place on behalf of all instances, and takes part in the fleet.
+//
+// # Usage
+//
+//	node, err := entry.Start(entry.Options{Settings: settings, Store: store, Promoter: promoter, Dialer: dialer, Log: log})
+//	session, refusal := node.Session("meals", key)
+//	node.Drain()
+//	node.Stop()
+//
+// Files of the package: reader.go reads the store, exchange.go talks to other instances, rates.go keeps organisations in
+// their rates, servers.go uses servers, succession.go changes primaries, observe.go writes logs and metrics.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagercross/internal/database/statement"
+	"tanagercross/internal/fleet/belief"
+	"tanagercross/internal/fleet/relay"
+	"tanagercross/internal/instance/clock"
+	"tanagercross/internal/instance/metric"
+	"tanagercross/internal/organisation/allotment"
+	"tanagercross/internal/request/dispatch"
+	"tanagercross/internal/session/conversation"
+)
+
+// Settings are what an instance is told at its start.
+type Settings struct {
+	Name         string
+	Place        string
+	PeersAddress string // for other instances
+	DutyLease    time.Duration
+	// ConfigurationLimit is the age of the configuration past which callers are refused; 0 for no limit.
+	ConfigurationLimit time.Duration
+}
+
+// Options are what an instance needs. All fields but Boot must be set.
+type Options struct {
+	Settings Settings
+	Store    Store
+	Promoter Promoter
+	Decoder  belief.Decoder
+	Dialer   statement.Dialer
+	Metrics  *metric.Registry
+	Log      *slog.Logger
+	Boot     func() time.Duration // clock that counts suspended time; nil for that of the machine
+}
+
+// Node is a running instance. Create it with Start.
+type Node struct {
+	options  Options
+	settings Settings
+	boot     func() time.Duration
+	log      *slog.Logger
+	observer *observer
+
+	table       *belief.Table
+	client      *relay.Client
+	server      *http.Server
+	dispatcher  *dispatch.Dispatcher
+	limiter     *allotment.Limiter
+	rates       *rates
+	gates       *gates
+	proofs      *proofs
+	guard       *guard
+	exchanges   *exchanges
+	environment conversation.Environment
+
+	prefix   string // of session ids
+	sessions atomic.Uint64
+	ending   atomic.Bool
+	stop     context.CancelFunc
+	done     sync.WaitGroup
+}
+
+// rateWait is how long an operation waits for a rate token: longer waits are worth less to a caller than a refusal that
+// names a time.
+const rateWait = 140 * time.Millisecond
+
+// Start starts an instance. It returns before the instance is ready.
+func Start(o Options) (*Node, error) {
+	if o.Boot == nil {
+		o.Boot = clock.Boot
+	}
+	listener, err := net.Listen("tcp", o.Settings.PeersAddress)
+	if err != nil {
+		return nil, eris.Wrap(err, "entry: listen for instances")
+	}
+	random := make([]byte, 6)
+	if _, err := rand.Read(random); err != nil {
+		return nil, eris.Wrap(err, "entry: random")
+	}
+	n := &Node{
+		options: o, settings: o.Settings, boot: o.Boot, log: o.Log, client: relay.NewClient(o.Boot),
+		prefix: hex.EncodeToString(random) + "-",
+	}
+	n.observer = newObserver(n, o.Log, o.Metrics)
+	self := belief.Presence{Name: o.Settings.Name, Address: o.Settings.PeersAddress, Place: o.Settings.Place}
+	n.table = belief.NewTable(self, o.Decoder, n.observer)
+	n.rates = newRates(n)
+	n.gates = newGates(n)
+	n.proofs = newProofs(n)
+	n.guard = newGuard(n)
+	n.exchanges = newExchanges(n)
+	n.dispatcher = dispatch.New(n.table, n.gates, dispatch.Options{Boot: n.boot, Observer: n.observer, Log: n.log})
+	n.limiter = allotment.NewLimiter(n.rates, n.rates.whole, allotment.Options{RateWait: rateWait, HomeWait: 2 * rateWait})
+	n.environment = conversation.Environment{
+		Configuration: n.table.Configuration, Current: n.current, Dispatcher: n.dispatcher, Limiter: admission{n.rates},
+		Observer: n.observer, Ending: n.ending.Load,
+	}
+	n.server = relay.NewServer(relay.NewHandler(&services{n}, n.boot))
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	n.spawn(func() { _ = n.server.Serve(listener) })
+	for _, loop := range []func(context.Context){
+		n.readMembers, n.readConfiguration, n.readServers, n.exchanges.run, n.gates.run, n.proofs.run, n.guard.run,
+	} {
+		n.spawn(func() { loop(ctx) })
+	}
+	n.log.Info("started", "instance", self.Name, "place", self.Place, "peers", self.Address)
+	return n, nil
+}
+
+func (n *Node) spawn(f func()) {
+	n.done.Add(1)
+	go func() {
+		defer n.done.Done()
+		f()
+	}()
+}
+
+// Session starts a caller's session, or returns nil and the refusal.
+func (n *Node) Session(database, key string) (*conversation.Conversation, statement.Answer) {
+	id := n.prefix + strconv.FormatUint(n.sessions.Add(1), 36)
+	return conversation.Start(n.environment, id, database, key)
+}
+
+// current reports whether the configuration is recent enough to admit callers.
+func (n *Node) current() bool {
+	limit := n.settings.ConfigurationLimit
+	if limit == 0 {
+		return true
+	}
+	read, _, _ := n.table.Ages()
+	return n.boot()-read <= limit
+}
+
+// Ready reports whether the instance can serve callers.
+func (n *Node) Ready() bool {
+	if n.ending.Load() || n.table.Self().Leaving {
+		return false
+	}
+	configuration, servers, _ := n.table.Ages()
+	return configuration > 0 && servers > 0 && n.exchanges.joined()
+}
+
+// Leave tells the other instances that this one is about to stop. Work that it has goes on.
+func (n *Node) Leave() {
+	n.table.Leave()
+	n.log.Info("leaving")
+	n.exchanges.announce()
+}
+
+// End makes sessions end when they are between operations.
+func (n *Node) End() { n.ending.Store(true) }
+
+// Transactions returns the number of open transactions on servers that this instance uses.
+func (n *Node) Transactions() int { return n.gates.transactions() }
+
+// Stop ends all loops and connections.
+func (n *Node) Stop() {
+	n.stop()
+	_ = n.server.Close()
+	n.gates.close()
+	n.client.Close()
+	n.done.Wait()
+	n.log.Info("stopped")
+}
--- /dev/null
+++ b/internal/instance/entry/rates.go
@@ -0,0 +1,206 @@
+package entry
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"tanagercross/internal/fleet/belief"
+	"tanagercross/internal/organisation/allotment"
+	"tanagercross/internal/session/outcome"
+)
+
+const (
+	// demandHalfLife smooths the demand that shares are made from.
+	demandHalfLife = 1500 * time.Millisecond
+	// demandFor is how long the demand of an instance counts after it was heard.
+	demandFor = 3 * time.Second
+	// evenShare is the part of a rate that is divided evenly between places, so that demand that moves finds some.
+	evenShare = 0.3
+	// smallDemand is added to the demand of each place, in operations per second, so that little demand divides evenly.
+	smallDemand = 0.5
+)
+
+// rates keeps organisations in their rates. The steward of a place hands out the place's share of each rate, cut by the
+// part of the place's instances that it hears: instances that are cut off together have no more than their part.
+type rates struct {
+	n     *Node
+	homes allotment.Homes
+
+	mu      sync.Mutex
+	counts  map[string]float64 // operations since the last tick
+	demand  map[string]float64 // smoothed, per second
+	ticked  time.Duration
+	others  map[string]heardDemand
+	settled belief.Demand // own place's demand as last told to others
+	next    belief.Demand
+}
+
+type heardDemand struct {
+	rates map[string]float64
+	heard time.Duration
+}
+
+func newRates(n *Node) *rates {
+	return &rates{n: n, counts: map[string]float64{}, demand: map[string]float64{}, others: map[string]heardDemand{}}
+}
+
+// admit takes a token and counts the demand.
+func (r *rates) admit(ctx context.Context, organisation string) outcome.Reason {
+	r.mu.Lock()
+	r.counts[organisation]++
+	r.mu.Unlock()
+	return r.n.limiter.Take(ctx, organisation)
+}
+
+// whole returns the settings of an organisation for all instances together.
+func (r *rates) whole(organisation string) allotment.Settings {
+	o, ok := r.n.table.Configuration().Organisation(organisation)
+	if !ok {
+		return allotment.Settings{}
+	}
+	return allotment.Settings{Rate: o.Rate, Burst: max(o.Burst, allotment.MinimumBurst)}
+}
+
+// tick smooths the demand and settles what the place tells the others.
+func (r *rates) tick(now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	elapsed := (now - r.ticked).Seconds()
+	if r.ticked == 0 || elapsed <= 0 {
+		r.ticked = now
+		return
+	}
+	r.ticked = now
+	kept := math.Exp2(-elapsed / demandHalfLife.Seconds())
+	for o := range r.counts {
+		if _, ok := r.demand[o]; !ok {
+			r.demand[o] = 0
+		}
+	}
+	for o, d := range r.demand {
+		d = d*kept + r.counts[o]/elapsed*(1-kept)
+		if d < 1e-3 {
+			delete(r.demand, o)
+			continue
+		}
+		r.demand[o] = d
+	}
+	clear(r.counts)
+	r.publish(now)
+}
+
+// publish tells the demand of the place. The place itself uses a value only after it was told for one period, so that
+// others have lowered their shares before it raises its own.
+func (r *rates) publish(now time.Duration) {
+	if !r.n.exchanges.steward() || r.next.Heard > 0 && now-r.next.Heard < farPeriod {
+		return
+	}
+	total := map[string]float64{}
+	for o, d := range r.demand {
+		total[o] += d
+	}
+	for name, other := range r.others {
+		if now-other.heard > demandFor {
+			delete(r.others, name)
+			continue
+		}
+		for o, d := range other.rates {
+			total[o] += d
+		}
+	}
+	live, _ := r.n.table.Live(now)
+	r.settled = r.next
+	r.next = belief.Demand{Place: r.n.settings.Place, Rates: total, Live: live, Heard: now}
+	r.n.table.SetDemand(r.next)
+}
+
+// own returns the demand at this instance.
+func (r *rates) own() map[string]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]float64, len(r.demand))
+	for o, d := range r.demand {
+		out[o] = d
+	}
+	return out
+}
+
+func (r *rates) heard(name string, demand map[string]float64, now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.others[name] = heardDemand{rates: demand, heard: now}
+}
+
+// share returns the part of an organisation's rate that this place may use.
+func (r *rates) share(organisation string) float64 {
+	places := r.n.table.Places()
+	demands := r.n.table.Demands()
+	r.mu.Lock()
+	demands[r.n.settings.Place] = r.settled
+	r.mu.Unlock()
+	return Share(organisation, r.n.settings.Place, places, demands)
+}
+
+// Share divides a rate between places by their demand.
+func Share(organisation, place string, places []string, demands map[string]belief.Demand) float64 {
+	sum, mine := 0.0, 0.0
+	for _, p := range places {
+		d := demands[p].Rates[organisation] + smallDemand
+		sum += d
+		if p == place {
+			mine = d
+		}
+	}
+	if sum == 0 {
+		return 0
+	}
+	return evenShare/float64(len(places)) + (1-evenShare)*mine/sum
+}
+
+// grant hands out tokens of the place.
+func (r *rates) grant(organisation string, wanted int) allotment.Grant {
+	if !r.n.exchanges.steward() {
+		return allotment.Grant{NotHome: true}
+	}
+	o, ok := r.n.table.Configuration().Organisation(organisation)
+	if !ok {
+		return allotment.Grant{}
+	}
+	now := r.n.boot()
+	live, all := r.n.table.Live(now)
+	part := r.share(organisation) * float64(live) / float64(max(1, all))
+	s := allotment.Settings{Rate: o.Rate * part, Burst: max(o.Burst*part, allotment.MinimumBurst)}
+	return r.homes.Grant(moment(now), moment(r.n.exchanges.began()), organisation, s, wanted)
+}
+
+// moment turns a reading of the boot clock into a time, for code that takes times.
+func moment(d time.Duration) time.Time { return time.Unix(0, 0).Add(d) }
+
+// Take implements allotment.Taker: it asks the steward of the place.
+func (r *rates) Take(ctx context.Context, organisation string, wanted, _ int) (allotment.Grant, error) {
+	if r.n.exchanges.steward() {
+		return r.grant(organisation, wanted), nil
+	}
+	now := r.n.boot()
+	for _, m := range r.n.table.Stewards(r.n.settings.Place) {
+		if m.Name == r.n.settings.Name || r.n.exchanges.failing(now, m.Name) {
+			continue
+		}
+		g, err := r.n.client.Take(ctx, m.Address, r.n.settings.Name, organisation, wanted)
+		if err != nil {
+			r.n.table.Suspect(r.n.boot(), m.Name)
+		}
+		return g, err
+	}
+	return allotment.Grant{NotHome: true}, nil
+}
+
+// admission adapts rates to the port of conversations.
+type admission struct{ r *rates }
+
+// Take implements conversation.Limiter.
+func (a admission) Take(ctx context.Context, organisation string) outcome.Reason {
+	return a.r.admit(ctx, organisation)
+}
--- /dev/null
+++ b/internal/instance/entry/reader.go
@@ -0,0 +1,187 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"tanagercross/internal/fleet/belief"
+)
+
+// Pace of reads. One instance of each place reads for the others; calls are paid one by one.
+const (
+	configurationWait = 1200 * time.Millisecond // of one call that waits for a change
+	serversPeriod     = 2 * time.Second
+	membersPeriod     = 10 * time.Second
+	readTimeout       = time.Second
+	readRetry         = 400 * time.Millisecond // after a failed read
+	idleCheck         = 150 * time.Millisecond
+	// staleAfter is the age of a document past which an instance reads it itself; a further step for each instance that
+	// comes before it keeps all of a place from reading at once.
+	staleAfter = 2200 * time.Millisecond
+	staleStep  = 250 * time.Millisecond
+	// memberLostAfter is the silence after which the row of an instance is removed.
+	memberLostAfter = 12 * time.Second
+)
+
+// sleep waits and reports whether the context goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// reads reports whether this instance is to read a document that it last knew to be current at a moment.
+func (n *Node) reads(asOf time.Duration) bool {
+	if n.exchanges.steward() {
+		return true
+	}
+	if asOf == 0 {
+		return n.exchanges.joined()
+	}
+	rank := 0
+	for i, m := range n.table.Stewards(n.settings.Place) {
+		if m.Name == n.settings.Name {
+			rank = i
+		}
+	}
+	return n.boot()-asOf > staleAfter+time.Duration(min(rank, 4))*staleStep
+}
+
+// readMembers announces this instance and learns of the others.
+func (n *Node) readMembers(ctx context.Context) {
+	for !n.announce(ctx) {
+		if !sleep(ctx, readRetry) {
+			return
+		}
+	}
+	for {
+		_, _, read := n.table.Ages()
+		if read == 0 || n.exchanges.steward() && n.boot()-read > membersPeriod {
+			n.readMembersOnce(ctx)
+		}
+		if !sleep(ctx, readRetry) {
+			return
+		}
+	}
+}
+
+func (n *Node) announce(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	err := n.options.Store.Announce(call, n.settings.Name, n.settings.PeersAddress, n.settings.Place)
+	n.observer.dependency("store members", err)
+	if err != nil {
+		// The list of members is useful even if the own row could not be written.
+		n.readMembersOnce(ctx)
+	}
+	return err == nil
+}
+
+func (n *Node) readMembersOnce(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	rows, err := n.options.Store.Members(call)
+	n.observer.dependency("store members", err)
+	if err != nil {
+		return
+	}
+	n.table.SetMembers(rows)
+	n.forgetLost(ctx)
+}
+
+// forgetLost removes rows of instances of the own place that were not heard for long.
+func (n *Node) forgetLost(ctx context.Context) {
+	now := n.boot()
+	if !n.exchanges.steward() || now-n.exchanges.began() < memberLostAfter {
+		return
+	}
+	for _, m := range n.table.Stewards(n.settings.Place) {
+		version, listed := n.table.MemberRow(m.Name)
+		if m.Name == n.settings.Name || !listed || now-n.table.Heard(m.Name) < memberLostAfter {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, readTimeout)
+		err := n.options.Store.Forget(call, m.Name, version)
+		cancel()
+		n.log.Info("member removed", "member", m.Name, "silent_ms", (now - n.table.Heard(m.Name)).Milliseconds(), "error", errorText(err))
+	}
+}
+
+// readConfiguration follows the configuration while it is this instance's turn.
+func (n *Node) readConfiguration(ctx context.Context) {
+	following := uint64(0) // version after which changes are awaited; 0 to read the row first
+	for ctx.Err() == nil {
+		read, _, _ := n.table.Ages()
+		if !n.reads(read) {
+			following = 0
+			sleep(ctx, idleCheck)
+			continue
+		}
+		next, err := n.followConfiguration(ctx, following)
+		n.observer.dependency("store configuration", err)
+		following = next
+		if err != nil {
+			sleep(ctx, readRetry)
+		}
+	}
+}
+
+func (n *Node) followConfiguration(ctx context.Context, after uint64) (uint64, error) {
+	started := n.boot()
+	var rows belief.Rows
+	var err error
+	if after == 0 {
+		call, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		rows, err = n.options.Store.Configuration(call)
+	} else {
+		call, cancel := context.WithTimeout(ctx, configurationWait+readTimeout/2)
+		defer cancel()
+		rows, err = n.options.Store.AwaitConfiguration(call, after, configurationWait)
+	}
+	if errors.Is(err, ErrCompacted) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	rows.Read = started
+	n.table.SetConfiguration(rows)
+	return max(after, rows.Version), nil
+}
+
+// readServers reads the servers' rows while it is this instance's turn, and at once when a leader is in doubt.
+func (n *Node) readServers(ctx context.Context) {
+	for ctx.Err() == nil {
+		_, read, _ := n.table.Ages()
+		due := n.exchanges.steward() && n.boot()-read >= serversPeriod || n.reads(read) && n.boot()-read > staleAfter || read == 0 && n.reads(read)
+		if !due && !n.guard.wantsServers() {
+			sleep(ctx, idleCheck/2)
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, readTimeout)
+		started := n.boot()
+		rows, err := n.options.Store.Servers(call)
+		cancel()
+		n.observer.dependency("store servers", err)
+		if err != nil {
+			sleep(ctx, readRetry)
+			continue
+		}
+		rows.Read = started
+		n.table.SetServers(n.boot(), rows)
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/instance/entry/succession.go
@@ -0,0 +1,480 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/gate"
+	"tanagercross/internal/database/statement"
+	"tanagercross/internal/database/succession"
+	"tanagercross/internal/fleet/belief"
+	"tanagercross/internal/fleet/catalog"
+	"tanagercross/internal/fleet/relay"
+	"tanagercross/internal/fleet/roster"
+)
+
+const (
+	guardTick = 150 * time.Millisecond
+	// reportPause is the pace at which trouble with a group is passed on to its guardian.
+	reportPause  = 250 * time.Millisecond
+	probeTimeout = 350 * time.Millisecond
+	reportWait   = 450 * time.Millisecond // for the reports of the replicas
+	// catchUpWait is how long replicas may take to receive what a relieved primary has.
+	catchUpWait  = 700 * time.Millisecond
+	catchUpPause = 30 * time.Millisecond
+	// leadWait is how long a promoted server may take to lead.
+	leadWait       = 2 * time.Second
+	leadPause      = 60 * time.Millisecond
+	promoteTimeout = 800 * time.Millisecond
+	claimTimeout   = 900 * time.Millisecond
+	// attemptLimit bounds one change of primary; a further one follows if the group still has none.
+	attemptLimit  = 8 * time.Second
+	duty          = "promotion"
+	serversDemand = 400 * time.Millisecond // between two reads of the servers on demand
+	// relieveDelay lets statements that are under way end before a leaving primary gives up the lead.
+	relieveDelay = 300 * time.Millisecond
+)
+
+// guard changes primaries. Trouble with a group goes to the group's guardian, the same instance for all; the guardian
+// examines the primary, claims the duty in the store, and names the next primary.
+type guard struct {
+	n *Node
+
+	mu         sync.Mutex
+	running    map[string]bool
+	reported   map[string]time.Duration
+	leaderless map[string]time.Duration
+	leaving    map[string]time.Duration // servers that lead and leave, since when
+	asked      time.Duration            // last read of the servers on demand
+	wanted     bool
+}
+
+func newGuard(n *Node) *guard {
+	return &guard{
+		n: n, running: map[string]bool{}, reported: map[string]time.Duration{}, leaderless: map[string]time.Duration{},
+		leaving: map[string]time.Duration{},
+	}
+}
+
+// troubled reports whether what a gate has seen asks for an examination of its server.
+func (g *guard) troubled(gate *gate.Gate) bool {
+	h := gate.Health()
+	return h.Failures >= succession.FailuresBefore || h.Refused && h.Failures > 0 || gate.Silent() > succession.SilentAfter
+}
+
+// suspect acts on trouble with a server of this instance's gates.
+func (g *guard) suspect(now time.Duration, s catalog.Server) {
+	l, ok := g.n.table.Leader(s.Group)
+	if !ok || l.Server != s.ID {
+		return
+	}
+	g.report(now, relay.Succession{Group: s.Group, Primary: s.ID})
+}
+
+// report passes trouble on to the guardian of the group.
+func (g *guard) report(now time.Duration, x relay.Succession) {
+	g.mu.Lock()
+	if now-g.reported[x.Group] < reportPause && g.reported[x.Group] > 0 {
+		g.mu.Unlock()
+		return
+	}
+	g.reported[x.Group] = now
+	g.mu.Unlock()
+	go g.deliver(x)
+}
+
+// deliver asks the guardian, or the next one if it is not reached.
+func (g *guard) deliver(x relay.Succession) {
+	for n, m := range g.guardians(x.Group) {
+		if n >= 3 {
+			return
+		}
+		if m.Name == g.n.settings.Name {
+			g.requested(context.Background(), x)
+			return
+		}
+		_, l, err := g.n.client.Succeed(context.Background(), m.Address, x)
+		if err == nil {
+			if l.Term > 0 {
+				g.n.table.Lead(g.n.boot(), l)
+			}
+			return
+		}
+		g.n.table.Suspect(g.n.boot(), m.Name)
+		g.n.log.Warn("guardian not reached", "group", x.Group, "guardian", m.Name, "error", err.Error())
+	}
+}
+
+func (g *guard) guardians(group string) []roster.Member {
+	return g.n.table.Holders(g.n.boot(), "guard/"+group, "")
+}
+
+// requested starts a change of primary unless one is under way.
+func (g *guard) requested(_ context.Context, x relay.Succession) (bool, belief.Leader) {
+	if l, ok := g.n.table.Leader(x.Group); ok && x.Primary != "" && l.Server != x.Primary {
+		return false, l
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.running[x.Group] {
+		return true, belief.Leader{}
+	}
+	g.running[x.Group] = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), attemptLimit)
+		defer cancel()
+		err := g.examine(ctx, x)
+		if err != nil {
+			g.n.log.Warn("change of primary failed", "group", x.Group, "primary", x.Primary, "error", err.Error())
+		}
+		g.mu.Lock()
+		delete(g.running, x.Group)
+		g.mu.Unlock()
+	}()
+	return true, belief.Leader{}
+}
+
+// wantsServers reports whether the servers are to be read now because a leader is in doubt.
+func (g *guard) wantsServers() bool {
+	now := g.n.boot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.wanted || now-g.asked < serversDemand {
+		return false
+	}
+	g.wanted, g.asked = false, now
+	return true
+}
+
+func (g *guard) want() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.wanted = true
+}
+
+// run looks after the groups whose guardian this instance is.
+func (g *guard) run(ctx context.Context) {
+	for sleep(ctx, guardTick) {
+		now := g.n.boot()
+		if _, servers, _ := g.n.table.Ages(); servers == 0 || !g.n.exchanges.joined() {
+			continue
+		}
+		for _, group := range g.n.table.Configuration().Groups() {
+			if guardians := g.guardians(group); len(guardians) > 0 && guardians[0].Name == g.n.settings.Name {
+				g.watch(now, group)
+			}
+		}
+	}
+}
+
+func (g *guard) watch(now time.Duration, group string) {
+	l, known := g.n.table.Leader(group)
+	s, listed := g.n.table.Servers().Server(l.Server)
+	g.mu.Lock()
+	if known && listed {
+		delete(g.leaderless, group)
+	} else if g.leaderless[group] == 0 {
+		g.leaderless[group] = now
+	}
+	since := g.leaderless[group]
+	if !listed || !s.Leaving {
+		delete(g.leaving, group)
+	} else if g.leaving[group] == 0 {
+		g.leaving[group] = now
+	}
+	leaving := g.leaving[group]
+	g.mu.Unlock()
+	switch {
+	case since > 0 && len(g.n.table.Servers().Of(group)) > 0:
+		g.want()
+		if now-since > guardTick {
+			g.requested(context.Background(), relay.Succession{Group: group, Primary: l.Server})
+		}
+	case leaving > 0 && now-leaving > relieveDelay:
+		g.requested(context.Background(), relay.Succession{Group: group, Primary: l.Server, Planned: true})
+	}
+}
+
+// probe asks a server for its report.
+func (g *guard) probe(ctx context.Context, server string) relay.Probe {
+	s, ok := g.n.table.Servers().Server(server)
+	if !ok {
+		return relay.Probe{}
+	}
+	r, err := g.ask(ctx, s, probeTimeout, statement.Status{})
+	var refused *statement.DialError
+	if errors.As(err, &refused) && (refused.Code == statement.Busy || refused.Code == statement.TooMany) {
+		return relay.Probe{Reached: true, Primary: s.Role == driver.Primary} // it lives, but is too busy to report
+	}
+	return relay.Probe{Reached: err == nil, Primary: err == nil && r.Role == driver.Primary}
+}
+
+func (g *guard) ask(ctx context.Context, s catalog.Server, limit time.Duration, c statement.Command) (statement.Report, error) {
+	t := statement.Target{Server: s.ID, Group: s.Group, Address: s.Address, Organisation: g.n.anyOrganisation()}
+	return gate.Report(ctx, g.n.options.Dialer, t, limit, c)
+}
+
+// examine gathers evidence about the primary and replaces it if the evidence says so.
+func (g *guard) examine(ctx context.Context, x relay.Succession) error {
+	e := succession.Evidence{Primary: x.Primary}
+	s, listed := g.n.table.Servers().Server(x.Primary)
+	e.Listed, e.Leaving = listed, listed && s.Leaving
+	g.mu.Lock()
+	if since := g.leaderless[x.Group]; since > 0 {
+		e.Leaderless = g.n.boot() - since
+	}
+	g.mu.Unlock()
+	if listed {
+		second := g.second(ctx, x.Primary)
+		first := g.probe(ctx, x.Primary)
+		e.ReachedHere, e.Leads = first.Reached, first.Primary
+		if !first.Reached {
+			other := <-second
+			e.Asked, e.ReachedThere, e.Leads = other.asked, other.Reached, other.Primary
+		}
+	}
+	verdict := succession.Judge(e)
+	g.n.log.Info("primary examined", "group", x.Group, "primary", x.Primary, "listed", e.Listed, "leaving", e.Leaving,
+		"reached_here", e.ReachedHere, "reached_there", e.ReachedThere, "leads", e.Leads,
+		"leaderless_ms", e.Leaderless.Milliseconds(), "verdict", int(verdict))
+	switch verdict {
+	case succession.Replace:
+		return g.replace(ctx, x.Group, s, false)
+	case succession.Relieve:
+		return g.replace(ctx, x.Group, s, true)
+	case succession.Keep:
+		return nil
+	}
+	sleep(ctx, guardTick)
+	return nil
+}
+
+type opinion struct {
+	relay.Probe
+	asked bool
+}
+
+// second asks an instance of another place, if there is one, whether it reaches a server.
+func (g *guard) second(ctx context.Context, server string) <-chan opinion {
+	out := make(chan opinion, 1)
+	var other *roster.Member
+	for _, m := range g.n.table.Holders(g.n.boot(), server, "") {
+		if m.Place != g.n.settings.Place {
+			other = &m
+			break
+		}
+	}
+	if other == nil {
+		out <- opinion{}
+		return out
+	}
+	go func() {
+		p, err := g.n.client.Probe(ctx, other.Address, server)
+		out <- opinion{Probe: p, asked: err == nil}
+	}()
+	return out
+}
+
+// replace names a new primary. The duty is claimed first, so that no other instance names one meanwhile.
+func (g *guard) replace(ctx context.Context, group string, old catalog.Server, planned bool) error {
+	claim, err := g.claim(ctx)
+	if err != nil {
+		return err
+	}
+	if claim.Holder != g.n.settings.Name {
+		return g.handOver(ctx, claim, relay.Succession{Group: group, Primary: old.ID, Planned: planned})
+	}
+	if l, ok := g.n.table.Leader(group); ok && old.ID != "" && l.Server != old.ID {
+		return nil
+	}
+	candidates := g.candidates(group, old.ID)
+	if len(candidates) == 0 {
+		return eris.Errorf("no other server of %s", group)
+	}
+	var relieved driver.Position
+	if planned {
+		relieved = g.relieve(ctx, group, old)
+	}
+	reports := g.prepare(ctx, group, candidates, relieved, planned)
+	if leading, ok := succession.Leading(reports, old.ID); ok {
+		g.lead(group, leading)
+		return nil
+	}
+	syncReplicas := 0
+	if c, ok := g.n.table.Configuration().Group(group); ok {
+		syncReplicas = c.SyncReplicas
+	}
+	if needed := succession.Needed(len(candidates), syncReplicas); len(reports) < needed {
+		g.resume(candidates, reports, "")
+		return eris.Errorf("%d of %d replicas report, %d needed", len(reports), len(candidates), needed)
+	}
+	return g.promote(ctx, group, old, claim, candidates, reports)
+}
+
+// claim takes the promotion duty.
+func (g *guard) claim(ctx context.Context) (Claim, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	claim, err := g.n.options.Store.Claim(ctx, duty, g.n.settings.Name, g.n.settings.DutyLease)
+	g.n.observer.dependency("store duties", err)
+	if err == nil {
+		g.n.log.Info("duty", "holder", claim.Holder, "token", claim.Token, "remaining_ms", claim.Remaining.Milliseconds())
+	}
+	return claim, err
+}
+
+// handOver asks the holder of the duty, and waits for the end of its claim if it is not reached.
+func (g *guard) handOver(ctx context.Context, claim Claim, x relay.Succession) error {
+	if m, ok := g.n.table.Roster().Member(claim.Holder); ok {
+		accepted, _, err := g.n.client.Succeed(ctx, m.Address, x)
+		if err == nil {
+			g.n.log.Info("change of primary handed over", "group", x.Group, "holder", claim.Holder, "accepted", accepted)
+			sleep(ctx, time.Second)
+			return nil
+		}
+	}
+	sleep(ctx, min(claim.Remaining, time.Second))
+	return eris.Errorf("the duty is held by %s, which is not reached", claim.Holder)
+}
+
+// candidates returns the servers that may lead, those that stay first.
+func (g *guard) candidates(group, old string) []catalog.Server {
+	var staying, leaving []catalog.Server
+	for _, s := range g.n.table.Servers().Of(group) {
+		switch {
+		case s.ID == old:
+		case s.Leaving:
+			leaving = append(leaving, s)
+		default:
+			staying = append(staying, s)
+		}
+	}
+	if len(staying) == 0 {
+		return leaving
+	}
+	return staying
+}
+
+// relieve makes a leaving primary a replica and returns the end of its log.
+func (g *guard) relieve(ctx context.Context, group string, old catalog.Server) driver.Position {
+	l, _ := g.n.table.Leader(group)
+	r, err := g.ask(ctx, old, reportWait, statement.Status{})
+	if err != nil {
+		g.n.log.Warn("leaving primary does not report", "group", group, "primary", old.ID, "error", err.Error())
+		return driver.Position{}
+	}
+	demoted, err := g.ask(ctx, old, reportWait, statement.Demote{Term: max(r.Term, l.Term) + 1})
+	if err != nil {
+		g.n.log.Warn("leaving primary not demoted", "group", group, "primary", old.ID, "error", err.Error())
+		return r.Received
+	}
+	return demoted.Received
+}
+
+// prepare asks the candidates for what they received. Replicas of a lost primary are paused, so that nothing arrives
+// after their report; replicas of a relieved one are given time to receive the rest.
+func (g *guard) prepare(ctx context.Context, group string, candidates []catalog.Server, relieved driver.Position, planned bool) []succession.Report {
+	reports := g.collect(ctx, candidates, statement.Status{})
+	if planned {
+		for end := g.n.boot() + catchUpWait; g.n.boot() < end; {
+			if best, ok := succession.Choose(reports, ""); ok && best.Received.Compare(relieved) >= 0 {
+				return reports
+			}
+			sleep(ctx, catchUpPause)
+			reports = g.collect(ctx, candidates, statement.Status{})
+		}
+		return reports
+	}
+	if _, ok := succession.Leading(reports, ""); ok || len(reports) == 0 {
+		return reports
+	}
+	l, _ := g.n.table.Leader(group)
+	return g.collect(ctx, candidates, statement.Pause{Term: succession.Term(reports, l.Term)})
+}
+
+// collect asks all servers at once and returns the reports that come in time.
+func (g *guard) collect(ctx context.Context, servers []catalog.Server, c statement.Command) []succession.Report {
+	results := make(chan *succession.Report, len(servers))
+	for _, s := range servers {
+		go func() {
+			r, err := g.ask(ctx, s, reportWait, c)
+			if err != nil {
+				g.n.log.Warn("server does not report", "group", s.Group, "server", s.ID, "error", err.Error())
+				results <- nil
+				return
+			}
+			results <- &succession.Report{Server: s.ID, Place: s.Place, Report: r}
+		}()
+	}
+	var reports []succession.Report
+	for range servers {
+		if r := <-results; r != nil {
+			reports = append(reports, *r)
+		}
+	}
+	return reports
+}
+
+// promote names the most advanced server and waits until it leads.
+func (g *guard) promote(ctx context.Context, group string, old catalog.Server, claim Claim, candidates []catalog.Server, reports []succession.Report) error {
+	best, ok := succession.Choose(reports, old.Place)
+	if !ok {
+		return eris.Errorf("no replica of %s reports", group)
+	}
+	call, cancel := context.WithTimeout(ctx, promoteTimeout)
+	err := g.n.options.Promoter.Promote(call, claim.Holder, claim.Token, group, best.Server)
+	cancel()
+	g.n.log.Info("promotion ordered", "group", group, "old", old.ID, "new", best.Server, "received", best.Received.String(),
+		"reports", len(reports), "token", claim.Token, "error", errorText(err))
+	if errors.Is(err, ErrConflict) {
+		g.resume(candidates, reports, "")
+		return err
+	}
+	for end := g.n.boot() + leadWait; g.n.boot() < end; sleep(ctx, leadPause) {
+		s, _ := g.n.table.Servers().Server(best.Server)
+		r, err := g.ask(ctx, s, probeTimeout, statement.Status{})
+		if err == nil && r.Role == driver.Primary {
+			g.lead(group, succession.Report{Server: best.Server, Report: r})
+			g.resume(candidates, reports, best.Server)
+			return nil
+		}
+	}
+	g.resume(candidates, reports, best.Server)
+	return eris.Errorf("%s does not lead %s in time", best.Server, group)
+}
+
+// lead makes a new leader known.
+func (g *guard) lead(group string, r succession.Report) {
+	now := g.n.boot()
+	g.n.table.Lead(now, belief.Leader{Group: group, Server: r.Server, Term: max(r.Term, r.Received.Term)})
+	g.n.exchanges.announce()
+	g.n.exchanges.spread()
+}
+
+// resume lets paused replicas receive again.
+func (g *guard) resume(candidates []catalog.Server, reports []succession.Report, leader string) {
+	for _, s := range candidates {
+		if s.ID == leader || !reported(reports, s.ID) {
+			continue
+		}
+		go func() {
+			if _, err := g.ask(context.Background(), s, reportWait, statement.Resume{}); err != nil {
+				g.n.log.Warn("replica not resumed", "group", s.Group, "server", s.ID, "error", err.Error())
+			}
+		}()
+	}
+}
+
+func reported(reports []succession.Report, server string) bool {
+	for _, r := range reports {
+		if r.Server == server {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/instance/metric/entry.go
@@ -0,0 +1,39 @@
+package metric
+
+import "time"
+
+// CounterName is the name of a counter of the entry instance.
+type CounterName string
+
+// Names of the counters of the entry instance.
+const (
+	Statements       CounterName = "tanagercross_statements_total"        // by code
+	StatementRefused CounterName = "tanagercross_statement_refused_total" // by code and reason
+	StatementRetried CounterName = "tanagercross_statement_retried_total" // by reason
+	ReadsServed      CounterName = "tanagercross_reads_served_total"      // by scope
+	LeaderChanges    CounterName = "tanagercross_leader_changes_total"
+	DependencyErrors CounterName = "tanagercross_dependency_errors_total" // by dependency
+)
+
+// StatementDuration is the histogram of statements as callers see them.
+const StatementDuration = "tanagercross_statement_duration_seconds"
+
+// Names of the gauges of the entry instance.
+const (
+	ConfigurationAge     GaugeName = "tanagercross_configuration_age_seconds"
+	ServersAge           GaugeName = "tanagercross_servers_age_seconds"
+	ConfigurationInForce GaugeName = "tanagercross_configuration_version"
+	ServerConnections    GaugeName = "tanagercross_server_connections"
+	ServerTransactions   GaugeName = "tanagercross_server_transactions"
+	ServerLoad           GaugeName = "tanagercross_server_statements"
+	ServerOpened         GaugeName = "tanagercross_server_connections_opened"
+	Steward              GaugeName = "tanagercross_steward"
+)
+
+// Count adds one to a counter. Label values must come from small sets.
+func (r *Registry) Count(name CounterName, labels ...Label) { r.count(string(name), labels...) }
+
+// Statement records a statement's duration by its code.
+func (r *Registry) Statement(code string, d time.Duration) {
+	r.set.GetOrCreatePrometheusHistogramExt(series(StatementDuration, Label{"code", code}), latencyBounds).Update(d.Seconds())
+}
--- /dev/null
+++ b/internal/request/dispatch/read.go
@@ -0,0 +1,146 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"tanagercross/internal/database/statement"
+	"tanagercross/internal/fleet/belief"
+	"tanagercross/internal/fleet/catalog"
+)
+
+// choose returns the next server for a read, or waits for the leader if no other server is left.
+func (d *Dispatcher) choose(ctx context.Context, db catalog.Database, replica bool, tried []string) (catalog.Server, bool) {
+	if replica {
+		l, _ := d.table.Leader(db.Group)
+		if s, ok := Candidate(d.table.Servers().Of(db.Group), l.Server, d.table.Self().Place, tried); ok {
+			return s, true
+		}
+	}
+	s, _, ok := d.leader(ctx, db.Group)
+	return s, ok
+}
+
+// Candidate returns the next server for a read that any server may serve: one in the own place, then the leader, then
+// the others. A server that is leaving is used only if it leads.
+func Candidate(servers []catalog.Server, leader, place string, tried []string) (catalog.Server, bool) {
+	usable := func(s catalog.Server) bool {
+		return !slices.Contains(tried, s.ID) && (!s.Leaving || s.ID == leader)
+	}
+	for _, fits := range []func(catalog.Server) bool{
+		func(s catalog.Server) bool { return s.Place == place },
+		func(s catalog.Server) bool { return s.ID == leader },
+		func(catalog.Server) bool { return true },
+	} {
+		for _, s := range servers {
+			if usable(s) && fits(s) {
+				return s, true
+			}
+		}
+	}
+	return catalog.Server{}, false
+}
+
+// reading is a read with its attempts.
+type reading struct {
+	d       *Dispatcher
+	db      catalog.Database
+	call    statement.Call
+	ctx     context.Context
+	results chan result
+	tried   []string
+	running int
+	started int
+}
+
+type result struct {
+	answer statement.Answer
+	leader belief.Leader
+}
+
+// start sends the read to the next server. It fails if no server is known in time.
+func (r *reading) start(waiting context.Context) bool {
+	s, ok := r.d.choose(waiting, r.db, r.call.Scope == statement.Replica, r.tried)
+	if !ok {
+		return false
+	}
+	c := r.call
+	l, _ := r.d.table.Leader(r.db.Group)
+	if s.ID == l.Server {
+		c.Scope, c.MaximumAge = statement.Leader, 0
+	}
+	if r.started > 0 {
+		r.d.options.Observer.Retried("read")
+	}
+	r.tried = append(r.tried, s.ID)
+	r.running++
+	r.started++
+	go func() {
+		a, _ := r.d.attempt(r.ctx, s, c)
+		r.results <- result{answer: a, leader: belief.Leader{Group: s.Group, Server: s.ID, Term: l.Term}}
+	}()
+	return true
+}
+
+// read sends a read to one server after the other until one answers.
+func (d *Dispatcher) read(ctx context.Context, db catalog.Database, c statement.Call) statement.Answer {
+	limit := Timeout(db)
+	// Attempts that lost the race run on until the statement's time is over: breaking them off would waste a connection.
+	running, release := context.WithTimeout(context.Background(), limit)
+	waiting, stop := context.WithTimeout(ctx, patience(db))
+	defer stop()
+	r := &reading{d: d, db: db, call: c, ctx: running, results: make(chan result, maximumAttempts)}
+	defer func() { go r.finish(release) }()
+	if !r.start(waiting) {
+		return statement.Refused(statement.Busy, "no primary is known")
+	}
+	hedge := time.NewTimer(hedgeDelay)
+	defer hedge.Stop()
+	last := statement.Refused(statement.Busy, "no server answered")
+	for {
+		select {
+		case got := <-r.results:
+			r.running--
+			if got.answer.Fate == statement.Answered && !got.answer.Code.NotRun() && got.answer.Code != statement.Timeout {
+				return got.answer
+			}
+			last = got.answer
+			if !r.proceed(waiting, got) && r.running == 0 {
+				return last
+			}
+		case <-hedge.C:
+			if r.started < maximumAttempts {
+				r.start(waiting)
+			}
+		case <-running.Done():
+			return statement.NoAnswer("no server answered in time")
+		}
+	}
+}
+
+// proceed starts the next attempt after a failed one.
+func (r *reading) proceed(waiting context.Context, got result) bool {
+	leads := false
+	if l, ok := r.d.table.Leader(r.db.Group); ok {
+		leads = l.Server == got.leader.Server
+	}
+	if leads {
+		r.d.again(got.leader, got.answer)
+		if got.answer.Fate != statement.Lost && !pause(waiting, retryPause) {
+			return false
+		}
+	}
+	if r.started >= maximumAttempts || waiting.Err() != nil {
+		return false
+	}
+	return r.start(waiting)
+}
+
+// finish waits for the attempts that still run.
+func (r *reading) finish(release context.CancelFunc) {
+	for range r.running {
+		<-r.results
+	}
+	release()
+}
