Read the list of members once instead of at every check

Cause: the time of the read was not kept, so that every instance read the members every 0.4 s (1,189 of 1,379 calls in 24 s). Change: the read carries its time; documents that were never read are awaited from the steward first.

--- a/internal/instance/entry/reader.go
+++ b/internal/instance/entry/reader.go
@@ -41,16 +41,13 @@
 	if n.exchanges.steward() {
 		return true
 	}
-	if asOf == 0 {
-		return n.exchanges.joined()
-	}
 	rank := 0
 	for i, m := range n.table.Stewards(n.settings.Place) {
 		if m.Name == n.settings.Name {
 			rank = i
 		}
 	}
-	return n.boot()-asOf > staleAfter+time.Duration(min(rank, 4))*staleStep
+	return n.boot()-max(asOf, n.exchanges.started) > staleAfter+time.Duration(min(rank, 4))*staleStep
 }
 
 // readMembers announces this instance and learns of the others.
@@ -86,11 +83,13 @@
 func (n *Node) readMembersOnce(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	started := n.boot()
 	rows, err := n.options.Store.Members(call)
 	n.observer.dependency("store members", err)
 	if err != nil {
 		return
 	}
+	rows.Read = started
 	n.table.SetMembers(rows)
 	n.forgetLost(ctx)
 }
@@ -160,7 +159,7 @@
 func (n *Node) readServers(ctx context.Context) {
 	for ctx.Err() == nil {
 		_, read, _ := n.table.Ages()
-		due := n.exchanges.steward() && n.boot()-read >= serversPeriod || n.reads(read) && n.boot()-read > staleAfter || read == 0 && n.reads(read)
+		due := n.reads(read) && n.boot()-read >= serversPeriod
 		if !due && !n.guard.wantsServers() {
 			sleep(ctx, idleCheck/2)
 			continue
