Answer single reads with the idle state, and settle on one steward a place

Cause: TestReadYourWrites failed first: a read at the leader runs in a transaction of the system, whose state went to the caller. TestRateHoldsOverAllInstances failed first (376 admitted of 240): an instance that started before another had announced itself stayed a second steward and handed out rate tokens too. Change: the state of a single statement is always idle; a steward calls instances of its place that do not report to it.

--- /dev/null
+++ b/internal/database/gate/gate_test.go
@@ -0,0 +1,226 @@
+package gate_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/gate"
+	"tanagercross/internal/database/statement"
+	"tanagercross/internal/instance/clock"
+	"tanagercross/internal/standin/cluster"
+)
+
+const primary, replica = "meals-agreste", "meals-sertao"
+
+func start(t *testing.T, server string, o gate.Options) (*cluster.Cluster, *gate.Gate) {
+	t.Helper()
+	c := cluster.New(clock.Boot)
+	c.AddGroup("meals", "agreste", "sertao")
+	g := gate.New(statement.Target{Server: server, Group: "meals", Address: server}, c.Dialer("i1"), o)
+	t.Cleanup(func() {
+		g.Close()
+		for _, f := range c.Faults() {
+			t.Error(f)
+		}
+	})
+	return c, g
+}
+
+func read(owner string, n int) statement.Call {
+	return statement.Call{
+		Organisation: "coop", Session: owner, ID: fmt.Sprintf("%s/%d", owner, n), Body: statement.Read{Arguments: "plates"},
+		Values: []statement.Value{{Name: "owner", Value: owner}}, Timeout: time.Second,
+	}
+}
+
+func write(owner string, n int) statement.Call {
+	c := read(owner, n)
+	c.Body = statement.Write{Arguments: fmt.Sprintf("plates %d", n)}
+	return c
+}
+
+// Guards against a statement that runs with the session values of another caller of the same organisation.
+func TestSessionValuesFollowTheCaller(t *testing.T) {
+	_, g := start(t, primary, gate.Options{Connections: 2})
+	var callers sync.WaitGroup
+	for n := range 6 {
+		callers.Go(func() {
+			for i := range 20 {
+				if a := g.Execute(context.Background(), read(fmt.Sprintf("s%d", n), i)); !a.OK() {
+					t.Errorf("read: %+v", a)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	if connections, _, _, opened := g.Counts(); connections > 2 || opened > 2 {
+		t.Errorf("%d connections, %d opened, want at most 2", connections, opened)
+	}
+}
+
+// Guards against a value that the caller has not set and an earlier user of the connection has.
+func TestForeignValuesAreDropped(t *testing.T) {
+	_, g := start(t, primary, gate.Options{Connections: 1})
+	g.Execute(context.Background(), read("s1", 1))
+	c := read("s2", 1)
+	c.Values = nil
+	// Without a reset the connection would still have owner = s1 and the cluster would report a fault.
+	if a := g.Execute(context.Background(), c); !a.OK() {
+		t.Errorf("read: %+v", a)
+	}
+}
+
+// Guards against a single read at a server that has lost the lead: such a server still answers reads.
+func TestLeaderReadFailsAtReplacedPrimary(t *testing.T) {
+	c, g := start(t, primary, gate.Options{})
+	if a := g.Execute(context.Background(), read("s1", 1)); !a.OK() {
+		t.Fatalf("read: %+v", a)
+	}
+	if err := c.Promote(context.Background(), "i1", 1, "meals", replica); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, func() bool { return c.Primary("meals") == replica })
+	a := g.Execute(context.Background(), read("s1", 2))
+	if a.OK() || a.Code != statement.ReadOnly || a.Fate != statement.NotSent {
+		t.Errorf("got %+v, want a refusal that the server does not lead", a)
+	}
+	if !g.Health().NotLeading {
+		t.Error("the gate still believes that its server leads")
+	}
+}
+
+// Guards against a write that is reported as not run although the server may have run it, and the other way round.
+func TestFateOfUnansweredStatements(t *testing.T) {
+	c, g := start(t, primary, gate.Options{})
+	c.LoseAnswers(primary, 1)
+	w := write("s1", 1).WithTimeout(100 * time.Millisecond)
+	if a := g.Execute(context.Background(), w); a.Fate != statement.Lost {
+		t.Errorf("write without an answer: %+v, want fate lost", a)
+	}
+	c.Crash(primary)
+	if a := g.Execute(context.Background(), write("s1", 2)); a.Fate != statement.NotSent || a.Code != statement.WrongServer {
+		t.Errorf("write at a server that is down: %+v, want not sent", a)
+	}
+	if h := g.Health(); h.Failures == 0 || !h.Refused {
+		t.Errorf("health %+v, want refused failures", h)
+	}
+	if c.Runs("s1/2") != 0 {
+		t.Error("a write that was reported as not sent has run")
+	}
+}
+
+// Guards against a read on a replica that lacks the position that the read must see.
+func TestReplicaReadNeedsPosition(t *testing.T) {
+	c, g := start(t, replica, gate.Options{})
+	c.Lag(replica, time.Hour)
+	r := read("s1", 1)
+	r.Scope, r.After = statement.Replica, driver.Position{Term: 1, Index: 5}
+	if a := g.Execute(context.Background(), r); a.Code != statement.Behind {
+		t.Errorf("got %+v, want behind", a)
+	}
+	r.After = driver.Position{}
+	if a := g.Execute(context.Background(), r); !a.OK() {
+		t.Errorf("got %+v, want an answer", a)
+	}
+}
+
+// Guards against a transaction whose statements run on different connections or for another session.
+func TestTransactionStaysOnItsConnection(t *testing.T) {
+	c, g := start(t, primary, gate.Options{Connections: 3})
+	first := write("s1", 1)
+	first.Step = statement.First
+	a := g.Execute(context.Background(), first)
+	if !a.OK() || a.Transaction == 0 || a.State != statement.InTransaction {
+		t.Fatalf("first statement: %+v", a)
+	}
+	foreign := write("s2", 1)
+	foreign.Step, foreign.Transaction = statement.Next, a.Transaction
+	if b := g.Execute(context.Background(), foreign); b.OK() || b.Fate != statement.NotSent {
+		t.Errorf("another session's statement: %+v", b)
+	}
+	if c.Runs("s1/1") != 0 {
+		t.Error("the write took effect before the commit")
+	}
+	end := statement.Call{
+		Organisation: "coop", Session: "s1", ID: "s1/2", Body: statement.Commit{}, Step: statement.End,
+		Transaction: a.Transaction, Values: first.Values, Timeout: time.Second,
+	}
+	if b := g.Execute(context.Background(), end); !b.OK() || b.State != statement.Idle {
+		t.Errorf("commit: %+v", b)
+	}
+	if c.Runs("s1/1") != 1 {
+		t.Error("the commit did not take effect")
+	}
+	if b := g.Execute(context.Background(), end); b.Code != statement.Aborted {
+		t.Errorf("second commit: %+v, want aborted", b)
+	}
+}
+
+// Guards against connections that transactions of vanished callers keep for ever.
+func TestIdleTransactionIsRolledBack(t *testing.T) {
+	_, g := start(t, primary, gate.Options{Connections: 1, TransactionIdle: 30 * time.Millisecond})
+	first := write("s1", 1)
+	first.Step = statement.First
+	if a := g.Execute(context.Background(), first); !a.OK() {
+		t.Fatalf("first statement: %+v", a)
+	}
+	time.Sleep(50 * time.Millisecond)
+	g.Sweep()
+	if a := g.Execute(context.Background(), read("s2", 1)); !a.OK() {
+		t.Errorf("the connection was not freed: %+v", a)
+	}
+}
+
+// Guards against waiting callers that are not told when no connection becomes free.
+func TestRefusalWhenConnectionsAreTaken(t *testing.T) {
+	_, g := start(t, primary, gate.Options{Connections: 1})
+	first := write("s1", 1)
+	first.Step = statement.First
+	g.Execute(context.Background(), first)
+	started := time.Now()
+	a := g.Execute(context.Background(), read("s2", 1).WithTimeout(60*time.Millisecond))
+	if a.Fate != statement.NotSent || a.Code != statement.TooMany || time.Since(started) > 500*time.Millisecond {
+		t.Errorf("got %+v after %v", a, time.Since(started))
+	}
+}
+
+// Guards against a head position that was taken before the caller asked.
+func TestHeadIsProvedAfterItsRequest(t *testing.T) {
+	c, g := start(t, primary, gate.Options{})
+	asked := clock.Boot()
+	p, ok := g.Head(context.Background(), 0, "coop")
+	if !ok || p.Asked < asked {
+		t.Errorf("head %+v %t, asked at %v", p, ok, asked)
+	}
+	if err := c.Promote(context.Background(), "i1", 1, "meals", replica); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, func() bool { return c.Primary("meals") == replica })
+	if p, ok := g.Head(context.Background(), 0, "coop"); ok {
+		t.Errorf("a replaced primary proved the head %+v", p)
+	}
+}
+
+// Guards against a dark server that is noticed only when statements time out.
+func TestSilenceIsNoticedWhileWaiting(t *testing.T) {
+	c, g := start(t, primary, gate.Options{})
+	g.Execute(context.Background(), read("s1", 1))
+	c.Darken(primary)
+	go g.Execute(context.Background(), read("s1", 2).WithTimeout(500*time.Millisecond))
+	waitFor(t, func() bool { return g.Silent() > 50*time.Millisecond })
+}
+
+func waitFor(t *testing.T, ok func() bool) {
+	t.Helper()
+	for range 400 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("condition not reached in 2 s")
+}
--- /dev/null
+++ b/internal/instance/entry/entry_test.go
@@ -0,0 +1,391 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"tanagercross/internal/database/statement"
+	"tanagercross/internal/fleet/catalog"
+	"tanagercross/internal/instance/clock"
+	"tanagercross/internal/instance/entry"
+	"tanagercross/internal/instance/metric"
+	"tanagercross/internal/organisation/key"
+	"tanagercross/internal/session/conversation"
+	"tanagercross/internal/standin/cluster"
+)
+
+const keyText = "tc_key_of_coop"
+
+// fleet is a deployment in one process: a stand-in of the platform and instances in its places.
+type fleet struct {
+	t       *testing.T
+	cluster *cluster.Cluster
+	nodes   []*entry.Node
+	ids     atomic.Int64
+}
+
+func configuration(version uint64, rate float64, keys ...string) catalog.Configuration {
+	o := catalog.Organisation{Name: "coop", Rate: rate, Burst: rate}
+	for _, k := range keys {
+		o.Keys = append(o.Keys, key.HashOf(k))
+	}
+	database := func(name string, c catalog.Consistency, age time.Duration) catalog.Database {
+		return catalog.Database{
+			Name: name, Group: "meals", Consistency: c, MaximumAge: age, Timeout: time.Second, Goal: time.Second,
+		}
+	}
+	return catalog.NewConfiguration(version, []catalog.Database{
+		database("bookings", catalog.PrimaryOnly, 0),
+		database("plates", catalog.BoundedStaleness, time.Second),
+		database("tally", catalog.ReadYourWrites, 2*time.Second),
+	}, []catalog.Group{{Name: "meals", ConnectionLimit: 40}}, []catalog.Organisation{o}).WithTransactionIdle(3 * time.Second)
+}
+
+func newFleet(t *testing.T, places ...string) *fleet {
+	t.Helper()
+	f := &fleet{t: t, cluster: cluster.New(clock.Boot)}
+	f.cluster.AddGroup("meals", "agreste", "sertao", "litoral")
+	f.cluster.Configure(configuration(1, 100_000, keyText))
+	t.Cleanup(func() {
+		for _, fault := range f.cluster.Faults() {
+			t.Error(fault)
+		}
+	})
+	for n, place := range places {
+		f.start(fmt.Sprintf("i%d", n+1), place)
+	}
+	for _, n := range f.nodes {
+		f.eventually("ready", n.Ready)
+	}
+	return f
+}
+
+func (f *fleet) start(name, place string) *entry.Node {
+	f.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	if err := listener.Close(); err != nil {
+		f.t.Fatal(err)
+	}
+	n, err := entry.Start(entry.Options{
+		Settings: entry.Settings{Name: name, Place: place, PeersAddress: address, DutyLease: time.Second},
+		Store:    f.cluster.Store(name), Promoter: f.cluster, Decoder: f.cluster, Dialer: f.cluster.Dialer(name),
+		Metrics: metric.New(), Log: slog.New(slog.NewJSONHandler(logWriter(), nil)).With("node", name),
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.nodes = append(f.nodes, n)
+	f.t.Cleanup(n.Stop)
+	return n
+}
+
+func (f *fleet) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	for range 600 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.t.Fatalf("%s: not within 6 s", what)
+}
+
+// session starts a session whose value "owner" the servers check.
+func (f *fleet) session(n int, database string) *caller {
+	f.t.Helper()
+	c, refusal := f.nodes[n].Session(database, keyText)
+	if c == nil {
+		f.t.Fatalf("session: %+v", refusal)
+	}
+	s := &caller{f: f, conversation: c, name: fmt.Sprintf("s%d", f.ids.Add(1))}
+	s.do(statement.Set{Name: "owner", Value: s.name})
+	return s
+}
+
+type caller struct {
+	f            *fleet
+	conversation *conversation.Conversation
+	name         string
+	last         string // id of the last statement
+}
+
+func (s *caller) do(b statement.Statement) statement.Answer {
+	s.last = fmt.Sprintf("%s/%d", s.name, s.f.ids.Add(1))
+	return s.conversation.Handle(context.Background(), statement.Query{ID: s.last, Body: b})
+}
+
+func (s *caller) write(item, value string) statement.Answer {
+	return s.do(statement.Write{Arguments: item + " " + value})
+}
+
+func (s *caller) read(item string) statement.Answer { return s.do(statement.Read{Arguments: item}) }
+
+// Guards against a session that does not see its own write, at an instance of each place and with lagging replicas.
+func TestReadYourWrites(t *testing.T) {
+	f := newFleet(t, "agreste", "sertao", "litoral")
+	f.cluster.Lag("meals-sertao", time.Hour)
+	for n := range f.nodes {
+		s := f.session(n, "tally")
+		for i := range 10 {
+			want := fmt.Sprintf("%d-%d", n, i)
+			if a := s.write("plates", want); !a.OK() {
+				t.Fatalf("write: %+v", a)
+			}
+			if a := s.read("plates"); !a.OK() || a.Rows[0] != want {
+				t.Errorf("instance %d read %+v, want %s", n, a, want)
+			}
+		}
+	}
+}
+
+// Guards against a read that lacks a commit which was acknowledged to another session: any on a primary route, an old one
+// on a route with a bound.
+func TestReadsSeeAcknowledgedCommits(t *testing.T) {
+	f := newFleet(t, "agreste", "sertao")
+	f.cluster.Lag("meals-sertao", time.Hour)
+	writer, fresh, bounded := f.session(0, "bookings"), f.session(1, "bookings"), f.session(1, "plates")
+	if a := writer.write("plates", "40"); !a.OK() {
+		t.Fatalf("write: %+v", a)
+	}
+	if a := fresh.read("plates"); !a.OK() || a.Rows[0] != "40" {
+		t.Errorf("primary route read %+v, want 40", a)
+	}
+	time.Sleep(1100 * time.Millisecond)
+	if a := bounded.read("plates"); !a.OK() || a.Rows[0] != "40" {
+		t.Errorf("route with a bound of 1 s read %+v after it, want 40", a)
+	}
+}
+
+// Guards against a primary that nobody replaces, and against a write that takes effect twice or is reported as kept
+// although the replaced primary ran it.
+func TestPrimaryIsReplaced(t *testing.T) {
+	for name, fail := range map[string]func(*cluster.Cluster){
+		"crash": func(c *cluster.Cluster) { c.Crash("meals-agreste") },
+		"dark":  func(c *cluster.Cluster) { c.Darken("meals-agreste") },
+		"leave": func(c *cluster.Cluster) { c.Drain("meals-agreste") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, "agreste", "sertao", "litoral")
+			stop := make(chan struct{})
+			var acknowledged sync.Map
+			var callers sync.WaitGroup
+			for n := range f.nodes {
+				callers.Go(func() {
+					for i := 0; ; i++ {
+						select {
+						case <-stop:
+							return
+						case <-time.After(10 * time.Millisecond):
+						}
+						c, _ := f.nodes[n].Session("bookings", keyText)
+						s := &caller{f: f, conversation: c, name: fmt.Sprintf("w%d-%d", n, i)}
+						if a := s.write("plates", "1"); a.OK() {
+							acknowledged.Store(s.last, true)
+						} else if a.Code != statement.Unknown && f.cluster.Runs(s.last) > 0 {
+							t.Errorf("%s ran, answered %+v", s.last, a)
+						}
+					}
+				})
+			}
+			time.Sleep(200 * time.Millisecond)
+			fail(f.cluster)
+			f.eventually("another primary", func() bool { return f.cluster.Promotions() > 0 })
+			s := f.session(1, "bookings")
+			f.eventually("a write at the new primary", func() bool { return s.write("plates", "2").OK() })
+			close(stop)
+			callers.Wait()
+			if n := f.cluster.Promotions(); n != 1 {
+				t.Errorf("%d promotions, want 1", n)
+			}
+			acknowledged.Range(func(id, _ any) bool {
+				if f.cluster.Runs(id.(string)) != 1 {
+					t.Errorf("%s was acknowledged and ran %d times", id, f.cluster.Runs(id.(string)))
+				}
+				return true
+			})
+		})
+	}
+}
+
+// Guards against a primary that is replaced because one instance does not reach it.
+func TestReachablePrimaryIsKept(t *testing.T) {
+	f := newFleet(t, "agreste", "agreste", "sertao", "litoral")
+	f.cluster.Cut("meals-agreste", "i1")
+	s := f.session(2, "bookings")
+	f.eventually("writes through the other instance", func() bool { return s.write("plates", "1").OK() })
+	time.Sleep(500 * time.Millisecond)
+	if n := f.cluster.Promotions(); n != 0 {
+		t.Errorf("%d promotions, want none", n)
+	}
+}
+
+// Guards against statements that stay with an instance that has gone.
+func TestHolderIsReplaced(t *testing.T) {
+	f := newFleet(t, "agreste", "agreste", "agreste")
+	s := f.session(2, "bookings")
+	if a := s.write("plates", "1"); !a.OK() {
+		t.Fatalf("write: %+v", a)
+	}
+	f.nodes[0].Stop()
+	f.eventually("a write without the first instance", func() bool { return s.write("plates", "2").OK() })
+	f.nodes[1].Stop()
+	f.eventually("a write without both", func() bool { return s.write("plates", "3").OK() })
+}
+
+// Guards against a withdrawn key that works on at connected callers, also at an instance that the store turns away.
+func TestWithdrawnKeyStops(t *testing.T) {
+	f := newFleet(t, "agreste", "agreste", "sertao")
+	f.cluster.TurnAway("i2", true)
+	var sessions []*caller
+	for n := range f.nodes {
+		sessions = append(sessions, f.session(n, "bookings"))
+	}
+	f.cluster.Configure(configuration(2, 100_000, "another key"))
+	withdrawn := time.Now()
+	for n, s := range sessions {
+		f.eventually("the key is refused", func() bool { return s.read("plates").Code == statement.Unauthorized })
+		if took := time.Since(withdrawn); took > 4*time.Second {
+			t.Errorf("instance %d refused the key after %v, want 4 s", n, took)
+		}
+		if !s.conversation.Over() {
+			t.Error("the session goes on")
+		}
+	}
+}
+
+// Guards against an organisation that gets more than its rate and burst over all instances together, and against one
+// that is refused within its rate.
+func TestRateHoldsOverAllInstances(t *testing.T) {
+	const rate, window = 60.0, 3
+	f := newFleet(t, "agreste", "agreste", "sertao")
+	f.cluster.Configure(configuration(2, rate, keyText))
+	time.Sleep(1500 * time.Millisecond)
+	var admitted, refused atomic.Int64
+	var callers sync.WaitGroup
+	end := time.Now().Add(window * time.Second)
+	for n := range f.nodes {
+		for range 3 {
+			callers.Go(func() {
+				s := f.session(n, "plates")
+				for time.Now().Before(end) {
+					if s.read("plates").OK() {
+						admitted.Add(1)
+					} else {
+						refused.Add(1)
+					}
+				}
+			})
+		}
+	}
+	callers.Wait()
+	if limit := int64(rate*window + rate); admitted.Load() > limit+limit/10 {
+		t.Errorf("%d admitted in %d s, want at most %d", admitted.Load(), window, limit)
+	}
+	if least := int64(rate * window / 2); admitted.Load() < least || refused.Load() == 0 {
+		t.Errorf("%d admitted, %d refused; want at least %d admitted and some refused", admitted.Load(), refused.Load(), least)
+	}
+}
+
+// Guards against store calls that grow with the number of instances.
+func TestStoreCallsDoNotGrowWithInstances(t *testing.T) {
+	rate := func(instances int) int {
+		places := make([]string, instances)
+		for n := range places {
+			places[n] = "agreste"
+		}
+		f := newFleet(t, places...)
+		time.Sleep(time.Second)
+		before := f.cluster.Calls()
+		time.Sleep(3 * time.Second)
+		return f.cluster.Calls() - before
+	}
+	if few, many := rate(2), rate(10); many > few+4 {
+		t.Errorf("%d calls in 3 s with 10 instances, %d with 2", many, few)
+	}
+}
+
+// Guards against traffic that ends when the store does.
+func TestTrafficGoesOnWithoutTheStore(t *testing.T) {
+	f := newFleet(t, "agreste", "sertao")
+	f.cluster.SetStoreDown(true)
+	s := f.session(1, "tally")
+	for i := range 30 {
+		if a := s.write("plates", fmt.Sprint(i)); !a.OK() {
+			t.Fatalf("write %d: %+v", i, a)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	n := f.start("i3", "sertao")
+	if n.Ready() {
+		t.Error("an instance without a configuration is ready")
+	}
+}
+
+// Guards against a transaction that is cut or split, and against one whose rollback leaves something.
+func TestTransactions(t *testing.T) {
+	f := newFleet(t, "agreste", "sertao")
+	s := f.session(1, "tally")
+	for _, end := range []statement.Statement{statement.Commit{}, statement.Rollback{}} {
+		s.write("plates", "before")
+		for _, b := range []statement.Statement{
+			statement.Begin{}, statement.Write{Arguments: "plates inside"}, statement.Read{Arguments: "plates"}, end,
+		} {
+			if a := s.do(b); !a.OK() {
+				t.Fatalf("%T: %+v", b, a)
+			}
+		}
+		want := "inside"
+		if (end == statement.Rollback{}) {
+			want = "before"
+		}
+		if a := s.read("plates"); !a.OK() || a.Rows[0] != want {
+			t.Errorf("after %T: %+v, want %s", end, a, want)
+		}
+	}
+	if a := s.do(statement.Commit{}); a.Code != statement.Malformed {
+		t.Errorf("commit without a transaction: %+v", a)
+	}
+}
+
+// Guards against prepared names of one session that run the shape of another.
+func TestPreparedNamesBelongToTheSession(t *testing.T) {
+	f := newFleet(t, "agreste")
+	writer, reader := f.session(0, "bookings"), f.session(0, "bookings")
+	writer.do(statement.Prepare{Name: "p", Writes: true, Shape: "q1"})
+	reader.do(statement.Prepare{Name: "p", Shape: "q2"})
+	if a := writer.do(statement.Execute{Name: "p", Arguments: "plates 7"}); !a.OK() {
+		t.Errorf("write: %+v", a)
+	}
+	if a := reader.do(statement.Execute{Name: "p", Arguments: "plates"}); !a.OK() || a.Rows[0] != "7" {
+		t.Errorf("read: %+v, want 7", a)
+	}
+	reader.do(statement.Deallocate{Name: "p"})
+	if a := reader.do(statement.Execute{Name: "p", Arguments: "plates"}); a.Code != statement.NoStatement {
+		t.Errorf("dropped name: %+v", a)
+	}
+}
+
+// logWriter returns where instances log: TANAGERCROSS_TEST_LOG names a file for a failed run.
+func logWriter() io.Writer {
+	path := os.Getenv("TANAGERCROSS_TEST_LOG")
+	if path == "" {
+		return io.Discard
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return io.Discard
+	}
+	return file
+}
--- a/internal/instance/entry/exchange.go
+++ b/internal/instance/entry/exchange.go
@@ -108,7 +108,7 @@
 	acting := chosen == n.settings.Name && !n.table.Self().Leaving
 	e.act(now, acting)
 	if acting {
-		ask = append(ask, e.far(now)...)
+		ask = append(append(ask, e.near(now)...), e.far(now)...)
 	}
 	for _, m := range ask {
 		e.start(m, acting)
@@ -149,6 +149,18 @@
 	e.n.log.Info("steward of the place", "acting", acting)
 }
 
+// near returns the instances of the place that do not report to this steward: they may be down, or follow another one
+// because they do not know of this instance yet.
+func (e *exchanges) near(now time.Duration) []roster.Member {
+	var list []roster.Member
+	for _, m := range e.n.table.Stewards(e.n.settings.Place) {
+		if m.Name != e.n.settings.Name && now-e.n.table.Heard(m.Name) > belief.AliveFor && e.due(now, m.Name, returnPeriod) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // far returns the stewards of other places whose turn it is. Of two stewards that are due, the one of the lower place
 // asks, so that one exchange serves both.
 func (e *exchanges) far(now time.Duration) []roster.Member {
--- a/internal/session/conversation/conversation.go
+++ b/internal/session/conversation/conversation.go
@@ -296,6 +296,10 @@
 			a.Code = statement.Timeout
 		}
 	}
+	if !inside {
+		// A read at the leader ran in a transaction of the system, which is not the caller's.
+		a.State = statement.Idle
+	}
 	a.Transaction = 0
 	return a
 }
--- /dev/null
+++ b/internal/standin/cluster/cluster.go
@@ -0,0 +1,282 @@
+// Package cluster is an in-memory stand-in of the platform: groups of database servers with terms, positions, lag and
+// faults, the store with its rows, and the promotion call. It speaks in the product's types, so that tests of decisions
+// need no wire format.
+//
+// # Usage
+//
+//	c := cluster.New(clock.Boot)
+//	c.AddGroup("meals-1", "agreste", "sertao", "litoral")
+//	c.Configure(catalog.NewConfiguration(1, databases, groups, organisations))
+//	node, err := entry.Start(entry.Options{Store: c.Store(), Promoter: c, Decoder: c, Dialer: c.Dialer("i1"), ...})
+//	c.Crash("meals-1-agreste")
+//
+// Servers check what the product promises: statements run with the session values of their caller, a write takes effect
+// once, and a prepared name is the shape that was defined. What is broken is kept in Faults.
+package cluster
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/fleet/catalog"
+)
+
+// promoteDelay is the time between an order and the lead of the named server.
+const promoteDelay = 50 * time.Millisecond
+
+// commit is one entry of a server's log.
+type commit struct {
+	position driver.Position
+	item     string
+	value    string
+}
+
+// Server is one database server. Its fields are guarded by the cluster.
+type Server struct {
+	catalog.Server
+	term     uint64
+	log      []commit
+	received int // entries of the primary's log
+	applied  int
+	paused   bool
+	down     bool          // refuses connections
+	dark     bool          // answers nothing
+	lag      time.Duration // of what a replica applies
+	cut      map[string]bool
+	lose     int // answers to lose
+	conns    map[*conn]bool
+	busy     int
+}
+
+// Cluster is a set of groups with a store. It is safe for concurrent use.
+type Cluster struct {
+	boot func() time.Duration
+
+	mu            sync.Mutex
+	servers       map[string]*Server
+	version       uint64
+	configuration catalog.Configuration
+	configured    uint64 // row version
+	members       map[string]member
+	duties        map[string]dutyRow
+	storeDown     bool
+	turnedAway    map[string]bool // instances that the store does not serve
+	calls         int
+	promotions    int
+	tokens        map[string]uint64
+	acknowledged  map[string]driver.Position // by item
+	runs          map[string]int             // committed writes by statement id
+	faults        []string
+	changed       chan struct{}
+}
+
+// New returns an empty cluster.
+func New(boot func() time.Duration) *Cluster {
+	return &Cluster{
+		boot: boot, servers: map[string]*Server{}, members: map[string]member{}, duties: map[string]dutyRow{},
+		turnedAway: map[string]bool{}, tokens: map[string]uint64{}, acknowledged: map[string]driver.Position{},
+		runs: map[string]int{}, changed: make(chan struct{}), version: 1,
+	}
+}
+
+// AddGroup adds a group with one server in each place; the first one leads term 1. A server is named GROUP-PLACE.
+func (c *Cluster) AddGroup(group string, places ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for n, place := range places {
+		id := group + "-" + place
+		role := driver.Replica
+		if n == 0 {
+			role = driver.Primary
+		}
+		c.servers[id] = &Server{
+			Server: catalog.Server{ID: id, Group: group, Address: id, Place: place, Slots: 2, Role: role, Born: 1},
+			term:   1, cut: map[string]bool{}, conns: map[*conn]bool{},
+		}
+	}
+	c.bump()
+}
+
+func (c *Cluster) bump() {
+	c.version++
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// Configure replaces the configuration.
+func (c *Cluster) Configure(configuration catalog.Configuration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bump()
+	c.configuration, c.configured = configuration, c.version
+}
+
+// Crash stops a server with its connections; Restart brings it back with its log.
+func (c *Cluster) Crash(id string) { c.change(id, func(s *Server) { s.down = true; s.drop() }) }
+
+// Restart brings a server back, as a replica if another one leads.
+func (c *Cluster) Restart(id string) {
+	c.change(id, func(s *Server) { s.down, s.dark, s.paused = false, false, false })
+}
+
+// Darken makes a server answer nothing.
+func (c *Cluster) Darken(id string) { c.change(id, func(s *Server) { s.dark = true }) }
+
+// Lag delays what a replica applies.
+func (c *Cluster) Lag(id string, d time.Duration) { c.change(id, func(s *Server) { s.lag = d }) }
+
+// Cut separates a server from an instance.
+func (c *Cluster) Cut(id, instance string) { c.change(id, func(s *Server) { s.cut[instance] = true }) }
+
+// Drain marks a server as leaving.
+func (c *Cluster) Drain(id string) { c.change(id, func(s *Server) { s.Leaving = true }) }
+
+// LoseAnswers makes a server run the next n statements of callers without an answer.
+func (c *Cluster) LoseAnswers(id string, n int) { c.change(id, func(s *Server) { s.lose = n }) }
+
+func (c *Cluster) change(id string, f func(s *Server)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f(c.servers[id])
+	c.bump()
+}
+
+func (s *Server) drop() {
+	for k := range s.conns {
+		k.broken = true
+	}
+}
+
+// SetStoreDown turns the store off or on.
+func (c *Cluster) SetStoreDown(down bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.storeDown = down
+}
+
+// TurnAway makes the store refuse an instance.
+func (c *Cluster) TurnAway(instance string, refused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.turnedAway[instance] = refused
+}
+
+// Faults returns what broke a promise.
+func (c *Cluster) Faults() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.faults)
+}
+
+// Promotions returns how many orders were carried out, and Calls how many calls the store has got.
+func (c *Cluster) Promotions() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.promotions
+}
+
+// Calls returns the number of calls to the store.
+func (c *Cluster) Calls() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.calls
+}
+
+// Runs returns how often a statement's write was committed.
+func (c *Cluster) Runs(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runs[id]
+}
+
+// Primary returns the server that leads a group.
+func (c *Cluster) Primary(group string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.primary(group); s != nil {
+		return s.ID
+	}
+	return ""
+}
+
+func (c *Cluster) primary(group string) *Server {
+	var best *Server
+	for _, s := range c.servers {
+		if s.Group == group && s.Role == driver.Primary && (best == nil || s.term > best.term) {
+			best = s
+		}
+	}
+	return best
+}
+
+func (c *Cluster) fault(format string, args ...any) {
+	c.faults = append(c.faults, fmt.Sprintf(format, args...))
+}
+
+// catchUp lets a replica receive and apply what is due.
+func (c *Cluster) catchUp(s *Server) {
+	if s.Role == driver.Primary {
+		s.applied = len(s.log)
+		return
+	}
+	p := c.primary(s.Group)
+	if p == nil || p.down || p.dark || s.paused || p.term < s.term {
+		return
+	}
+	s.term = p.term
+	s.log = slices.Clone(p.log)
+	if s.lag == 0 {
+		s.applied = len(s.log)
+	}
+	s.received = len(s.log)
+}
+
+// position returns the end of what a server has applied.
+func (s *Server) position() driver.Position {
+	if s.applied == 0 {
+		return driver.Position{Term: 1, Index: 0}
+	}
+	return s.log[s.applied-1].position
+}
+
+// promote makes a server lead the next term with what it has received.
+func (c *Cluster) promote(s *Server) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.down {
+		return
+	}
+	old := c.primary(s.Group)
+	c.catchUp(s)
+	if old == s {
+		return
+	}
+	term := s.term
+	if old != nil {
+		term = max(term, old.term)
+		old.Role = driver.Replica
+	}
+	s.Role, s.term, s.paused, s.applied = driver.Primary, term+1, false, len(s.log)
+	for _, other := range c.servers {
+		if other.Group == s.Group {
+			other.paused = false
+		}
+	}
+	c.promotions++
+	c.bump()
+}
+
+// rows lists the ids of all servers that have an entry.
+func (c *Cluster) listed() []string {
+	var ids []string
+	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
+		if s := c.servers[id]; !s.down && !s.dark {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/standin/cluster/conn.go
@@ -0,0 +1,278 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"strings"
+	"time"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/statement"
+)
+
+// errBroken is the error of a connection that does not answer.
+var errBroken = errors.New("connection broken")
+
+// work is the time that a statement takes.
+const work = time.Millisecond
+
+// Dialer opens connections on behalf of an instance.
+type Dialer struct {
+	cluster  *Cluster
+	instance string
+}
+
+// Dialer returns the dialer of an instance.
+func (c *Cluster) Dialer(instance string) Dialer { return Dialer{cluster: c, instance: instance} }
+
+type conn struct {
+	cluster      *Cluster
+	server       *Server
+	instance     string
+	organisation string
+	broken       bool
+	values       map[string]string
+	prepared     map[string]statement.Preparation
+	open         bool
+	readOnly     bool
+	failed       bool
+	writes       []commit
+	ids          []string
+}
+
+// Dial implements statement.Dialer.
+func (d Dialer) Dial(ctx context.Context, t statement.Target) (statement.Conn, driver.Position, error) {
+	c := d.cluster
+	c.mu.Lock()
+	s := c.servers[t.Server]
+	dead := s == nil || s.down
+	dark := !dead && (s.dark || s.cut[d.instance])
+	c.mu.Unlock()
+	if dead {
+		return nil, driver.Position{}, &statement.DialError{Refused: true, Err: errors.New("connection refused")}
+	}
+	if dark {
+		<-ctx.Done()
+		return nil, driver.Position{}, &statement.DialError{Err: ctx.Err()}
+	}
+	time.Sleep(work)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k := &conn{
+		cluster: c, server: s, instance: d.instance, organisation: t.Organisation, values: map[string]string{},
+		prepared: map[string]statement.Preparation{},
+	}
+	s.conns[k] = true
+	c.catchUp(s)
+	return k, s.position(), nil
+}
+
+// Close implements statement.Conn.
+func (k *conn) Close() {
+	k.cluster.mu.Lock()
+	defer k.cluster.mu.Unlock()
+	k.broken = true
+	delete(k.server.conns, k)
+}
+
+// Report implements statement.Conn.
+func (k *conn) Report(deadline time.Time, command statement.Command) (statement.Report, error) {
+	if err := k.reach(deadline); err != nil {
+		return statement.Report{}, err
+	}
+	c, s := k.cluster, k.server
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.catchUp(s)
+	switch command := command.(type) {
+	case statement.Pause:
+		s.paused = command.Term > s.term && s.Role != driver.Primary
+	case statement.Resume:
+		s.paused = false
+	case statement.Demote:
+		if s.Role == driver.Primary && command.Term > s.term {
+			s.Role = driver.Replica
+			c.bump()
+		}
+	}
+	end := driver.Position{Term: 1}
+	if len(s.log) > 0 {
+		end = s.log[len(s.log)-1].position
+	}
+	return statement.Report{Role: s.Role, Term: s.term, Received: end}, nil
+}
+
+// reach fails if the server does not answer.
+func (k *conn) reach(deadline time.Time) error {
+	k.cluster.mu.Lock()
+	broken, dark := k.broken || k.server.down, k.server.dark || k.server.cut[k.instance]
+	k.cluster.mu.Unlock()
+	if broken {
+		return errBroken
+	}
+	if dark {
+		time.Sleep(time.Until(deadline))
+		return errBroken
+	}
+	return nil
+}
+
+// Run implements statement.Conn.
+func (k *conn) Run(deadline time.Time, commands ...statement.Command) ([]statement.Answer, error) {
+	if err := k.reach(deadline); err != nil {
+		return nil, err
+	}
+	var answers []statement.Answer
+	for _, command := range commands {
+		if _, ok := command.(statement.Forward); ok {
+			time.Sleep(work)
+		}
+		a, lost := k.run(command)
+		if lost {
+			time.Sleep(time.Until(deadline))
+			return answers, errBroken
+		}
+		answers = append(answers, a)
+	}
+	return answers, nil
+}
+
+func (k *conn) run(command statement.Command) (a statement.Answer, lost bool) {
+	c, s := k.cluster, k.server
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k.broken || s.down {
+		return a, true
+	}
+	c.catchUp(s)
+	a = statement.Answer{Fate: statement.Answered}
+	switch command := command.(type) {
+	case statement.Reset:
+		k.values, k.prepared = map[string]string{}, map[string]statement.Preparation{}
+	case statement.Assign:
+		k.values[command.Name] = command.Value.Value
+	case statement.Define:
+		k.prepared[command.Name] = command.Preparation
+	case statement.Open:
+		a = k.begin(command)
+	case statement.Close:
+		k.open, k.failed, k.writes, k.ids = false, false, nil, nil
+	case statement.Forward:
+		a = k.forward(command)
+		if s.lose > 0 {
+			s.lose--
+			lost = true
+		}
+	}
+	if a.Code != "" && k.open {
+		k.failed = true
+	}
+	switch {
+	case k.failed:
+		a.State = statement.FailedTransaction
+	case k.open:
+		a.State = statement.InTransaction
+	}
+	a.Position = s.position()
+	return a, lost
+}
+
+func refused(code statement.Code) statement.Answer {
+	return statement.Answer{Fate: statement.Answered, Code: code}
+}
+
+func (k *conn) begin(o statement.Open) statement.Answer {
+	s := k.server
+	switch {
+	case !o.ReadOnly && s.Role != driver.Primary:
+		return refused(statement.ReadOnly)
+	case o.ReadOnly && s.position().Compare(o.After) < 0:
+		return refused(statement.Behind)
+	}
+	k.open, k.readOnly = true, o.ReadOnly
+	return statement.Answer{Fate: statement.Answered}
+}
+
+// forward runs a caller's statement. The value "owner" of a session must be that of the statement's caller, which the
+// statement names by the prefix of its id.
+func (k *conn) forward(f statement.Forward) statement.Answer {
+	c, s := k.cluster, k.server
+	owner, _, _ := strings.Cut(f.ID, "/")
+	if v, ok := k.values["owner"]; ok && v != owner {
+		c.fault("%s ran with the session values of %s", f.ID, v)
+	}
+	if k.failed {
+		return refused(statement.Malformed)
+	}
+	if k.open && !k.readOnly && s.Role != driver.Primary {
+		return refused(statement.ReadOnly)
+	}
+	if !k.open && s.position().Compare(f.After) < 0 {
+		return refused(statement.Behind)
+	}
+	switch b := f.Body.(type) {
+	case statement.Read:
+		return k.read(b.Arguments)
+	case statement.Write:
+		item, value, _ := strings.Cut(b.Arguments, " ")
+		return k.write(f.ID, item, value)
+	case statement.Execute:
+		p, ok := k.prepared[b.Name]
+		if !ok {
+			return refused(statement.NoStatement)
+		}
+		if !p.Writes {
+			return k.read(b.Arguments)
+		}
+		item, value, _ := strings.Cut(b.Arguments, " ")
+		return k.write(f.ID, item, value)
+	case statement.Commit:
+		return k.commit()
+	}
+	k.open, k.failed, k.writes, k.ids = false, false, nil, nil
+	return statement.Answer{Fate: statement.Answered}
+}
+
+func (k *conn) read(item string) statement.Answer {
+	value := ""
+	for _, e := range k.server.log[:k.server.applied] {
+		if e.item == item {
+			value = e.value
+		}
+	}
+	return statement.Answer{Fate: statement.Answered, Rows: []string{value}, Signature: k.server.ID}
+}
+
+func (k *conn) write(id, item, value string) statement.Answer {
+	if k.server.Role != driver.Primary {
+		return refused(statement.ReadOnly)
+	}
+	k.writes, k.ids = append(k.writes, commit{item: item, value: value}), append(k.ids, id)
+	if k.open {
+		return statement.Answer{Fate: statement.Answered, Signature: k.server.ID}
+	}
+	return k.commit()
+}
+
+func (k *conn) commit() statement.Answer {
+	c, s := k.cluster, k.server
+	if len(k.writes) > 0 && s.Role != driver.Primary {
+		return refused(statement.ReadOnly)
+	}
+	for _, w := range k.writes {
+		w.position = driver.Position{Term: s.term, Index: uint64(len(s.log) + 1)}
+		s.log = append(s.log, w)
+	}
+	s.applied = max(s.applied, len(s.log))
+	for _, id := range k.ids {
+		if c.runs[id]++; c.runs[id] > 1 {
+			c.fault("%s took effect %d times", id, c.runs[id])
+		}
+	}
+	k.open, k.writes, k.ids = false, nil, nil
+	return statement.Answer{Fate: statement.Answered, Signature: s.ID}
+}
+
+// Values returns a copy of the session values, for tests.
+func (k *conn) Values() map[string]string { return maps.Clone(k.values) }
--- /dev/null
+++ b/internal/standin/cluster/store.go
@@ -0,0 +1,194 @@
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"tanagercross/internal/fleet/belief"
+	"tanagercross/internal/fleet/catalog"
+	"tanagercross/internal/fleet/roster"
+	"tanagercross/internal/instance/entry"
+)
+
+type member struct {
+	address string
+	place   string
+	version uint64
+}
+
+type dutyRow struct {
+	holder string
+	token  uint64
+	until  time.Duration
+}
+
+var errStoreDown = errors.New("store down")
+
+// Store is the store as one instance sees it. It implements entry.Store.
+type Store struct {
+	cluster  *Cluster
+	instance string
+}
+
+// Store returns the store for an instance.
+func (c *Cluster) Store(instance string) Store { return Store{cluster: c, instance: instance} }
+
+// call counts a call and runs it while the store serves the instance.
+func (s Store) call(f func(c *Cluster) error) error {
+	c := s.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	if c.storeDown || c.turnedAway[s.instance] {
+		return errStoreDown
+	}
+	return f(c)
+}
+
+// Configuration implements entry.Store.
+func (s Store) Configuration(context.Context) (rows belief.Rows, err error) {
+	err = s.call(func(c *Cluster) error { rows = c.configurationRow(0); return nil })
+	return rows, err
+}
+
+func (c *Cluster) configurationRow(after uint64) belief.Rows {
+	rows := belief.Rows{Version: c.version}
+	if c.configured > after {
+		rows.Rows = []belief.Row{{Key: "configuration", Version: c.configured}}
+	}
+	return rows
+}
+
+// AwaitConfiguration implements entry.Store.
+func (s Store) AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (rows belief.Rows, err error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		var changed chan struct{}
+		err = s.call(func(c *Cluster) error { rows, changed = c.configurationRow(after), c.changed; return nil })
+		if err != nil || len(rows.Rows) > 0 {
+			return rows, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return rows, nil
+		case <-ctx.Done():
+			return rows, ctx.Err()
+		}
+	}
+}
+
+// Servers implements entry.Store.
+func (s Store) Servers(context.Context) (rows belief.Rows, err error) {
+	err = s.call(func(c *Cluster) error {
+		rows.Version = c.version
+		for _, id := range c.listed() {
+			v := c.servers[id].Server
+			rows.Rows = append(rows.Rows, belief.Row{Key: id, Value: fmt.Appendf(nil, "%s %t", v.Role, v.Leaving)})
+		}
+		return nil
+	})
+	return rows, err
+}
+
+// Members implements entry.Store.
+func (s Store) Members(context.Context) (rows belief.Rows, err error) {
+	err = s.call(func(c *Cluster) error {
+		rows.Version = c.version
+		for name, m := range c.members {
+			rows.Rows = append(rows.Rows, belief.Row{Key: name, Value: []byte(m.address + " " + m.place), Version: m.version})
+		}
+		slices.SortFunc(rows.Rows, func(a, b belief.Row) int { return strings.Compare(a.Key, b.Key) })
+		return nil
+	})
+	return rows, err
+}
+
+// Announce implements entry.Store.
+func (s Store) Announce(_ context.Context, name, address, place string) error {
+	return s.call(func(c *Cluster) error {
+		c.bump()
+		c.members[name] = member{address: address, place: place, version: c.version}
+		return nil
+	})
+}
+
+// Forget implements entry.Store.
+func (s Store) Forget(_ context.Context, name string, version uint64) error {
+	return s.call(func(c *Cluster) error {
+		if c.members[name].version != version {
+			return entry.ErrConflict
+		}
+		c.bump()
+		delete(c.members, name)
+		return nil
+	})
+}
+
+// Claim implements entry.Store.
+func (s Store) Claim(_ context.Context, duty, holder string, lease time.Duration) (claim entry.Claim, err error) {
+	err = s.call(func(c *Cluster) error {
+		now := c.boot()
+		d := c.duties[duty]
+		if d.holder != holder && now < d.until {
+			claim = entry.Claim{Holder: d.holder, Token: d.token, Remaining: d.until - now}
+			return nil
+		}
+		if d.holder != holder {
+			d.token++
+		}
+		d.holder, d.until = holder, now+lease
+		c.duties[duty] = d
+		claim = entry.Claim{Holder: holder, Token: d.token, Remaining: lease}
+		return nil
+	})
+	return claim, err
+}
+
+// Promote implements entry.Promoter.
+func (c *Cluster) Promote(_ context.Context, holder string, token uint64, group, server string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.servers[server]
+	if s == nil || s.down || token < c.tokens[group] {
+		return entry.ErrConflict
+	}
+	if token == c.tokens[group] && c.duties["promotion"].holder != holder {
+		c.fault("%s promotes with the token %d of another holder", holder, token)
+	}
+	c.tokens[group] = token
+	time.AfterFunc(promoteDelay, func() { c.promote(s) })
+	return nil
+}
+
+// Configuration implements belief.Decoder. The row only stands for the configuration in force.
+func (c *Cluster) Configuration([]byte) (catalog.Configuration, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.configuration, nil
+}
+
+// Server implements belief.Decoder.
+func (c *Cluster) Server(id string, value []byte) (catalog.Server, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.servers[id].Server
+	if !strings.HasPrefix(string(value), string(s.Role)) {
+		s.Role = "" // the row is older than the change of role
+	}
+	return s, nil
+}
+
+// Member implements belief.Decoder.
+func (c *Cluster) Member(name string, value []byte) (roster.Member, error) {
+	address, place, ok := strings.Cut(string(value), " ")
+	if !ok {
+		return roster.Member{}, fmt.Errorf("member %s: %q", name, value)
+	}
+	return roster.Member{Name: name, Address: address, Place: place}, nil
+}
