--- a/internal/fleet/belief/belief.go
+++ b/internal/fleet/belief/belief.go
@@ -128,6 +128,7 @@
 	presences     map[string]Presence
 	demands       map[string]Demand
 	suspects      map[string]time.Duration
+	stopped       map[string]bool
 	cuts          map[string]time.Duration // servers that this instance does not reach, until then
 	changed       chan struct{}
 }
@@ -146,7 +147,7 @@
 	t := &Table{
 		self: self, decoder: d, observer: o, missing: map[string]time.Duration{}, leaders: map[string]Leader{},
 		disproved: map[string]disproval{}, presences: map[string]Presence{}, demands: map[string]Demand{},
-		suspects: map[string]time.Duration{}, cuts: map[string]time.Duration{}, changed: make(chan struct{}),
+		suspects: map[string]time.Duration{}, stopped: map[string]bool{}, cuts: map[string]time.Duration{}, changed: make(chan struct{}),
 	}
 	t.members = roster.New(0, []roster.Member{{Name: self.Name, Address: self.Address, Place: self.Place}})
 	return t
--- a/internal/fleet/belief/presence.go
+++ b/internal/fleet/belief/presence.go
@@ -24,6 +24,9 @@
 		return
 	}
 	t.presences[p.Name] = p
+	if now := p.Heard; now > present.Heard {
+		delete(t.stopped, p.Name)
+	}
 	// An instance that the table of members does not list yet has just joined.
 	m, listed := t.members.Member(p.Name)
 	if p.Address != "" && (!listed || m.Address != p.Address) {
@@ -45,6 +48,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.suspects, name)
+	delete(t.stopped, name)
 	if p, ok := t.presences[name]; ok {
 		p.Heard = max(p.Heard, now)
 		t.presences[name] = p
@@ -58,7 +62,15 @@
 	return t.presences[name].Heard
 }
 
-// Live returns how many instances of the own place were heard lately, itself included, and how many there are.
+// Stop notes that an instance's process does not run: its machine refuses connections. It counts again when it is heard.
+func (t *Table) Stop(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped[name] = true
+}
+
+// Live returns how many instances of the own place were heard lately, itself included, and how many there are, without
+// those that are known to be stopped or about to stop.
 func (t *Table) Live(now time.Duration) (live, all int) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -66,6 +78,9 @@
 		if m.Place != t.self.Place {
 			continue
 		}
+		if p := t.presences[m.Name]; m.Name != t.self.Name && (p.Leaving || t.stopped[m.Name]) {
+			continue // admits nobody on its own
+		}
 		all++
 		if m.Name == t.self.Name || now-t.presences[m.Name].Heard < AliveFor {
 			live++
@@ -216,6 +231,11 @@
 			b.Leaders = append(b.Leaders, l)
 		}
 	}
+	if near || t.self.Leaving {
+		own := t.self
+		own.Heard = now
+		b.Presences = append(b.Presences, own)
+	}
 	for _, p := range t.presences {
 		if !near && p.Place != t.self.Place {
 			continue
@@ -278,8 +298,6 @@
 		t.hear(p)
 	}
 	for _, d := range b.Demands {
-		if d.Place != t.self.Place {
-			t.setDemand(d)
-		}
+		t.setDemand(d)
 	}
 }
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -14,12 +14,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -56,6 +58,7 @@
 type Error struct {
 	Operation string
 	Sent      bool // the receiver may have handled the call
+	Refused   bool // nothing listens at the address
 	Err       error
 }
 
@@ -154,7 +157,7 @@
 	})
 	response, err := m(ctx, connect.NewRequest(in))
 	if err != nil {
-		return nil, &Error{Operation: operation, Sent: connected.Load(), Err: eris.Wrap(err, "call")}
+		return nil, &Error{Operation: operation, Sent: connected.Load(), Refused: errors.Is(err, syscall.ECONNREFUSED), Err: eris.Wrap(err, "call")}
 	}
 	return response.Msg, nil
 }
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -89,6 +89,9 @@
 // names a time.
 const rateWait = 140 * time.Millisecond
 
+// configurationHold is how long a new caller waits at an instance that has just started; callers give up after 2 s.
+const configurationHold = 1200 * time.Millisecond
+
 // Start starts an instance. It returns before the instance is ready.
 func Start(o Options) (*Node, error) {
 	if o.Boot == nil {
@@ -143,17 +146,20 @@
 
 // Session starts a caller's session, or returns nil and the refusal.
 func (n *Node) Session(database, key string) (*conversation.Conversation, statement.Answer) {
+	for end := n.boot() + configurationHold; n.table.Configuration().Version == 0 && n.boot() < end; {
+		time.Sleep(joinTick)
+	}
 	id := n.prefix + strconv.FormatUint(n.sessions.Add(1), 36)
 	return conversation.Start(n.environment, id, database, key)
 }
 
 // current reports whether the configuration is recent enough to admit callers.
 func (n *Node) current() bool {
+	read, _, _ := n.table.Ages()
 	limit := n.settings.ConfigurationLimit
-	if limit == 0 {
-		return true
+	if read == 0 || limit == 0 {
+		return read > 0
 	}
-	read, _, _ := n.table.Ages()
 	return n.boot()-read <= limit
 }
 
@@ -166,6 +172,9 @@
 	return configuration > 0 && servers > 0 && n.exchanges.joined()
 }
 
+// Steward reports whether this instance acts for its place.
+func (n *Node) Steward() bool { return n.exchanges.steward() }
+
 // Leave tells the other instances that this one is about to stop. Work that it has goes on.
 func (n *Node) Leave() {
 	n.table.Leave()
--- a/internal/instance/entry/entry_test.go
+++ b/internal/instance/entry/entry_test.go
@@ -298,6 +298,63 @@
 	}
 }
 
+// Guards against callers that are refused within their rate because the steward of the place stops, and against a new
+// steward that believes that its place has no demand.
+func TestRateSurvivesTheSteward(t *testing.T) {
+	const rate = 100.0
+	f := newFleet(t, "agreste", "agreste", "agreste", "sertao", "litoral")
+	f.cluster.Configure(configuration(2, rate, keyText))
+	time.Sleep(500 * time.Millisecond)
+	stop := make(chan struct{})
+	var served, refused atomic.Int64
+	var callers sync.WaitGroup
+	for n := range f.nodes {
+		callers.Go(func() {
+			s := f.session(n, "plates")
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(90 * time.Millisecond): // about 11 a second, 55 in all
+				}
+				switch a := s.read("plates"); {
+				case a.OK():
+					served.Add(1)
+				case a.Code == statement.TooMany:
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(4 * time.Second)
+	refused.Store(0)
+	served.Store(0)
+	for n := range 3 {
+		if f.nodes[n].Steward() {
+			f.nodes[n].Leave()
+			break
+		}
+	}
+	time.Sleep(3 * time.Second)
+	close(stop)
+	callers.Wait()
+	if r, s := refused.Load(), served.Load(); r > s/50 {
+		t.Errorf("%d refused and %d served inside the rate", r, s)
+	}
+}
+
+// Guards against a caller that is told that its database does not exist by an instance that has not read the
+// configuration.
+func TestNoRefusalWithoutConfiguration(t *testing.T) {
+	f := newFleet(t, "agreste")
+	f.cluster.SetStoreDown(true)
+	f.nodes[0].Stop()
+	n := f.start("i2", "agreste")
+	if c, refusal := n.Session("bookings", keyText); c != nil || refusal.Code != statement.Busy {
+		t.Errorf("session %v, %+v; want busy", c, refusal)
+	}
+}
+
 // Guards against store calls that grow with the number of instances.
 func TestStoreCallsDoNotGrowWithInstances(t *testing.T) {
 	rate := func(instances int) int {
--- a/internal/instance/entry/exchange.go
+++ b/internal/instance/entry/exchange.go
@@ -17,8 +17,11 @@
 // Pace of the exchange of beliefs.
 const (
 	exchangeTick = 300 * time.Millisecond
+	joinTick     = 40 * time.Millisecond // until the first answer
 	// farPeriod is the pace between the stewards of two places; bytes between regions are paid.
 	farPeriod = 900 * time.Millisecond
+	// missedAfter is the silence after which the steward calls an instance that reports to it otherwise.
+	missedAfter = 700 * time.Millisecond
 	// returnPeriod is the pace at which silent better-placed stewards are asked whether they are back.
 	returnPeriod = time.Second
 	// joinWait is how long a new instance waits for the others before it acts on its own.
@@ -71,13 +74,13 @@
 }
 
 func (e *exchanges) run(ctx context.Context) {
-	ticker := time.NewTicker(exchangeTick)
-	defer ticker.Stop()
 	for {
 		e.tick()
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
+		pause := exchangeTick
+		if !e.joined() {
+			pause = joinTick
+		}
+		if !sleep(ctx, pause) {
 			return
 		}
 	}
@@ -146,6 +149,9 @@
 		return
 	}
 	e.acting, e.since = acting, now
+	if acting {
+		e.n.rates.takeOver(now)
+	}
 	e.n.log.Info("steward of the place", "acting", acting)
 }
 
@@ -154,7 +160,7 @@
 func (e *exchanges) near(now time.Duration) []roster.Member {
 	var list []roster.Member
 	for _, m := range e.n.table.Stewards(e.n.settings.Place) {
-		if m.Name != e.n.settings.Name && now-e.n.table.Heard(m.Name) > belief.AliveFor && e.due(now, m.Name, returnPeriod) {
+		if m.Name != e.n.settings.Name && now-e.n.table.Heard(m.Name) > missedAfter && e.due(now, m.Name, returnPeriod) {
 			list = append(list, m)
 		}
 	}
@@ -225,13 +231,18 @@
 	now = n.boot()
 	if err != nil {
 		n.table.Suspect(now, m.Name)
+		if stopped(err) {
+			n.table.Stop(m.Name)
+		}
 		n.observer.peerLost(m.Name, err)
 		return
 	}
 	n.observer.peerFound(m.Name)
+	if n.table.Heard(m.Name) == 0 {
+		n.table.Hear(belief.Presence{Name: m.Name, Address: m.Address, Place: m.Place, Heard: 1})
+	}
+	n.table.Merge(now, answer) // the answer may say that the instance leaves
 	n.table.Trust(now, m.Name)
-	n.table.Hear(belief.Presence{Name: m.Name, Address: m.Address, Place: m.Place, Heard: now})
-	n.table.Merge(now, answer)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.known[m.Name] = answer
@@ -279,8 +290,8 @@
 func (s *services) Exchange(_ context.Context, x relay.Exchange) belief.Beliefs {
 	n := s.n
 	now := n.boot()
-	n.table.Trust(now, x.Sender.Name)
 	n.table.Hear(x.Sender)
+	n.table.Trust(now, x.Sender.Name)
 	if x.Sender.Place == n.settings.Place {
 		n.rates.heard(x.Sender.Name, x.Rates, now)
 	}
@@ -315,6 +326,12 @@
 	return !errors.As(err, &e) || e.Sent
 }
 
+// stopped reports whether a failed call shows that the process of the instance does not run.
+func stopped(err error) bool {
+	var e *relay.Error
+	return errors.As(err, &e) && e.Refused
+}
+
 // anyOrganisation names an organisation for connections that serve no caller.
 func (n *Node) anyOrganisation() string {
 	if o, ok := n.table.Configuration().First(); ok {
--- a/internal/instance/entry/rates.go
+++ b/internal/instance/entry/rates.go
@@ -116,6 +116,15 @@
 	r.n.table.SetDemand(r.next)
 }
 
+// takeOver starts from what the earlier steward of the place told last. A new value is told once the others have reported.
+func (r *rates) takeOver(now time.Duration) {
+	told := r.n.table.Demands()[r.n.settings.Place]
+	told.Heard = now
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settled, r.next = told, told
+}
+
 // own returns the demand at this instance.
 func (r *rates) own() map[string]float64 {
 	r.mu.Lock()
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -278,4 +278,6 @@
 }
 
 // Rollback ends a transaction whose caller has gone.
-func (d *Dispatcher) Rollback(p Pin, c statement.Call) { d.rollback(p.Through, p.Server, c, p.Transaction) }
+func (d *Dispatcher) Rollback(p Pin, c statement.Call) {
+	d.rollback(p.Through, p.Server, c, p.Transaction)
+}
