Wait for replicas that are a few steps behind, and start faster after a loss of all machines

Change: a read at a replica that lacks a position waits for it twice 35 ms; a place that starts anew has 0.4 s of its rate; instances that start again read the store at once; the holder's time ends before the caller's.

--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -44,6 +44,8 @@
 	DutyLease    time.Duration
 	// ConfigurationLimit is the age of the configuration past which callers are refused; 0 for no limit.
 	ConfigurationLimit time.Duration
+	// FirstStart says that all instances start for the first time and no caller waits.
+	FirstStart bool
 }
 
 // Options are what an instance needs. All fields but Boot must be set.
--- a/internal/instance/entry/rates.go
+++ b/internal/instance/entry/rates.go
@@ -20,6 +20,9 @@
 	evenShare = 0.3
 	// smallDemand is added to the demand of each place, in operations per second, so that little demand divides evenly.
 	smallDemand = 0.5
+	// restartShare is the time for which a place that starts anew may have saved up tokens. All of its instances were
+	// down, and nothing was admitted meanwhile; callers come back at once.
+	restartShare = 400 * time.Millisecond
 )
 
 // rates keeps organisations in their rates. The steward of a place hands out the place's share of each rate, cut by the
@@ -33,6 +36,7 @@
 	demand  map[string]float64 // smoothed, per second
 	ticked  time.Duration
 	others  map[string]heardDemand
+	anew    bool          // no instance of the place knew an earlier demand
 	settled belief.Demand // own place's demand as last told to others
 	next    belief.Demand
 }
@@ -119,9 +123,10 @@
 // takeOver starts from what the earlier steward of the place told last. A new value is told once the others have reported.
 func (r *rates) takeOver(now time.Duration) {
 	told := r.n.table.Demands()[r.n.settings.Place]
-	told.Heard = now
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.anew = told.Heard == 0
+	told.Heard = now
 	r.settled, r.next = told, told
 }
 
@@ -181,7 +186,13 @@
 	live, all := r.n.table.Live(now)
 	part := r.share(organisation) * float64(live) / float64(max(1, all))
 	s := allotment.Settings{Rate: o.Rate * part, Burst: max(o.Burst*part, allotment.MinimumBurst)}
-	return r.homes.Grant(moment(now), moment(r.n.exchanges.began()), organisation, s, wanted)
+	since := r.n.exchanges.began()
+	r.mu.Lock()
+	if r.anew {
+		since -= restartShare
+	}
+	r.mu.Unlock()
+	return r.homes.Grant(moment(now), moment(since), organisation, s, wanted)
 }
 
 // moment turns a reading of the boot clock into a time, for code that takes times.
--- a/internal/instance/entry/reader.go
+++ b/internal/instance/entry/reader.go
@@ -47,18 +47,30 @@
 			rank = i
 		}
 	}
+	if asOf == 0 && !n.settings.FirstStart {
+		return true // callers wait for an instance that starts again
+	}
 	return n.boot()-max(asOf, n.exchanges.started) > staleAfter+time.Duration(min(rank, 4))*staleStep
 }
 
 // readMembers announces this instance and learns of the others.
 func (n *Node) readMembers(ctx context.Context) {
+	// The list is read after the own row is written: of two instances that start together one sees the other. An
+	// instance that starts again knows the others sooner if it reads the list at once.
+	if !n.settings.FirstStart {
+		n.spawn(func() { n.readMembersOnce(ctx) })
+	}
 	for !n.announce(ctx) {
 		if !sleep(ctx, readRetry) {
 			return
 		}
 	}
+	n.readMembersOnce(ctx)
 	for {
 		_, _, read := n.table.Ages()
+		if read == 0 && !sleep(ctx, readRetry) {
+			return
+		}
 		if read == 0 || n.exchanges.steward() && n.boot()-read > membersPeriod {
 			n.readMembersOnce(ctx)
 		}
--- a/internal/instance/entry/servers.go
+++ b/internal/instance/entry/servers.go
@@ -24,6 +24,10 @@
 	gateIdle       = 4 * time.Second
 	headRecent     = time.Second // age past which a proof no longer names the leader
 	headMaximumAge = 100 * time.Millisecond
+	// A read at a replica that lacks a position is tried again so often, with so much time in between.
+	catchUpTries = 2
+	catchUpStep  = 35 * time.Millisecond
+	lagPause     = time.Second
 	// proofPeriod is the pace at which positions of leaders are fetched while reads need them.
 	proofPeriod = 350 * time.Millisecond
 	// proofDemand is how long a group's positions are fetched after the last read that needed one.
@@ -39,6 +43,8 @@
 
 	mu   sync.Mutex
 	open map[string]*opened
+	// behind holds the replicas that did not catch up while a read waited, until they are waited for again.
+	behind map[string]time.Duration
 }
 
 type opened struct {
@@ -47,7 +53,9 @@
 	used   time.Duration
 }
 
-func newGates(n *Node) *gates { return &gates{n: n, open: map[string]*opened{}} }
+func newGates(n *Node) *gates {
+	return &gates{n: n, open: map[string]*opened{}, behind: map[string]time.Duration{}}
+}
 
 // gate returns the gate of a server, opening it if needed.
 func (g *gates) gate(server string) *gate.Gate {
@@ -189,7 +197,42 @@
 			c.After = p.Position
 		}
 	}
-	return gate.Execute(ctx, c)
+	return g.catchUp(ctx, server, gate, c)
+}
+
+// catchUp runs a statement, and runs it again after a moment if the replica lacks the position: most replicas are a few
+// steps behind, and the primary has work that no replica can do. A replica that was still behind is not waited for.
+func (g *gates) catchUp(ctx context.Context, server string, gate *gate.Gate, c statement.Call) statement.Answer {
+	for n := 0; ; n++ {
+		a := gate.Execute(ctx, c)
+		if a.Code != statement.Behind || c.Scope != statement.Replica {
+			g.lagging(server, false)
+			return a
+		}
+		if n == catchUpTries {
+			g.lagging(server, true)
+			return a
+		}
+		if g.isLagging(server) || !sleep(ctx, catchUpStep) {
+			return a
+		}
+	}
+}
+
+func (g *gates) lagging(server string, still bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if still {
+		g.behind[server] = g.n.boot() + lagPause
+		return
+	}
+	delete(g.behind, server)
+}
+
+func (g *gates) isLagging(server string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.n.boot() < g.behind[server]
 }
 
 // head returns a position that a server gave while it led.
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -32,7 +32,10 @@
 	// server that is not overloaded are shorter.
 	hedgeDelay = 220 * time.Millisecond
 	// openTimeout bounds the first statement of a transaction, which can be repeated on another connection.
-	openTimeout = 350 * time.Millisecond
+	openTimeout = 500 * time.Millisecond
+	// wayBack is the time that an answer takes from an instance in another region.
+	wayBack      = 50 * time.Millisecond
+	leastTimeout = 20 * time.Millisecond
 	// patienceShare is the part of an operation's goal for which a statement waits for a usable server.
 	patienceShare = 0.7
 	// defaultTimeout is that of a statement whose database has none.
@@ -121,7 +124,8 @@
 		}
 		started := time.Now()
 		if deadline, ok := ctx.Deadline(); ok {
-			c.Timeout = time.Until(deadline)
+			// A refusal of the instance that holds the connection arrives before this one gives up.
+			c.Timeout = max(leastTimeout, time.Until(deadline)-wayBack)
 		}
 		a := d.executor.Execute(ctx, m, s.ID, c)
 		d.options.Observer.Served(c, s.ID, m.Name, a, time.Since(started))
