--- a/internal/instance/entry/rates.go
+++ b/internal/instance/entry/rates.go
@@ -192,7 +192,12 @@
 		since -= restartShare
 	}
 	r.mu.Unlock()
-	return r.homes.Grant(moment(now), moment(since), organisation, s, wanted)
+	g := r.homes.Grant(moment(now), moment(since), organisation, s, wanted)
+	if g.Granted < wanted {
+		r.n.log.Info("rate used up", "organisation", organisation, "rate", o.Rate, "burst", o.Burst, "part", part, "live", live, "all", all,
+			"wanted", wanted, "granted", g.Granted, "retry_ms", g.RetryAfter.Milliseconds())
+	}
+	return g
 }
 
 // moment turns a reading of the boot clock into a time, for code that takes times.
