--- a/internal/database/gate/gate.go
+++ b/internal/database/gate/gate.go
@@ -39,10 +39,12 @@
 	queuedStatements = 24
 	dialTimeout      = 600 * time.Millisecond
 	controlTimeout   = 400 * time.Millisecond // for statements that occupy no slot
-	idleConnection   = 45 * time.Second       // servers close connections after a minute
-	maximumPrepared  = 48                     // prepared statements on one connection
-	flushAfter       = 2                      // failures in a row after which idle connections are closed
-	tooManyPause     = 2 * time.Second        // without new connections after the server refused one
+	// answerExpected is the time after which a statement without an answer no longer counts as work of the server.
+	answerExpected  = 300 * time.Millisecond
+	idleConnection  = 45 * time.Second // servers close connections after a minute
+	maximumPrepared = 48               // prepared statements on one connection
+	flushAfter      = 2                // failures in a row after which idle connections are closed
+	tooManyPause    = 2 * time.Second  // without new connections after the server refused one
 )
 
 // Options sets the bounds of a gate. Zero fields take the defaults.
@@ -209,6 +211,7 @@
 		}
 		l, wait, err := g.borrow(ctx, c)
 		if l != nil {
+			time.AfterFunc(answerExpected, ticket.Release)
 			return ticket, l, statement.Answer{}
 		}
 		ticket.Release()
--- a/internal/database/gate/gate_test.go
+++ b/internal/database/gate/gate_test.go
@@ -224,3 +224,18 @@
 	}
 	t.Fatal("condition not reached in 2 s")
 }
+
+// Guards against statements whose answers are lost and that hold the server's turns until their time is over.
+func TestLostAnswersFreeTheirTurns(t *testing.T) {
+	c, g := start(t, primary, gate.Options{Slots: 2, Connections: 8})
+	c.LoseAnswers(primary, 3)
+	for n := range 3 {
+		go g.Execute(context.Background(), read(fmt.Sprintf("lost%d", n), 1).WithTimeout(3*time.Second))
+	}
+	waitFor(t, func() bool { return g.Load() == 3 })
+	time.Sleep(50 * time.Millisecond)
+	started := time.Now()
+	if a := g.Execute(context.Background(), read("s1", 1)); !a.OK() || time.Since(started) > 600*time.Millisecond {
+		t.Errorf("got %+v after %v, want an answer within 600 ms", a, time.Since(started))
+	}
+}
--- a/internal/database/gate/run.go
+++ b/internal/database/gate/run.go
@@ -201,6 +201,7 @@
 		return statement.Refused(statement.Aborted, "queue")
 	}
 	defer ticket.Release()
+	time.AfterFunc(answerExpected, ticket.Release)
 	if refusal, _ := g.prepare(ctx, t.link, c, nil); refusal != nil {
 		g.finish(c.Transaction, t, false)
 		return statement.Refused(statement.Aborted, refusal.Text)
