Examine silence between instances only while calls are under way

Change: an instance with unanswered calls for 0.35 s is asked, and all calls to it end if it does not answer within 0.3 s; idle connections are not pinged. A primary that was found to serve is not examined again for 0.6 s.

--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -16,7 +16,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -37,16 +36,13 @@
 
 // Limits of calls.
 const (
-	exchangeTimeout = 500 * time.Millisecond
-	takeTimeout     = 300 * time.Millisecond
-	headTimeout     = 400 * time.Millisecond
-	probeTimeout    = 900 * time.Millisecond
-	succeedTimeout  = time.Second
-	dialTimeout     = 400 * time.Millisecond
-	idleTimeout     = 90 * time.Second
-	// A connection on which nothing arrives is pinged, so that one to an unreachable instance is replaced.
-	pingAfter           = 700 * time.Millisecond
-	pingTimeout         = 500 * time.Millisecond
+	exchangeTimeout     = 500 * time.Millisecond
+	takeTimeout         = 300 * time.Millisecond
+	headTimeout         = 400 * time.Millisecond
+	probeTimeout        = 900 * time.Millisecond
+	succeedTimeout      = time.Second
+	dialTimeout         = 400 * time.Millisecond
+	idleTimeout         = 90 * time.Second
 	readHeaderTimeout   = 5 * time.Second
 	maximumStreams      = 1000
 	maximumMessageBytes = 16 << 20
@@ -111,35 +107,48 @@
 
 // Client calls other instances. It is safe for concurrent use.
 type Client struct {
-	http  *http.Client
-	boot  func() time.Duration
-	mu    sync.Mutex
-	peers map[string]relayv1connect.RelayServiceClient
+	boot   func() time.Duration
+	mu     sync.Mutex
+	peers  map[string]*peer
+	closed chan struct{}
+	once   sync.Once
+}
+
+// peer is one instance with its connection.
+type peer struct {
+	service   relayv1connect.RelayServiceClient
+	transport *http.Transport
+	silence   *silence
 }
 
 // NewClient returns a client without connections.
 func NewClient(boot func() time.Duration) *Client {
-	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(true)
-	return &Client{
-		http: &http.Client{Transport: &http.Transport{
-			Protocols: &protocols, IdleConnTimeout: idleTimeout, DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			HTTP2: &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
-		}},
-		boot: boot, peers: map[string]relayv1connect.RelayServiceClient{},
-	}
+	c := &Client{boot: boot, peers: map[string]*peer{}, closed: make(chan struct{})}
+	go c.watch()
+	return c
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() {
+	c.once.Do(func() { close(c.closed) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.peers {
+		p.transport.CloseIdleConnections()
+	}
+}
 
-func (c *Client) peer(address string) relayv1connect.RelayServiceClient {
+func (c *Client) peer(address string) *peer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p, ok := c.peers[address]
 	if !ok {
+		var protocols http.Protocols
+		protocols.SetUnencryptedHTTP2(true)
+		p = &peer{silence: newSilence(c.boot)}
+		p.transport = &http.Transport{Protocols: &protocols, IdleConnTimeout: idleTimeout, DialContext: p.silence.dial}
 		// Messages are small, and compressing them costs more than it saves.
-		p = relayv1connect.NewRelayServiceClient(c.http, "http://"+address,
+		p.service = relayv1connect.NewRelayServiceClient(&http.Client{Transport: p.transport}, "http://"+address,
 			connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maximumMessageBytes))
 		c.peers[address] = p
 	}
@@ -162,13 +171,22 @@
 	return response.Msg, nil
 }
 
+// watchedCall makes a call that ends early if the instance stays silent.
+func watchedCall[I, O any](ctx context.Context, operation string, p *peer, m method[I, O], in *I, limit time.Duration) (*O, error) {
+	ctx, end := p.silence.begin(ctx)
+	out, err := call(ctx, operation, m, in, limit)
+	end(err == nil)
+	return out, err
+}
+
 // Execute runs a statement on a server through the instance at an address.
 func (c *Client) Execute(ctx context.Context, address, server string, s statement.Call) (statement.Answer, error) {
 	in, err := encodeCall(server, s)
 	if err != nil {
 		return statement.Answer{}, &Error{Operation: "execute", Err: err}
 	}
-	out, err := call(ctx, "execute", c.peer(address).Execute, in, s.Timeout+answerMargin)
+	p := c.peer(address)
+	out, err := watchedCall(ctx, "execute", p, p.service.Execute, in, s.Timeout+answerMargin)
 	if err != nil {
 		return statement.Answer{}, err
 	}
@@ -182,7 +200,8 @@
 		Sender: encodePresence(e.Sender, sent), Rates: encodeRates(e.Rates), Beliefs: encodeBeliefs(e.Beliefs, sent),
 		Steward: e.Steward,
 	}
-	out, err := call(ctx, "exchange", c.peer(address).Exchange, in, exchangeTimeout)
+	p := c.peer(address)
+	out, err := watchedCall(ctx, "exchange", p, p.service.Exchange, in, exchangeTimeout)
 	if err != nil {
 		return belief.Beliefs{}, err
 	}
@@ -193,7 +212,8 @@
 // Take asks an instance for rate tokens.
 func (c *Client) Take(ctx context.Context, address, from, organisation string, wanted int) (allotment.Grant, error) {
 	in := &relayv1.TakeRequest{From: from, Organisation: organisation, Wanted: uint32(max(0, wanted))}
-	out, err := call(ctx, "take", c.peer(address).Take, in, takeTimeout)
+	p := c.peer(address)
+	out, err := watchedCall(ctx, "take", p, p.service.Take, in, takeTimeout)
 	if err != nil {
 		return allotment.Grant{}, err
 	}
@@ -203,7 +223,8 @@
 // Head asks the instance that uses a primary for a position that the primary confirmed.
 func (c *Client) Head(ctx context.Context, address, server string) (proof.Proof, bool, error) {
 	sent := c.boot()
-	out, err := call(ctx, "head", c.peer(address).Head, &relayv1.HeadRequest{Server: server}, headTimeout)
+	p := c.peer(address)
+	out, err := watchedCall(ctx, "head", p, p.service.Head, &relayv1.HeadRequest{Server: server}, headTimeout)
 	if err != nil || !out.Proved {
 		return proof.Proof{}, false, err
 	}
@@ -213,7 +234,8 @@
 
 // Probe asks an instance whether it reaches a server.
 func (c *Client) Probe(ctx context.Context, address, server string) (Probe, error) {
-	out, err := call(ctx, "probe", c.peer(address).Probe, &relayv1.ProbeRequest{Server: server}, probeTimeout)
+	p := c.peer(address)
+	out, err := watchedCall(ctx, "probe", p, p.service.Probe, &relayv1.ProbeRequest{Server: server}, probeTimeout)
 	if err != nil {
 		return Probe{}, err
 	}
@@ -223,7 +245,8 @@
 // Succeed asks an instance to replace a primary.
 func (c *Client) Succeed(ctx context.Context, address string, s Succession) (bool, belief.Leader, error) {
 	in := &relayv1.SucceedRequest{Group: s.Group, Primary: s.Primary, Planned: s.Planned}
-	out, err := call(ctx, "succeed", c.peer(address).Succeed, in, succeedTimeout)
+	p := c.peer(address)
+	out, err := watchedCall(ctx, "succeed", p, p.service.Succeed, in, succeedTimeout)
 	if err != nil {
 		return false, belief.Leader{}, err
 	}
--- a/internal/instance/entry/succession.go
+++ b/internal/instance/entry/succession.go
@@ -22,6 +22,9 @@
 	guardTick = 150 * time.Millisecond
 	// reportPause is the pace at which trouble with a group is passed on to its guardian.
 	reportPause  = 250 * time.Millisecond
+	// keepPause is the time without a further examination of a primary that was found to serve. Each one takes a new
+	// connection, which occupies a slot of a server that may only be overloaded.
+	keepPause    = 600 * time.Millisecond
 	probeTimeout = 350 * time.Millisecond
 	reportWait   = 450 * time.Millisecond // for the reports of the replicas
 	// catchUpWait is how long replicas may take to receive what a relieved primary has.
@@ -47,6 +50,7 @@
 
 	mu         sync.Mutex
 	running    map[string]bool
+	kept       map[string]time.Duration // groups whose primary was found to serve, when
 	reported   map[string]time.Duration
 	leaderless map[string]time.Duration
 	leaving    map[string]time.Duration // servers that lead and leave, since when
@@ -56,7 +60,7 @@
 
 func newGuard(n *Node) *guard {
 	return &guard{
-		n: n, running: map[string]bool{}, reported: map[string]time.Duration{}, leaderless: map[string]time.Duration{},
+		n: n, running: map[string]bool{}, kept: map[string]time.Duration{}, reported: map[string]time.Duration{}, leaderless: map[string]time.Duration{},
 		leaving: map[string]time.Duration{},
 	}
 }
@@ -121,7 +125,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.running[x.Group] {
+	if kept := g.kept[x.Group]; g.running[x.Group] || kept > 0 && g.n.boot()-kept < keepPause && !x.Planned {
 		return true, belief.Leader{}
 	}
 	g.running[x.Group] = true
@@ -248,6 +252,9 @@
 	case succession.Relieve:
 		return g.replace(ctx, x.Group, s, true)
 	case succession.Keep:
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.kept[x.Group] = g.n.boot()
 		return nil
 	}
 	sleep(ctx, guardTick)
