--- a/internal/database/proof/proof.go
+++ b/internal/database/proof/proof.go
@@ -70,3 +70,6 @@
 	}
 	return h.proofs[len(h.proofs)-1], true
 }
+
+// Len returns the number of proofs.
+func (h History) Len() int { return len(h.proofs) }
