--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -76,7 +76,10 @@
 	}}
 	client, address := serve(t, i)
 	for _, body := range []statement.Statement{
-		statement.Read{Arguments: "1a4"}, statement.Write{Arguments: "1a4 x"}, statement.Commit{}, statement.Rollback{},
+		statement.Read{Arguments: "1a4"},
+		statement.Write{Arguments: "1a4 x"},
+		statement.Commit{},
+		statement.Rollback{},
 		statement.Execute{Name: "r1", Arguments: "1a4"},
 	} {
 		want := statement.Call{
--- a/internal/instance/entry/entry_test.go
+++ b/internal/instance/entry/entry_test.go
@@ -265,84 +265,6 @@
 	}
 }
 
-// Guards against an organisation that gets more than its rate and burst over all instances together, and against one
-// that is refused within its rate.
-func TestRateHoldsOverAllInstances(t *testing.T) {
-	const rate, window = 60.0, 3
-	f := newFleet(t, "agreste", "agreste", "sertao")
-	f.cluster.Configure(configuration(2, rate, keyText))
-	time.Sleep(1500 * time.Millisecond)
-	var admitted, refused atomic.Int64
-	var callers sync.WaitGroup
-	end := time.Now().Add(window * time.Second)
-	for n := range f.nodes {
-		for range 3 {
-			callers.Go(func() {
-				s := f.session(n, "plates")
-				for time.Now().Before(end) {
-					if s.read("plates").OK() {
-						admitted.Add(1)
-					} else {
-						refused.Add(1)
-					}
-				}
-			})
-		}
-	}
-	callers.Wait()
-	if limit := int64(rate*window + rate); admitted.Load() > limit+limit/10 {
-		t.Errorf("%d admitted in %d s, want at most %d", admitted.Load(), window, limit)
-	}
-	if least := int64(rate * window / 2); admitted.Load() < least || refused.Load() == 0 {
-		t.Errorf("%d admitted, %d refused; want at least %d admitted and some refused", admitted.Load(), refused.Load(), least)
-	}
-}
-
-// Guards against callers that are refused within their rate because the steward of the place stops, and against a new
-// steward that believes that its place has no demand.
-func TestRateSurvivesTheSteward(t *testing.T) {
-	const rate = 100.0
-	f := newFleet(t, "agreste", "agreste", "agreste", "sertao", "litoral")
-	f.cluster.Configure(configuration(2, rate, keyText))
-	time.Sleep(500 * time.Millisecond)
-	stop := make(chan struct{})
-	var served, refused atomic.Int64
-	var callers sync.WaitGroup
-	for n := range f.nodes {
-		callers.Go(func() {
-			s := f.session(n, "plates")
-			for {
-				select {
-				case <-stop:
-					return
-				case <-time.After(90 * time.Millisecond): // about 11 a second, 55 in all
-				}
-				switch a := s.read("plates"); {
-				case a.OK():
-					served.Add(1)
-				case a.Code == statement.TooMany:
-					refused.Add(1)
-				}
-			}
-		})
-	}
-	time.Sleep(4 * time.Second)
-	refused.Store(0)
-	served.Store(0)
-	for n := range 3 {
-		if f.nodes[n].Steward() {
-			f.nodes[n].Leave()
-			break
-		}
-	}
-	time.Sleep(3 * time.Second)
-	close(stop)
-	callers.Wait()
-	if r, s := refused.Load(), served.Load(); r > s/50 {
-		t.Errorf("%d refused and %d served inside the rate", r, s)
-	}
-}
-
 // Guards against a caller that is told that its database does not exist by an instance that has not read the
 // configuration.
 func TestNoRefusalWithoutConfiguration(t *testing.T) {
@@ -390,50 +312,6 @@
 	}
 }
 
-// Guards against a transaction that is cut or split, and against one whose rollback leaves something.
-func TestTransactions(t *testing.T) {
-	f := newFleet(t, "agreste", "sertao")
-	s := f.session(1, "tally")
-	for _, end := range []statement.Statement{statement.Commit{}, statement.Rollback{}} {
-		s.write("plates", "before")
-		for _, b := range []statement.Statement{
-			statement.Begin{}, statement.Write{Arguments: "plates inside"}, statement.Read{Arguments: "plates"}, end,
-		} {
-			if a := s.do(b); !a.OK() {
-				t.Fatalf("%T: %+v", b, a)
-			}
-		}
-		want := "inside"
-		if (end == statement.Rollback{}) {
-			want = "before"
-		}
-		if a := s.read("plates"); !a.OK() || a.Rows[0] != want {
-			t.Errorf("after %T: %+v, want %s", end, a, want)
-		}
-	}
-	if a := s.do(statement.Commit{}); a.Code != statement.Malformed {
-		t.Errorf("commit without a transaction: %+v", a)
-	}
-}
-
-// Guards against prepared names of one session that run the shape of another.
-func TestPreparedNamesBelongToTheSession(t *testing.T) {
-	f := newFleet(t, "agreste")
-	writer, reader := f.session(0, "bookings"), f.session(0, "bookings")
-	writer.do(statement.Prepare{Name: "p", Writes: true, Shape: "q1"})
-	reader.do(statement.Prepare{Name: "p", Shape: "q2"})
-	if a := writer.do(statement.Execute{Name: "p", Arguments: "plates 7"}); !a.OK() {
-		t.Errorf("write: %+v", a)
-	}
-	if a := reader.do(statement.Execute{Name: "p", Arguments: "plates"}); !a.OK() || a.Rows[0] != "7" {
-		t.Errorf("read: %+v, want 7", a)
-	}
-	reader.do(statement.Deallocate{Name: "p"})
-	if a := reader.do(statement.Execute{Name: "p", Arguments: "plates"}); a.Code != statement.NoStatement {
-		t.Errorf("dropped name: %+v", a)
-	}
-}
-
 // logWriter returns where instances log: TANAGERCROSS_TEST_LOG names a file for a failed run.
 func logWriter() io.Writer {
 	path := os.Getenv("TANAGERCROSS_TEST_LOG")
--- /dev/null
+++ b/internal/instance/entry/replace.go
@@ -0,0 +1,215 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/statement"
+	"tanagercross/internal/database/succession"
+	"tanagercross/internal/fleet/belief"
+	"tanagercross/internal/fleet/catalog"
+	"tanagercross/internal/fleet/relay"
+)
+
+// replace names a new primary. The duty is claimed first, so that no other instance names one meanwhile.
+func (g *guard) replace(ctx context.Context, group string, old catalog.Server, planned bool) error {
+	claim, err := g.claim(ctx)
+	if err != nil {
+		return err
+	}
+	if claim.Holder != g.n.settings.Name {
+		return g.handOver(ctx, claim, relay.Succession{Group: group, Primary: old.ID, Planned: planned})
+	}
+	if l, ok := g.n.table.Leader(group); ok && old.ID != "" && l.Server != old.ID {
+		return nil
+	}
+	candidates := g.candidates(group, old.ID)
+	if len(candidates) == 0 {
+		return eris.Errorf("no other server of %s", group)
+	}
+	var relieved driver.Position
+	if planned {
+		relieved = g.relieve(ctx, group, old)
+	}
+	reports := g.prepare(ctx, group, candidates, relieved, planned)
+	if leading, ok := succession.Leading(reports, old.ID); ok {
+		g.lead(group, leading)
+		return nil
+	}
+	syncReplicas := 0
+	if c, ok := g.n.table.Configuration().Group(group); ok {
+		syncReplicas = c.SyncReplicas
+	}
+	if needed := succession.Needed(len(candidates), syncReplicas); len(reports) < needed {
+		g.resume(candidates, reports, "")
+		return eris.Errorf("%d of %d replicas report, %d needed", len(reports), len(candidates), needed)
+	}
+	return g.promote(ctx, group, old, claim, candidates, reports)
+}
+
+// claim takes the promotion duty.
+func (g *guard) claim(ctx context.Context) (Claim, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	claim, err := g.n.options.Store.Claim(ctx, duty, g.n.settings.Name, g.n.settings.DutyLease)
+	g.n.observer.dependency("store duties", err)
+	if err == nil {
+		g.n.log.Info("duty", "holder", claim.Holder, "token", claim.Token, "remaining_ms", claim.Remaining.Milliseconds())
+	}
+	return claim, err
+}
+
+// handOver asks the holder of the duty, and waits for the end of its claim if it is not reached.
+func (g *guard) handOver(ctx context.Context, claim Claim, x relay.Succession) error {
+	if m, ok := g.n.table.Roster().Member(claim.Holder); ok {
+		accepted, _, err := g.n.client.Succeed(ctx, m.Address, x)
+		if err == nil {
+			g.n.log.Info("change of primary handed over", "group", x.Group, "holder", claim.Holder, "accepted", accepted)
+			sleep(ctx, time.Second)
+			return nil
+		}
+	}
+	sleep(ctx, min(claim.Remaining, time.Second))
+	return eris.Errorf("the duty is held by %s, which is not reached", claim.Holder)
+}
+
+// candidates returns the servers that may lead, those that stay first.
+func (g *guard) candidates(group, old string) []catalog.Server {
+	var staying, leaving []catalog.Server
+	for _, s := range g.n.table.Servers().Of(group) {
+		switch {
+		case s.ID == old:
+		case s.Leaving:
+			leaving = append(leaving, s)
+		default:
+			staying = append(staying, s)
+		}
+	}
+	if len(staying) == 0 {
+		return leaving
+	}
+	return staying
+}
+
+// relieve makes a leaving primary a replica and returns the end of its log.
+func (g *guard) relieve(ctx context.Context, group string, old catalog.Server) driver.Position {
+	l, _ := g.n.table.Leader(group)
+	r, err := g.ask(ctx, old, reportWait, statement.Status{})
+	if err != nil {
+		g.n.log.Warn("leaving primary does not report", "group", group, "primary", old.ID, "error", err.Error())
+		return driver.Position{}
+	}
+	demoted, err := g.ask(ctx, old, reportWait, statement.Demote{Term: max(r.Term, l.Term) + 1})
+	if err != nil {
+		g.n.log.Warn("leaving primary not demoted", "group", group, "primary", old.ID, "error", err.Error())
+		return r.Received
+	}
+	return demoted.Received
+}
+
+// prepare asks the candidates for what they received. Replicas of a lost primary are paused, so that nothing arrives
+// after their report; replicas of a relieved one are given time to receive the rest.
+func (g *guard) prepare(ctx context.Context, group string, candidates []catalog.Server, relieved driver.Position, planned bool) []succession.Report {
+	reports := g.collect(ctx, candidates, statement.Status{})
+	if planned {
+		for end := g.n.boot() + catchUpWait; g.n.boot() < end; {
+			if best, ok := succession.Choose(reports, ""); ok && best.Received.Compare(relieved) >= 0 {
+				return reports
+			}
+			sleep(ctx, catchUpPause)
+			reports = g.collect(ctx, candidates, statement.Status{})
+		}
+		return reports
+	}
+	if _, ok := succession.Leading(reports, ""); ok || len(reports) == 0 {
+		return reports
+	}
+	l, _ := g.n.table.Leader(group)
+	return g.collect(ctx, candidates, statement.Pause{Term: succession.Term(reports, l.Term)})
+}
+
+// collect asks all servers at once and returns the reports that come in time.
+func (g *guard) collect(ctx context.Context, servers []catalog.Server, c statement.Command) []succession.Report {
+	results := make(chan *succession.Report, len(servers))
+	for _, s := range servers {
+		go func() {
+			r, err := g.ask(ctx, s, reportWait, c)
+			if err != nil {
+				g.n.log.Warn("server does not report", "group", s.Group, "server", s.ID, "error", err.Error())
+				results <- nil
+				return
+			}
+			results <- &succession.Report{Server: s.ID, Place: s.Place, Report: r}
+		}()
+	}
+	var reports []succession.Report
+	for range servers {
+		if r := <-results; r != nil {
+			reports = append(reports, *r)
+		}
+	}
+	return reports
+}
+
+// promote names the most advanced server and waits until it leads.
+func (g *guard) promote(ctx context.Context, group string, old catalog.Server, claim Claim, candidates []catalog.Server, reports []succession.Report) error {
+	best, ok := succession.Choose(reports, old.Place)
+	if !ok {
+		return eris.Errorf("no replica of %s reports", group)
+	}
+	call, cancel := context.WithTimeout(ctx, promoteTimeout)
+	err := g.n.options.Promoter.Promote(call, claim.Holder, claim.Token, group, best.Server)
+	cancel()
+	g.n.log.Info("promotion ordered", "group", group, "old", old.ID, "new", best.Server, "received", best.Received.String(),
+		"reports", len(reports), "token", claim.Token, "error", errorText(err))
+	if errors.Is(err, ErrConflict) {
+		g.resume(candidates, reports, "")
+		return err
+	}
+	for end := g.n.boot() + leadWait; g.n.boot() < end; sleep(ctx, leadPause) {
+		s, _ := g.n.table.Servers().Server(best.Server)
+		r, err := g.ask(ctx, s, probeTimeout, statement.Status{})
+		if err == nil && r.Role == driver.Primary {
+			g.lead(group, succession.Report{Server: best.Server, Report: r})
+			g.resume(candidates, reports, best.Server)
+			return nil
+		}
+	}
+	g.resume(candidates, reports, best.Server)
+	return eris.Errorf("%s does not lead %s in time", best.Server, group)
+}
+
+// lead makes a new leader known.
+func (g *guard) lead(group string, r succession.Report) {
+	now := g.n.boot()
+	g.n.table.Lead(now, belief.Leader{Group: group, Server: r.Server, Term: max(r.Term, r.Received.Term)})
+	g.n.exchanges.announce()
+	g.n.exchanges.spread()
+}
+
+// resume lets paused replicas receive again.
+func (g *guard) resume(candidates []catalog.Server, reports []succession.Report, leader string) {
+	for _, s := range candidates {
+		if s.ID == leader || !reported(reports, s.ID) {
+			continue
+		}
+		go func() {
+			if _, err := g.ask(context.Background(), s, reportWait, statement.Resume{}); err != nil {
+				g.n.log.Warn("replica not resumed", "group", s.Group, "server", s.ID, "error", err.Error())
+			}
+		}()
+	}
+}
+
+func reported(reports []succession.Report, server string) bool {
+	for _, r := range reports {
+		if r.Server == server {
+			return true
+		}
+	}
+	return false
+}
--- a/layout_test.go
+++ b/layout_test.go
@@ -28,8 +28,13 @@
 	"internal/fleet/configuration", "internal/fleet/document", "internal/fleet/exchange",
 	"internal/platform/store", "internal/request/retry", "internal/request/execution",
 	"internal/instance/clock", "internal/instance/event",
+	"internal/database/statement", "internal/database/proof", "internal/database/succession",
+	"internal/fleet/catalog", "internal/fleet/belief",
 }
 
+// platformImporters may know the adapter to the users' platform.
+var platformImporters = []string{"cmd/tanagercrossd", "platform"}
+
 // ioImports are the packages through which code reaches the outside.
 var ioImports = []string{"net", "net/http", "os", "os/exec", "database/sql", "syscall", "connectrpc.com/connect"}
 
@@ -102,6 +107,15 @@
 	}
 }
 
+// Guards against names of the users' platform that spread into the product.
+func TestOnlyTheDaemonImportsThePlatform(t *testing.T) {
+	for _, s := range sources(t) {
+		if slices.Contains(s.imports, module+"platform") && !slices.Contains(platformImporters, filepath.ToSlash(filepath.Dir(s.path))) {
+			t.Errorf("%s imports the adapter of the users' platform", s.path)
+		}
+	}
+}
+
 // Guards against files that grow past the size that a newcomer reads in one go.
 func TestFilesStaySmall(t *testing.T) {
 	for _, s := range sources(t) {
--- a/pages_test.go
+++ b/pages_test.go
@@ -75,11 +75,11 @@
 // rows returns the cells of the table between two markers of the operating page, without its head.
 func rows(t *testing.T, name string) [][]string {
 	t.Helper()
-	_, rest, _ := strings.Cut(read(t, "docs/OPERATING.md"), "<!-- begin "+name+" -->")
+	_, rest, _ := strings.Cut(read(t, "docs/OPERATIONS.md"), "<!-- begin "+name+" -->")
 	section, _, ok := strings.Cut(rest, "<!-- end "+name+" -->")
 	lines := strings.Split(strings.TrimSpace(section), "\n")
 	if !ok || len(lines) < 3 {
-		t.Fatalf("docs/OPERATING.md has no table %q", name)
+		t.Fatalf("docs/OPERATIONS.md has no table %q", name)
 	}
 	var table [][]string
 	for _, line := range lines[2:] {
@@ -102,7 +102,7 @@
 		got[i] = got[i][:min(len(got[i]), len(want[0]))]
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("table %q of docs/OPERATING.md (-code +page):\n%s", name, diff)
+		t.Errorf("table %q of docs/OPERATIONS.md (-code +page):\n%s", name, diff)
 	}
 }
 
