Choose the server of a read by what was seen of it

Change: reads go to the server that is expected to answer first, by smoothed latency, and pass over one that was behind or full.

--- a/internal/instance/entry/servers.go
+++ b/internal/instance/entry/servers.go
@@ -119,6 +119,7 @@
 func (g *gates) run(ctx context.Context) {
 	for sleep(ctx, gatesTick) {
 		now := g.n.boot()
+		g.n.dispatcher.Forget()
 		for id, o := range g.all() {
 			o.gate.Sweep()
 			o.gate.SetConnections(g.budget(now, o.server))
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -69,6 +69,7 @@
 	table    *belief.Table
 	executor Executor
 	options  Options
+	sights   sights
 }
 
 // New returns a dispatcher.
@@ -76,6 +77,9 @@
 	return &Dispatcher{table: t, executor: e, options: o}
 }
 
+// Forget drops what was seen of servers that are gone.
+func (d *Dispatcher) Forget() { d.sights.retain(d.table.Servers()) }
+
 // Pin is the server connection of an open transaction.
 type Pin struct {
 	Server      string
@@ -128,7 +132,11 @@
 			c.Timeout = max(leastTimeout, time.Until(deadline)-wayBack)
 		}
 		a := d.executor.Execute(ctx, m, s.ID, c)
-		d.options.Observer.Served(c, s.ID, m.Name, a, time.Since(started))
+		took := time.Since(started)
+		d.options.Observer.Served(c, s.ID, m.Name, a, took)
+		if !c.Writes() {
+			d.sights.note(d.options.Boot(), s.ID, a, took)
+		}
 		if a.Fate != statement.NotSent || a.Code != statement.WrongServer || ctx.Err() != nil {
 			return a, m
 		}
--- a/internal/request/dispatch/read.go
+++ b/internal/request/dispatch/read.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"tanagercross/internal/database/statement"
@@ -14,7 +13,9 @@
 func (d *Dispatcher) choose(ctx context.Context, db catalog.Database, replica bool, tried []string) (catalog.Server, bool) {
 	if replica {
 		l, _ := d.table.Leader(db.Group)
-		if s, ok := Candidate(d.table.Servers().Of(db.Group), l.Server, d.table.Self().Place, tried); ok {
+		now := d.options.Boot()
+		sight := func(server string) Sight { return d.sights.of(now, server) }
+		if s, ok := Candidate(d.table.Servers().Of(db.Group), l.Server, d.table.Self().Place, tried, sight); ok {
 			return s, true
 		}
 	}
@@ -22,26 +23,6 @@
 	return s, ok
 }
 
-// Candidate returns the next server for a read that any server may serve: one in the own place, then the leader, then
-// the others. A server that is leaving is used only if it leads.
-func Candidate(servers []catalog.Server, leader, place string, tried []string) (catalog.Server, bool) {
-	usable := func(s catalog.Server) bool {
-		return !slices.Contains(tried, s.ID) && (!s.Leaving || s.ID == leader)
-	}
-	for _, fits := range []func(catalog.Server) bool{
-		func(s catalog.Server) bool { return s.Place == place },
-		func(s catalog.Server) bool { return s.ID == leader },
-		func(catalog.Server) bool { return true },
-	} {
-		for _, s := range servers {
-			if usable(s) && fits(s) {
-				return s, true
-			}
-		}
-	}
-	return catalog.Server{}, false
-}
-
 // reading is a read with its attempts.
 type reading struct {
 	d       *Dispatcher
--- /dev/null
+++ b/internal/request/dispatch/sight.go
@@ -0,0 +1,128 @@
+package dispatch
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"tanagercross/internal/database/statement"
+	"tanagercross/internal/fleet/catalog"
+)
+
+const (
+	// nearLatency and farLatency stand for servers that were not used lately.
+	nearLatency = 10 * time.Millisecond
+	farLatency  = 50 * time.Millisecond
+	// latencyShare is the part of a measured latency in the smoothed one.
+	latencyShare = 0.25
+	// latencyFor is how long a smoothed latency counts after the last answer.
+	latencyFor = time.Second
+	// behindFor is how long a replica that lacked a position is passed over, and busyFor one that was full.
+	behindFor = 800 * time.Millisecond
+	busyFor   = 200 * time.Millisecond
+	// Costs of a server that was behind or full; it is still used if no other one is left.
+	behindCost = 10 * time.Second
+	busyCost   = 300 * time.Millisecond
+)
+
+// Sight is what an instance has lately seen of a server.
+type Sight struct {
+	Latency time.Duration // smoothed; 0 if not known
+	Behind  bool
+	Busy    bool
+}
+
+// cost orders servers for a read.
+func (s Sight) cost(near bool) time.Duration {
+	c := s.Latency
+	switch {
+	case c > 0:
+	case near:
+		c = nearLatency
+	default:
+		c = farLatency
+	}
+	if s.Behind {
+		c += behindCost
+	}
+	if s.Busy {
+		c += busyCost
+	}
+	return c
+}
+
+// Candidate returns the server for a read that any server may serve: the one that is expected to answer first. Without
+// other knowledge that is one in the own place. A server that is leaving is used only if it leads.
+func Candidate(servers []catalog.Server, leader, place string, tried []string, sight func(server string) Sight) (catalog.Server, bool) {
+	var best catalog.Server
+	var least time.Duration
+	found := false
+	for _, s := range servers {
+		if slices.Contains(tried, s.ID) || s.Leaving && s.ID != leader {
+			continue
+		}
+		c := sight(s.ID).cost(s.Place == place)
+		if !found || c < least || c == least && s.ID == leader {
+			best, least, found = s, c, true
+		}
+	}
+	return best, found
+}
+
+// sights keeps what was seen of servers. It is safe for concurrent use.
+type sights struct {
+	mu      sync.Mutex
+	servers map[string]seen
+}
+
+type seen struct {
+	latency  time.Duration
+	answered time.Duration
+	behind   time.Duration // until then
+	busy     time.Duration
+}
+
+func (s *sights) of(now time.Duration, server string) Sight {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := s.servers[server]
+	sight := Sight{Behind: now < v.behind, Busy: now < v.busy}
+	if now-v.answered < latencyFor {
+		sight.Latency = v.latency
+	}
+	return sight
+}
+
+// note takes the end of an attempt.
+func (s *sights) note(now time.Duration, server string, a statement.Answer, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.servers == nil {
+		s.servers = map[string]seen{}
+	}
+	v := s.servers[server]
+	switch {
+	case a.OK():
+		if now-v.answered >= latencyFor {
+			v.latency = took
+		}
+		v.latency += time.Duration(latencyShare * float64(took-v.latency))
+		v.answered, v.behind = now, 0
+	case a.Code == statement.Behind:
+		v.behind = now + behindFor
+	case a.Code == statement.TooMany, a.Code == statement.Busy, a.Fate == statement.Lost:
+		v.busy = now + busyFor
+	}
+	s.servers[server] = v
+}
+
+// retain forgets servers that are gone.
+func (s *sights) retain(servers catalog.Servers) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.servers {
+		if _, ok := servers.Server(id); !ok {
+			delete(s.servers, id)
+		}
+	}
+}
