--- a/internal/instance/entry/servers.go
+++ b/internal/instance/entry/servers.go
@@ -96,13 +96,13 @@
 	return max(1, int(float64(limit)*share))
 }
 
-// all returns the open gates.
-func (g *gates) all() map[string]*opened {
+// all returns the open gates as they are now.
+func (g *gates) all() map[string]opened {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	list := make(map[string]*opened, len(g.open))
+	list := make(map[string]opened, len(g.open))
 	for id, o := range g.open {
-		list[id] = o
+		list[id] = *o
 	}
 	return list
 }
@@ -124,13 +124,13 @@
 			o.gate.Sweep()
 			o.gate.SetConnections(g.budget(now, o.server))
 			g.learn(now, o)
-			g.retire(now, id, o)
+			g.retire(now, id)
 		}
 	}
 }
 
 // learn takes what a gate has seen of its server into the beliefs.
-func (g *gates) learn(now time.Duration, o *opened) {
+func (g *gates) learn(now time.Duration, o opened) {
 	p, ok := o.gate.LastHead()
 	if ok && now-p.Asked < headRecent && !o.gate.Health().NotLeading {
 		g.n.table.Lead(now, belief.Leader{Group: o.server.Group, Server: o.server.ID, Term: p.Position.Term})
@@ -140,19 +140,20 @@
 	}
 }
 
-// retire closes gates of servers that have left or are used through another instance.
-func (g *gates) retire(now time.Duration, id string, o *opened) {
+// retire closes the gate of a server that has left or is used through another instance.
+func (g *gates) retire(now time.Duration, id string) {
 	_, listed := g.n.table.Servers().Server(id)
-	_, transactions, load, _ := o.gate.Counts()
-	if listed && now-o.used < gateIdle || transactions+load > 0 {
-		return
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.open[id] == o {
-		delete(g.open, id)
-		o.gate.Close()
+	o := g.open[id]
+	if o == nil || listed && now-o.used < gateIdle {
+		return
+	}
+	if _, transactions, load, _ := o.gate.Counts(); transactions+load > 0 {
+		return
 	}
+	delete(g.open, id)
+	o.gate.Close()
 }
 
 func (g *gates) close() {
