Take no statement that the process would cut by its end

The listener stays open until the end since sessions that begin during a shutdown are served. TestNoOperationIsTakenBeforeTheEnd failed first (the method did not exist).

--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -84,6 +84,7 @@
 	prefix   string // of session ids
 	sessions atomic.Uint64
 	ending   atomic.Bool
+	stopping atomic.Bool
 	stop     context.CancelFunc
 	done     sync.WaitGroup
 }
@@ -124,7 +125,7 @@
 	n.limiter = allotment.NewLimiter(n.rates, n.rates.whole, allotment.Options{RateWait: rateWait, HomeWait: 2 * rateWait})
 	n.environment = conversation.Environment{
 		Configuration: n.table.Configuration, Current: n.current, Dispatcher: n.dispatcher, Limiter: admission{n.rates},
-		Observer: n.observer, Ending: n.ending.Load,
+		Observer: n.observer, Ending: n.ending.Load, Stopping: n.stopping.Load,
 	}
 	n.server = relay.NewServer(relay.NewHandler(&services{n}, n.boot))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -188,6 +189,12 @@
 // End makes sessions end when they are between operations.
 func (n *Node) End() { n.ending.Store(true) }
 
+// Refuse makes the instance take no more statements, because its process ends before they would.
+func (n *Node) Refuse() {
+	n.ending.Store(true)
+	n.stopping.Store(true)
+}
+
 // Transactions returns the number of open transactions on servers that this instance uses.
 func (n *Node) Transactions() int { return n.gates.transactions() }
 
--- a/internal/instance/entry/transaction_test.go
+++ b/internal/instance/entry/transaction_test.go
@@ -49,3 +49,23 @@
 		t.Errorf("dropped name: %+v", a)
 	}
 }
+
+// Guards against operations that are taken shortly before the process ends and cut by its end.
+func TestNoOperationIsTakenBeforeTheEnd(t *testing.T) {
+	f := newFleet(t, "agreste")
+	idle, open := f.session(0, "bookings"), f.session(0, "bookings")
+	open.do(statement.Begin{})
+	if a := open.write("plates", "1"); !a.OK() {
+		t.Fatalf("write: %+v", a)
+	}
+	f.nodes[0].Refuse()
+	if a := idle.read("plates"); a.Code != statement.Busy || a.Fate != statement.NotSent || !idle.conversation.Over() {
+		t.Errorf("operation: %+v, over %t", a, idle.conversation.Over())
+	}
+	if a := open.do(statement.Commit{}); a.Code != statement.Aborted || f.cluster.Runs(open.last) != 0 {
+		t.Errorf("commit: %+v", a)
+	}
+	if c, refusal := f.nodes[0].Session("bookings", keyText); c != nil || refusal.Code != statement.Busy {
+		t.Errorf("session %v, %+v", c, refusal)
+	}
+}
--- a/internal/session/conversation/conversation.go
+++ b/internal/session/conversation/conversation.go
@@ -64,6 +64,7 @@
 	Limiter    Limiter
 	Observer   Observer
 	Ending     func() bool // the instance is shutting down and sessions are to move on
+	Stopping   func() bool // the process ends before another statement would
 }
 
 // Conversation is one session. It is used by one goroutine at a time.
@@ -106,6 +107,9 @@
 
 // admit checks database and key against the configuration in force.
 func (c *Conversation) admit() (catalog.Database, statement.Answer) {
+	if c.env.Stopping() {
+		return catalog.Database{}, statement.Refused(statement.Busy, "the instance stops; retry at once")
+	}
 	if !c.env.Current() {
 		return catalog.Database{}, statement.Refused(statement.Busy, "the configuration is too old; retry after 500 ms")
 	}
@@ -178,7 +182,7 @@
 func (c *Conversation) enter(ctx context.Context, q statement.Query) (catalog.Database, statement.Answer) {
 	db, refusal := c.admit()
 	if refusal.Code != "" {
-		c.over = refusal.Code == statement.Unauthorized || refusal.Code == statement.NoDatabase
+		c.over = refusal.Code == statement.Unauthorized || refusal.Code == statement.NoDatabase || c.env.Stopping()
 		return db, c.refuse(q, refusal.Code, refusal.Text)
 	}
 	if c.organisation == publicOrganisation {
--- a/internal/session/conversation/transaction.go
+++ b/internal/session/conversation/transaction.go
@@ -61,6 +61,9 @@
 
 // check refuses a statement of a transaction that has ended meanwhile: the pause was too long, or the key was withdrawn.
 func (c *Conversation) check(q statement.Query) statement.Answer {
+	if c.env.Stopping() {
+		return c.refuse(q, statement.Aborted, "the instance stops")
+	}
 	configuration := c.env.Configuration()
 	if limit := configuration.TransactionIdle; limit > 0 && c.pin != nil && time.Since(c.used) > limit {
 		return c.refuse(q, statement.Aborted, "the transaction was idle for too long")
