--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -24,8 +24,8 @@
 	"github.com/integrii/flaggy"
 	"github.com/rotisserie/eris"
 
-	"tanagercross/internal/platform/rest"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/rest"
+	"tanagercross/internal/service/store"
 	"tanagercross/internal/standin/database"
 	"tanagercross/internal/standin/platform"
 )
--- a/internal/fleet/document/change.go
+++ b/internal/fleet/document/change.go
@@ -6,7 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/store"
 )
 
 // Change is a proposed change of a document.
--- a/internal/fleet/document/document.go
+++ b/internal/fleet/document/document.go
@@ -22,7 +22,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/store"
 )
 
 // Names of the documents.
--- a/internal/fleet/document/procedure.go
+++ b/internal/fleet/document/procedure.go
@@ -5,7 +5,7 @@
 
 	"tanagercross/internal/fleet/freshness"
 	"tanagercross/internal/fleet/roster"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/store"
 )
 
 // Times of the procedure.
--- a/internal/fleet/document/step.go
+++ b/internal/fleet/document/step.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/store"
 )
 
 func (p *Procedure) onTick(now time.Time) []Action {
--- a/internal/fleet/exchange/network_test.go
+++ b/internal/fleet/exchange/network_test.go
@@ -11,7 +11,7 @@
 	"tanagercross/internal/fleet/document"
 	"tanagercross/internal/fleet/exchange"
 	"tanagercross/internal/fleet/roster"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/store"
 )
 
 const step = 50 * time.Millisecond
--- a/internal/instance/daemon/change.go
+++ b/internal/instance/daemon/change.go
@@ -8,7 +8,7 @@
 	"tanagercross/internal/fleet/document"
 	"tanagercross/internal/fleet/exchange"
 	"tanagercross/internal/fleet/roster"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/store"
 )
 
 const (
--- a/internal/instance/daemon/control_bench_test.go
+++ b/internal/instance/daemon/control_bench_test.go
@@ -16,7 +16,7 @@
 	"tanagercross/internal/instance/clock"
 	"tanagercross/internal/organisation/allotment"
 	"tanagercross/internal/organisation/key"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/store"
 )
 
 // benchDaemon returns a daemon of a fleet of n members without loops.
--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -44,9 +44,9 @@
 	"tanagercross/internal/instance/settings"
 	"tanagercross/internal/organisation/allotment"
 	"tanagercross/internal/organisation/fairness"
-	"tanagercross/internal/platform/rest"
-	"tanagercross/internal/platform/store"
 	"tanagercross/internal/request/execution"
+	"tanagercross/internal/service/rest"
+	"tanagercross/internal/service/store"
 	"tanagercross/internal/session/token"
 )
 
--- a/internal/instance/daemon/fleet.go
+++ b/internal/instance/daemon/fleet.go
@@ -10,7 +10,7 @@
 	"tanagercross/internal/fleet/exchange"
 	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/organisation/key"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/store"
 )
 
 // snapshot is what requests and loops read of the fleet's state without a lock. It is immutable.
--- a/internal/instance/daemon/fleet_test.go
+++ b/internal/instance/daemon/fleet_test.go
@@ -8,7 +8,7 @@
 	"tanagercross/internal/fleet/document"
 	"tanagercross/internal/fleet/exchange"
 	"tanagercross/internal/fleet/roster"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/store"
 )
 
 // newTestFleet returns a fleet that holds a roster of n members, each with two lanes, and a group list.
--- a/internal/instance/daemon/grouplist.go
+++ b/internal/instance/daemon/grouplist.go
@@ -6,8 +6,8 @@
 	"github.com/rotisserie/eris"
 
 	"tanagercross/internal/database/group"
-	"tanagercross/internal/platform/rest"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/rest"
+	"tanagercross/internal/service/store"
 )
 
 // The group list is kept as JSON in the form in which the platform gives it.
--- a/internal/instance/daemon/history.go
+++ b/internal/instance/daemon/history.go
@@ -10,7 +10,7 @@
 	"tanagercross/internal/fleet/configuration"
 	"tanagercross/internal/fleet/document"
 	"tanagercross/internal/instance/operator"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/store"
 )
 
 const (
--- a/internal/instance/daemon/history_test.go
+++ b/internal/instance/daemon/history_test.go
@@ -13,7 +13,7 @@
 	"tanagercross/internal/fleet/exchange"
 	"tanagercross/internal/instance/clock"
 	"tanagercross/internal/instance/operator"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/store"
 )
 
 // fakeStore holds documents and objects; reads take a while.
--- a/internal/instance/daemon/loops_bench_test.go
+++ b/internal/instance/daemon/loops_bench_test.go
@@ -15,7 +15,7 @@
 	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/instance/clock"
 	"tanagercross/internal/instance/settings"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/store"
 )
 
 // fleetOf returns an instance with a full roster and group list and no loops running.
--- a/internal/instance/daemon/statement_bench_test.go
+++ b/internal/instance/daemon/statement_bench_test.go
@@ -18,8 +18,8 @@
 	"tanagercross/internal/fleet/document"
 	"tanagercross/internal/instance/settings"
 	"tanagercross/internal/organisation/key"
-	"tanagercross/internal/platform/rest"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/rest"
+	"tanagercross/internal/service/store"
 	"tanagercross/internal/standin/platform"
 )
 
--- a/internal/instance/daemon/table.go
+++ b/internal/instance/daemon/table.go
@@ -7,7 +7,7 @@
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/group"
 	"tanagercross/internal/fleet/exchange"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/store"
 )
 
 const tableTick = 100 * time.Millisecond
--- a/internal/instance/daemon/watch.go
+++ b/internal/instance/daemon/watch.go
@@ -14,7 +14,7 @@
 	"tanagercross/internal/fleet/exchange"
 	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/instance/event"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/store"
 )
 
 const (
--- a/internal/platform/rest/rest.go
+++ b/internal/service/rest/rest.go
@@ -23,7 +23,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/store"
 )
 
 // Defaults of Options.
--- a/internal/platform/rest/rest_test.go
+++ b/internal/service/rest/rest_test.go
@@ -7,8 +7,8 @@
 
 	"go.uber.org/goleak"
 
-	"tanagercross/internal/platform/rest"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/rest"
+	"tanagercross/internal/service/store"
 	"tanagercross/internal/standin/platform"
 )
 
--- a/internal/platform/rest/wire.go
+++ b/internal/service/rest/wire.go
@@ -2,7 +2,7 @@
 
 import (
 	"tanagercross/internal/database/driver"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/store"
 )
 
 // Paths of the platform's HTTP surface.
--- a/internal/standin/platform/fault.go
+++ b/internal/standin/platform/fault.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"tanagercross/internal/platform/rest"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/rest"
+	"tanagercross/internal/service/store"
 )
 
 // Faults are the faults in force. It is also the JSON body of PUT /faults on the control port.
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -11,7 +11,7 @@
 
 	"golang.org/x/time/rate"
 
-	"tanagercross/internal/platform/rest"
+	"tanagercross/internal/service/rest"
 )
 
 func (s *Server) handler() http.Handler {
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -24,7 +24,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/store"
 )
 
 // Defaults and limits.
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -6,8 +6,8 @@
 	"testing"
 
 	"tanagercross/internal/database/driver"
-	"tanagercross/internal/platform/rest"
-	"tanagercross/internal/platform/store"
+	"tanagercross/internal/service/rest"
+	"tanagercross/internal/service/store"
 	"tanagercross/internal/standin/platform"
 )
 
--- a/internal/standin/platform/table.go
+++ b/internal/standin/platform/table.go
@@ -10,7 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"tanagercross/internal/platform/rest"
+	"tanagercross/internal/service/rest"
 )
 
 // contents is what the stand-in keeps, and the format of its file.
--- a/internal/tool/deployment/seed.go
+++ b/internal/tool/deployment/seed.go
@@ -9,7 +9,7 @@
 
 	"tanagercross/internal/fleet/document"
 	"tanagercross/internal/organisation/key"
-	"tanagercross/internal/platform/rest"
+	"tanagercross/internal/service/rest"
 )
 
 // SeedKeys writes a key for each organisation into the table of a platform without keys, as an earlier life of the fleet
--- a/internal/tool/scenario/command_fleet.go
+++ b/internal/tool/scenario/command_fleet.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"tanagercross/internal/platform/rest"
+	"tanagercross/internal/service/rest"
 	"tanagercross/internal/tool/deployment"
 )
 
--- a/internal/tool/scenario/fleet.go
+++ b/internal/tool/scenario/fleet.go
@@ -17,7 +17,7 @@
 
 	"tanagercross/internal/instance/operator"
 	"tanagercross/internal/organisation/key"
-	"tanagercross/internal/platform/rest"
+	"tanagercross/internal/service/rest"
 	"tanagercross/internal/standin/database"
 	"tanagercross/internal/standin/platform"
 )
--- a/layout_test.go
+++ b/layout_test.go
@@ -26,7 +26,7 @@
 	"internal/organisation/key", "internal/organisation/fairness", "internal/organisation/allotment",
 	"internal/fleet/roster", "internal/fleet/freshness", "internal/fleet/lease",
 	"internal/fleet/configuration", "internal/fleet/document", "internal/fleet/exchange",
-	"internal/platform/store", "internal/request/retry", "internal/request/execution",
+	"internal/service/store", "internal/request/retry", "internal/request/execution",
 	"internal/instance/clock", "internal/instance/event",
 	"internal/database/statement", "internal/database/proof", "internal/database/succession",
 	"internal/fleet/catalog", "internal/fleet/belief",
