--- a/internal/database/gate/connections.go
+++ b/internal/database/gate/connections.go
@@ -83,7 +83,7 @@
 	defer cancel()
 	t := g.target
 	t.Organisation = organisation
-	conn, position, err := g.dialer.Dial(ctx, t)
+	conn, _, err := g.dialer.Dial(ctx, t)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err == nil && g.closed {
@@ -101,7 +101,7 @@
 		return nil, err
 	}
 	g.opened++
-	g.answered(position)
+	g.answered()
 	return &link{conn: conn, organisation: organisation, values: map[string]string{}, prepared: map[string]bool{}}, nil
 }
 
--- a/internal/database/gate/gate.go
+++ b/internal/database/gate/gate.go
@@ -20,7 +20,6 @@
 	"sync"
 	"time"
 
-	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/proof"
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/instance/clock"
@@ -84,8 +83,6 @@
 	session  string
 	used     time.Duration
 	finished bool
-	scope    statement.Scope
-	wrote    bool
 }
 
 // Gate runs statements on one server. It is safe for concurrent use.
@@ -108,18 +105,16 @@
 	opened       uint64
 	health       Health
 	head         proof.Proof
-	position     driver.Position
 	organisation string // that used the gate last
 }
 
 // Health is what the gate has seen of its server.
 type Health struct {
-	Failures     int           // in a row
-	Since        time.Duration // of the first of them
-	Refused      bool          // nothing listened at the address at the last attempt
-	Answered     time.Duration // last answer
-	NotLeading   bool          // the last statement that needs a leader was refused
-	NotLeadingAt time.Duration
+	Failures   int           // in a row
+	Since      time.Duration // of the first of them
+	Refused    bool          // nothing listened at the address at the last attempt
+	Answered   time.Duration // last answer
+	NotLeading bool          // the last statement that needs a leader was refused
 }
 
 // New returns a gate without connections.
@@ -151,13 +146,6 @@
 	return g.health
 }
 
-// Position returns the newest position that the server reported.
-func (g *Gate) Position() driver.Position {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.position
-}
-
 // Counts returns the open connections, the open transactions, the queued and running statements and the connections
 // opened so far.
 func (g *Gate) Counts() (connections, transactions, load int, opened uint64) {
@@ -238,11 +226,8 @@
 	}
 }
 
-func (g *Gate) answered(p driver.Position) {
+func (g *Gate) answered() {
 	g.health.Failures, g.health.Refused, g.health.Answered = 0, false, g.options.Boot()
-	if p.Compare(g.position) > 0 {
-		g.position = p
-	}
 }
 
 // Sweep ends idle connections and transactions whose pause is too long. It is called at each tick.
--- a/internal/database/gate/run.go
+++ b/internal/database/gate/run.go
@@ -88,7 +88,7 @@
 		return &r, opening && a.State == statement.Idle
 	}
 	last := answers[len(answers)-1]
-	g.noteAnswer(last.Position)
+	g.noteAnswer()
 	if open != nil && !open.ReadOnly {
 		g.noteHead(last.Position, asked)
 	}
@@ -120,7 +120,7 @@
 		return statement.NoAnswer("no answer from the server"), false
 	}
 	answer = answers[0]
-	g.noteAnswer(answer.Position)
+	g.noteAnswer()
 	if answer.Code == statement.ReadOnly {
 		g.noteNotLeading()
 	}
@@ -150,7 +150,7 @@
 	g.mu.Lock()
 	g.sequence++
 	id := g.sequence
-	t := &transaction{link: l, session: c.Session, used: g.options.Boot(), scope: c.Scope}
+	t := &transaction{link: l, session: c.Session, used: g.options.Boot()}
 	t.mu.Lock()
 	g.transactions[id] = t
 	g.mu.Unlock()
@@ -170,7 +170,7 @@
 		return statement.NoAnswer("no answer from the server")
 	}
 	a := answers[0]
-	g.noteAnswer(a.Position)
+	g.noteAnswer()
 	if a.Code == statement.ReadOnly {
 		g.noteNotLeading()
 	}
@@ -251,16 +251,16 @@
 	g.failed(false)
 }
 
-func (g *Gate) noteAnswer(p driver.Position) {
+func (g *Gate) noteAnswer() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.answered(p)
+	g.answered()
 }
 
 func (g *Gate) noteNotLeading() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.health.NotLeading, g.health.NotLeadingAt = true, g.options.Boot()
+	g.health.NotLeading = true
 }
 
 // noteHead keeps a position that the server gave while it led.
--- a/internal/fleet/belief/belief.go
+++ b/internal/fleet/belief/belief.go
@@ -65,7 +65,6 @@
 	Name        string
 	Address     string
 	Place       string
-	Incarnation uint64
 	Leaving     bool
 	Down        bool     // not heard by the steward of its place; told to other places only
 	Unreachable []string // ids of servers
@@ -76,7 +75,6 @@
 type Demand struct {
 	Place string
 	Rates map[string]float64
-	Live  int
 	Heard time.Duration
 }
 
@@ -119,7 +117,6 @@
 	document      Rows
 	servers       catalog.Servers
 	serverRows    Rows
-	missing       map[string]time.Duration // servers without an entry, kept until then
 	outageUntil   time.Duration
 	members       roster.Roster
 	memberRows    Rows
@@ -145,7 +142,7 @@
 // NewTable returns the table of an instance that knows only itself.
 func NewTable(self Presence, d Decoder, o Observer) *Table {
 	t := &Table{
-		self: self, decoder: d, observer: o, missing: map[string]time.Duration{}, leaders: map[string]Leader{},
+		self: self, decoder: d, observer: o, leaders: map[string]Leader{},
 		disproved: map[string]disproval{}, presences: map[string]Presence{}, demands: map[string]Demand{},
 		suspects: map[string]time.Duration{}, stopped: map[string]bool{}, cuts: map[string]time.Duration{}, changed: make(chan struct{}),
 	}
--- a/internal/fleet/catalog/catalog.go
+++ b/internal/fleet/catalog/catalog.go
@@ -37,7 +37,6 @@
 	MaximumAge  time.Duration // of what a read may miss
 	Timeout     time.Duration // of one statement
 	Goal        time.Duration // of a whole operation
-	Priority    int           // 0 is the highest
 	Public      bool          // no key needed
 }
 
--- a/internal/fleet/relay/message.go
+++ b/internal/fleet/relay/message.go
@@ -153,14 +153,14 @@
 
 func encodePresence(p belief.Presence, now time.Duration) *relayv1.Presence {
 	return &relayv1.Presence{
-		Name: p.Name, Address: p.Address, Place: p.Place, Incarnation: p.Incarnation, Leaving: p.Leaving, Down: p.Down,
+		Name: p.Name, Address: p.Address, Place: p.Place, Leaving: p.Leaving, Down: p.Down,
 		AgeMilliseconds: age(now, p.Heard), Unreachable: p.Unreachable,
 	}
 }
 
 func decodePresence(p *relayv1.Presence, now time.Duration) belief.Presence {
 	return belief.Presence{
-		Name: p.GetName(), Address: p.GetAddress(), Place: p.GetPlace(), Incarnation: p.GetIncarnation(),
+		Name: p.GetName(), Address: p.GetAddress(), Place: p.GetPlace(),
 		Leaving: p.GetLeaving(), Down: p.GetDown(), Unreachable: p.GetUnreachable(), Heard: moment(now, p.GetAgeMilliseconds()),
 	}
 }
@@ -206,7 +206,7 @@
 	}
 	for _, d := range b.Demands {
 		out.Demands = append(out.Demands, &relayv1.Demand{
-			Place: d.Place, Rates: encodeRates(d.Rates), AgeMilliseconds: age(now, d.Heard), Live: uint32(max(0, d.Live)),
+			Place: d.Place, Rates: encodeRates(d.Rates), AgeMilliseconds: age(now, d.Heard),
 		})
 	}
 	return out
@@ -226,7 +226,7 @@
 	}
 	for _, d := range b.GetDemands() {
 		out.Demands = append(out.Demands, belief.Demand{
-			Place: d.Place, Rates: decodeRates(d.Rates), Heard: moment(now, d.AgeMilliseconds), Live: int(d.Live),
+			Place: d.Place, Rates: decodeRates(d.Rates), Heard: moment(now, d.AgeMilliseconds),
 		})
 	}
 	return out
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -121,7 +121,7 @@
 	n.proofs = newProofs(n)
 	n.guard = newGuard(n)
 	n.exchanges = newExchanges(n)
-	n.dispatcher = dispatch.New(n.table, n.gates, dispatch.Options{Boot: n.boot, Observer: n.observer, Log: n.log})
+	n.dispatcher = dispatch.New(n.table, n.gates, dispatch.Options{Boot: n.boot, Observer: n.observer})
 	n.limiter = allotment.NewLimiter(n.rates, n.rates.whole, allotment.Options{RateWait: rateWait, HomeWait: 2 * rateWait})
 	n.environment = conversation.Environment{
 		Configuration: n.table.Configuration, Current: n.current, Dispatcher: n.dispatcher, Limiter: admission{n.rates},
--- a/internal/instance/entry/exchange.go
+++ b/internal/instance/entry/exchange.go
@@ -11,6 +11,7 @@
 	"tanagercross/internal/fleet/belief"
 	"tanagercross/internal/fleet/relay"
 	"tanagercross/internal/fleet/roster"
+	"tanagercross/internal/instance/clock"
 	"tanagercross/internal/organisation/allotment"
 )
 
@@ -80,7 +81,7 @@
 		if !e.joined() {
 			pause = joinTick
 		}
-		if !sleep(ctx, pause) {
+		if !clock.Sleep(ctx, pause) {
 			return
 		}
 	}
--- a/internal/instance/entry/rates.go
+++ b/internal/instance/entry/rates.go
@@ -114,9 +114,8 @@
 			total[o] += d
 		}
 	}
-	live, _ := r.n.table.Live(now)
 	r.settled = r.next
-	r.next = belief.Demand{Place: r.n.settings.Place, Rates: total, Live: live, Heard: now}
+	r.next = belief.Demand{Place: r.n.settings.Place, Rates: total, Heard: now}
 	r.n.table.SetDemand(r.next)
 }
 
--- a/internal/instance/entry/reader.go
+++ b/internal/instance/entry/reader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tanagercross/internal/fleet/belief"
+	"tanagercross/internal/instance/clock"
 )
 
 // Pace of reads. One instance of each place reads for the others; calls are paid one by one.
@@ -24,18 +25,6 @@
 	memberLostAfter = 12 * time.Second
 )
 
-// sleep waits and reports whether the context goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // reads reports whether this instance is to read a document that it last knew to be current at a moment.
 func (n *Node) reads(asOf time.Duration) bool {
 	if n.exchanges.steward() {
@@ -61,20 +50,20 @@
 		n.spawn(func() { n.readMembersOnce(ctx) })
 	}
 	for !n.announce(ctx) {
-		if !sleep(ctx, readRetry) {
+		if !clock.Sleep(ctx, readRetry) {
 			return
 		}
 	}
 	n.readMembersOnce(ctx)
 	for {
 		_, _, read := n.table.Ages()
-		if read == 0 && !sleep(ctx, readRetry) {
+		if read == 0 && !clock.Sleep(ctx, readRetry) {
 			return
 		}
 		if read == 0 || n.exchanges.steward() && n.boot()-read > membersPeriod {
 			n.readMembersOnce(ctx)
 		}
-		if !sleep(ctx, readRetry) {
+		if !clock.Sleep(ctx, readRetry) {
 			return
 		}
 	}
@@ -131,14 +120,14 @@
 		read, _, _ := n.table.Ages()
 		if !n.reads(read) {
 			following = 0
-			sleep(ctx, idleCheck)
+			clock.Sleep(ctx, idleCheck)
 			continue
 		}
 		next, err := n.followConfiguration(ctx, following)
 		n.observer.dependency("store configuration", err)
 		following = next
 		if err != nil {
-			sleep(ctx, readRetry)
+			clock.Sleep(ctx, readRetry)
 		}
 	}
 }
@@ -173,7 +162,7 @@
 		_, read, _ := n.table.Ages()
 		due := n.reads(read) && n.boot()-read >= serversPeriod
 		if !due && !n.guard.wantsServers() {
-			sleep(ctx, idleCheck/2)
+			clock.Sleep(ctx, idleCheck/2)
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, readTimeout)
@@ -182,7 +171,7 @@
 		cancel()
 		n.observer.dependency("store servers", err)
 		if err != nil {
-			sleep(ctx, readRetry)
+			clock.Sleep(ctx, readRetry)
 			continue
 		}
 		rows.Read = started
--- a/internal/instance/entry/replace.go
+++ b/internal/instance/entry/replace.go
@@ -13,6 +13,7 @@
 	"tanagercross/internal/fleet/belief"
 	"tanagercross/internal/fleet/catalog"
 	"tanagercross/internal/fleet/relay"
+	"tanagercross/internal/instance/clock"
 )
 
 // replace names a new primary. The duty is claimed first, so that no other instance names one meanwhile.
@@ -69,11 +70,11 @@
 		accepted, _, err := g.n.client.Succeed(ctx, m.Address, x)
 		if err == nil {
 			g.n.log.Info("change of primary handed over", "group", x.Group, "holder", claim.Holder, "accepted", accepted)
-			sleep(ctx, time.Second)
+			clock.Sleep(ctx, time.Second)
 			return nil
 		}
 	}
-	sleep(ctx, min(claim.Remaining, time.Second))
+	clock.Sleep(ctx, min(claim.Remaining, time.Second))
 	return eris.Errorf("the duty is held by %s, which is not reached", claim.Holder)
 }
 
@@ -120,7 +121,7 @@
 			if best, ok := succession.Choose(reports, ""); ok && best.Received.Compare(relieved) >= 0 {
 				return reports
 			}
-			sleep(ctx, catchUpPause)
+			clock.Sleep(ctx, catchUpPause)
 			reports = g.collect(ctx, candidates, statement.Status{})
 		}
 		return reports
@@ -170,7 +171,7 @@
 		g.resume(candidates, reports, "")
 		return err
 	}
-	for end := g.n.boot() + leadWait; g.n.boot() < end; sleep(ctx, leadPause) {
+	for end := g.n.boot() + leadWait; g.n.boot() < end; clock.Sleep(ctx, leadPause) {
 		s, _ := g.n.table.Servers().Server(best.Server)
 		r, err := g.ask(ctx, s, probeTimeout, statement.Status{})
 		if err == nil && r.Role == driver.Primary {
--- a/internal/instance/entry/servers.go
+++ b/internal/instance/entry/servers.go
@@ -11,6 +11,7 @@
 	"tanagercross/internal/fleet/belief"
 	"tanagercross/internal/fleet/catalog"
 	"tanagercross/internal/fleet/roster"
+	"tanagercross/internal/instance/clock"
 )
 
 const (
@@ -117,7 +118,7 @@
 }
 
 func (g *gates) run(ctx context.Context) {
-	for sleep(ctx, gatesTick) {
+	for clock.Sleep(ctx, gatesTick) {
 		now := g.n.boot()
 		g.n.dispatcher.Forget()
 		for id, o := range g.all() {
@@ -215,7 +216,7 @@
 			g.lagging(server, true)
 			return a
 		}
-		if g.isLagging(server) || !sleep(ctx, catchUpStep) {
+		if g.isLagging(server) || !clock.Sleep(ctx, catchUpStep) {
 			return a
 		}
 	}
@@ -298,7 +299,7 @@
 }
 
 func (p *proofs) run(ctx context.Context) {
-	for sleep(ctx, gatesTick) {
+	for clock.Sleep(ctx, gatesTick) {
 		now := p.n.boot()
 		p.mu.Lock()
 		for name, g := range p.groups {
--- a/internal/instance/entry/succession.go
+++ b/internal/instance/entry/succession.go
@@ -14,6 +14,7 @@
 	"tanagercross/internal/fleet/catalog"
 	"tanagercross/internal/fleet/relay"
 	"tanagercross/internal/fleet/roster"
+	"tanagercross/internal/instance/clock"
 )
 
 const (
@@ -161,7 +162,7 @@
 
 // run looks after the groups whose guardian this instance is.
 func (g *guard) run(ctx context.Context) {
-	for sleep(ctx, guardTick) {
+	for clock.Sleep(ctx, guardTick) {
 		now := g.n.boot()
 		if _, servers, _ := g.n.table.Ages(); servers == 0 || !g.n.exchanges.joined() {
 			continue
@@ -255,7 +256,7 @@
 		g.kept[x.Group] = g.n.boot()
 		return nil
 	}
-	sleep(ctx, guardTick)
+	clock.Sleep(ctx, guardTick)
 	return nil
 }
 
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -14,13 +14,13 @@
 
 import (
 	"context"
-	"log/slog"
 	"time"
 
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/fleet/belief"
 	"tanagercross/internal/fleet/catalog"
 	"tanagercross/internal/fleet/roster"
+	"tanagercross/internal/instance/clock"
 )
 
 // Limits of attempts.
@@ -61,7 +61,6 @@
 type Options struct {
 	Boot     func() time.Duration
 	Observer Observer
-	Log      *slog.Logger
 }
 
 // Dispatcher is safe for concurrent use.
@@ -167,17 +166,6 @@
 	}
 }
 
-func pause(ctx context.Context, wait time.Duration) bool {
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // again reports whether a statement with this answer may be tried again, after it told others what the answer proves.
 func (d *Dispatcher) again(l belief.Leader, a statement.Answer) bool {
 	switch {
@@ -211,7 +199,7 @@
 			d.options.Observer.Retried(string(answer.Code))
 		}
 		answer, _ = d.attempt(ctx, s, c)
-		if !d.again(l, answer) || !pause(waiting, retryPause<<n) {
+		if !d.again(l, answer) || !clock.Sleep(waiting, retryPause<<n) {
 			return answer
 		}
 	}
@@ -254,7 +242,7 @@
 			continue
 		}
 		// Without a commit nothing of the transaction is kept, so that an unanswered statement may be repeated.
-		if !d.again(l, answer) && answer.Fate != statement.Lost || !pause(waiting, retryPause) {
+		if !d.again(l, answer) && answer.Fate != statement.Lost || !clock.Sleep(waiting, retryPause) {
 			return answer, nil
 		}
 	}
--- a/internal/request/dispatch/read.go
+++ b/internal/request/dispatch/read.go
@@ -7,6 +7,7 @@
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/fleet/belief"
 	"tanagercross/internal/fleet/catalog"
+	"tanagercross/internal/instance/clock"
 )
 
 // choose returns the next server for a read, or waits for the leader if no other server is left.
@@ -108,7 +109,7 @@
 	}
 	if leads {
 		r.d.again(got.leader, got.answer)
-		if got.answer.Fate != statement.Lost && !pause(waiting, retryPause) {
+		if got.answer.Fate != statement.Lost && !clock.Sleep(waiting, retryPause) {
 			return false
 		}
 	}
--- /dev/null
+++ b/internal/session/conversation/conversation_test.go
@@ -0,0 +1,202 @@
+package conversation_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/statement"
+	"tanagercross/internal/fleet/catalog"
+	"tanagercross/internal/organisation/key"
+	"tanagercross/internal/request/dispatch"
+	"tanagercross/internal/session/conversation"
+	"tanagercross/internal/session/outcome"
+)
+
+// servers answers every call with the same answer and records the calls.
+type servers struct {
+	answer     statement.Answer
+	calls      []statement.Call
+	rolledBack int
+}
+
+func (s *servers) Single(_ context.Context, _ catalog.Database, c statement.Call) statement.Answer {
+	s.calls = append(s.calls, c)
+	return s.answer
+}
+
+func (s *servers) Open(_ context.Context, _ catalog.Database, c statement.Call) (statement.Answer, *dispatch.Pin) {
+	s.calls = append(s.calls, c)
+	if !s.answer.OK() {
+		return s.answer, nil
+	}
+	a := s.answer
+	a.State = statement.InTransaction
+	return a, &dispatch.Pin{Server: "meals-1", Transaction: 7}
+}
+
+func (s *servers) Continue(_ context.Context, _ catalog.Database, _ dispatch.Pin, c statement.Call) statement.Answer {
+	s.calls = append(s.calls, c)
+	return s.answer
+}
+
+func (s *servers) Rollback(dispatch.Pin, statement.Call) { s.rolledBack++ }
+
+type world struct {
+	servers       servers
+	configuration catalog.Configuration
+	refusal       outcome.Reason
+	stopping      bool
+}
+
+func (w *world) Take(context.Context, string) outcome.Reason { return w.refusal }
+
+func (w *world) Refused(_, _, _ string, _ statement.Code, _ string) {}
+
+func (w *world) Answered(_, _ string, _ statement.Query, _ statement.Answer, _ time.Duration) {}
+
+func start(t *testing.T, keys ...string) (*world, *conversation.Conversation) {
+	t.Helper()
+	w := &world{servers: servers{answer: statement.Answer{
+		Fate: statement.Answered, Signature: "sig", Position: driver.Position{Term: 2, Index: 9},
+	}}}
+	w.configure(keys...)
+	c, refusal := conversation.Start(conversation.Environment{
+		Configuration: func() catalog.Configuration { return w.configuration }, Current: func() bool { return true },
+		Dispatcher: &w.servers, Limiter: w, Observer: w, Ending: func() bool { return false },
+		Stopping: func() bool { return w.stopping },
+	}, "s1", "tally", "k1")
+	if c == nil {
+		t.Fatalf("refused: %+v", refusal)
+	}
+	return w, c
+}
+
+func (w *world) configure(keys ...string) {
+	o := catalog.Organisation{Name: "coop"}
+	for _, k := range keys {
+		o.Keys = append(o.Keys, key.HashOf(k))
+	}
+	w.configuration = catalog.NewConfiguration(1,
+		[]catalog.Database{{Name: "tally", Group: "meals", Consistency: catalog.ReadYourWrites}}, nil,
+		[]catalog.Organisation{o}).WithTransactionIdle(50 * time.Millisecond)
+}
+
+func do(c *conversation.Conversation, b statement.Statement) statement.Answer {
+	return c.Handle(context.Background(), statement.Query{ID: "q", Body: b})
+}
+
+// Guards against a caller that is told "not run" about a statement that may have run, and against one that is left in
+// doubt although nothing can have been kept.
+func TestFatesAreToldTruthfully(t *testing.T) {
+	lost := statement.NoAnswer("no answer")
+	for name, c := range map[string]struct {
+		before []statement.Statement
+		body   statement.Statement
+		answer statement.Answer
+		code   statement.Code
+		state  statement.State
+	}{
+		"single write":            {nil, statement.Write{}, lost, statement.Unknown, statement.Idle},
+		"single read":             {nil, statement.Read{}, lost, statement.Timeout, statement.Idle},
+		"write not sent":          {nil, statement.Write{}, statement.Refused(statement.WrongServer, ""), statement.Busy, statement.Idle},
+		"full queue":              {nil, statement.Write{}, statement.Refused(statement.TooMany, ""), statement.TooMany, statement.Idle},
+		"strange code":            {nil, statement.Write{}, statement.Answer{Fate: statement.Answered, Code: statement.UnknownReason}, statement.UnknownReason, statement.Idle},
+		"first of a transaction":  {[]statement.Statement{statement.Begin{}}, statement.Write{}, lost, statement.Aborted, statement.FailedTransaction},
+		"next of a transaction":   {[]statement.Statement{statement.Begin{}, statement.Write{}}, statement.Write{}, lost, statement.Aborted, statement.FailedTransaction},
+		"commit after a write":    {[]statement.Statement{statement.Begin{}, statement.Write{}}, statement.Commit{}, lost, statement.Unknown, statement.Idle},
+		"commit after reads only": {[]statement.Statement{statement.Begin{}, statement.Read{}}, statement.Commit{}, lost, statement.Aborted, statement.Idle},
+	} {
+		w, session := start(t, "k1")
+		ok := w.servers.answer
+		for _, b := range c.before {
+			w.servers.answer = ok
+			w.servers.answer.State = statement.InTransaction
+			if a := do(session, b); !a.OK() {
+				t.Fatalf("%s: %T: %+v", name, b, a)
+			}
+		}
+		w.servers.answer = c.answer
+		if a := do(session, c.body); a.Code != c.code || a.State != c.state {
+			t.Errorf("%s: code %q, state %d; want %q, %d", name, a.Code, a.State, c.code, c.state)
+		}
+	}
+}
+
+// Guards against a read that does not ask for the session's own commit, or asks for a position that goes back.
+func TestReadsAskForTheOwnCommit(t *testing.T) {
+	w, session := start(t, "k1")
+	do(session, statement.Write{Arguments: "a 1"})
+	w.servers.answer.Position = driver.Position{Term: 1, Index: 50}
+	do(session, statement.Write{Arguments: "a 2"})
+	do(session, statement.Read{Arguments: "a"})
+	if after := w.servers.calls[2].After; after != (driver.Position{Term: 2, Index: 9}) {
+		t.Errorf("the read asks for %s, want 2/9", after)
+	}
+}
+
+// Guards against an operation that runs under a withdrawn key, outside its rate, or in an unknown database.
+func TestOperationsAreAdmitted(t *testing.T) {
+	w, session := start(t, "k1")
+	w.refusal = outcome.RateExceeded
+	if a := do(session, statement.Read{}); a.Code != statement.TooMany || a.State != statement.Idle || session.Over() {
+		t.Errorf("outside the rate: %+v", a)
+	}
+	w.refusal = ""
+	do(session, statement.Begin{})
+	do(session, statement.Write{})
+	w.configure("k2")
+	if a := do(session, statement.Write{}); a.Code != statement.Unauthorized || a.State != statement.FailedTransaction {
+		t.Errorf("withdrawn key inside a transaction: %+v", a)
+	}
+	if w.servers.rolledBack != 1 || len(w.servers.calls) != 1 {
+		t.Errorf("%d rollbacks, %d calls; want 1 and 1", w.servers.rolledBack, len(w.servers.calls))
+	}
+	if a := do(session, statement.Rollback{}); !a.OK() || a.State != statement.Idle {
+		t.Errorf("rollback: %+v", a)
+	}
+	if a := do(session, statement.Read{}); a.Code != statement.Unauthorized || !session.Over() {
+		t.Errorf("withdrawn key: %+v", a)
+	}
+	if len(w.servers.calls) != 1 {
+		t.Error("a statement ran under a withdrawn key")
+	}
+}
+
+// Guards against a transaction that goes on after a pause in which its server connection was rolled back.
+func TestIdleTransactionIsAborted(t *testing.T) {
+	w, session := start(t, "k1")
+	do(session, statement.Begin{})
+	w.servers.answer.State = statement.InTransaction
+	do(session, statement.Write{})
+	time.Sleep(80 * time.Millisecond)
+	if a := do(session, statement.Commit{}); a.Code != statement.Aborted || w.servers.rolledBack != 1 {
+		t.Errorf("%+v, %d rollbacks", a, w.servers.rolledBack)
+	}
+}
+
+// Guards against sessions that grow without bound, and against an answer to a name that was never prepared.
+func TestSessionsAreBounded(t *testing.T) {
+	_, session := start(t, "k1")
+	refused := 0
+	for n := range 100 {
+		if a := do(session, statement.Set{Name: fmt.Sprint(n), Value: "x"}); a.Code == statement.TooLarge {
+			refused++
+		}
+		if a := do(session, statement.Prepare{Name: fmt.Sprint(n), Shape: "q"}); a.Code == statement.TooLarge {
+			refused++
+		}
+	}
+	if refused != 72 {
+		t.Errorf("%d of 200 refused, want 72", refused)
+	}
+	if a := do(session, statement.Set{Name: "1", Value: strings.Repeat("x", 1<<20)}); a.Code != statement.TooLarge {
+		t.Errorf("long value: %+v", a)
+	}
+	if a := do(session, statement.Execute{Name: "never"}); a.Code != statement.NoStatement {
+		t.Errorf("unknown name: %+v", a)
+	}
+}
--- a/internal/standin/cluster/conn.go
+++ b/internal/standin/cluster/conn.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"strings"
 	"time"
 
@@ -273,6 +272,3 @@
 	k.open, k.writes, k.ids = false, nil, nil
 	return statement.Answer{Fate: statement.Answered, Signature: s.ID}
 }
-
-// Values returns a copy of the session values, for tests.
-func (k *conn) Values() map[string]string { return maps.Clone(k.values) }
