Claim blocks of ports, so that deployments of two processes never share one

FreeAddresses chose its block of ports by the process id modulo 20. Two processes whose ids agree modulo 20 share a block, and while the demo's killed primary is down its port is free: the experiment's deployment, which starts then, is given it. Both deployments use the same names, so the servers of one take the fences and entries of the other.

TestProcessesGetDistinctPorts fails on the old code.

Change: a process claims blocks of 250 ports by listening on the first port of each while it lives, and gives no port twice.

--- a/internal/standin/network/port.go
+++ b/internal/standin/network/port.go
@@ -10,30 +10,34 @@
 )
 
 // Ports for listeners are below the range that outgoing connections use, so that a server can come back under its
-// address. Each process takes them from a part of its own, and never gives one out twice: a port that is free when it
-// is chosen may be taken by a parallel test before it is used.
+// address. A process claims whole blocks of ports by listening on the first port of each, for as long as it lives, and
+// never gives a port out twice: one that is free when it is chosen may be taken by a parallel test before it is used,
+// or belong to a server that is down and comes back.
 const (
-	firstPort      = 12000
-	portsOfProcess = 1000
-	processes      = 20
+	firstPort    = 12000
+	portsOfBlock = 250
+	blocks       = 80
 )
 
 var ports struct {
 	sync.Mutex
-	next int
+	claims []net.Listener // held until the process ends
+	first  int            // of the block in use
+	next   int            // offset in the block; 0 if none was claimed yet
 }
 
-// FreeAddresses returns loopback addresses for listeners.
+// FreeAddresses returns loopback addresses for listeners, each only once in all processes that use this package.
 func FreeAddresses(n int) ([]string, error) {
 	ports.Lock()
 	defer ports.Unlock()
-	first := firstPort + os.Getpid()%processes*portsOfProcess
 	addresses := make([]string, 0, n)
-	for range portsOfProcess {
-		if len(addresses) == n {
-			return addresses, nil
+	for len(addresses) < n {
+		if ports.next == 0 || ports.next == portsOfBlock {
+			if err := claimBlock(); err != nil {
+				return nil, err
+			}
 		}
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(first+ports.next%portsOfProcess))
+		address := loopback(ports.first + ports.next)
 		ports.next++
 		l, err := net.Listen("tcp", address)
 		if err != nil {
@@ -44,5 +48,22 @@
 		}
 		addresses = append(addresses, address)
 	}
-	return nil, eris.New("no free port found")
+	return addresses, nil
 }
+
+// claimBlock takes the next block that no process holds. Processes start at different blocks to meet fewer claims.
+func claimBlock() error {
+	for i := range blocks {
+		first := firstPort + (os.Getpid()+i)%blocks*portsOfBlock
+		l, err := net.Listen("tcp", loopback(first))
+		if err != nil {
+			continue
+		}
+		ports.claims = append(ports.claims, l)
+		ports.first, ports.next = first, 1
+		return nil
+	}
+	return eris.New("no free block of ports found")
+}
+
+func loopback(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
