Remove the report of unreachable servers, which no instance ever made

Cause: Cut and Reached of internal/fleet/belief were called only by tests, so Presence.Unreachable was always empty and the order of holders never depended on it. Dispatch already asks the next holder when one refuses because it does not reach the server.

--- a/internal/fleet/belief/belief.go
+++ b/internal/fleet/belief/belief.go
@@ -35,8 +35,6 @@
 	missingFor = 2500 * time.Millisecond
 	// outageAfter is the pause between two reads that counts as an outage.
 	outageAfter = 4 * time.Second
-	// cutFor is how long a report that an instance does not reach a server holds.
-	cutFor = 2 * time.Second
 )
 
 // Row is a row of the store.
@@ -62,13 +60,12 @@
 
 // Presence is an instance as last heard.
 type Presence struct {
-	Name        string
-	Address     string
-	Place       string
-	Leaving     bool
-	Down        bool     // not heard by the steward of its place; told to other places only
-	Unreachable []string // ids of servers
-	Heard       time.Duration
+	Name    string
+	Address string
+	Place   string
+	Leaving bool
+	Down    bool // not heard by the steward of its place; told to other places only
+	Heard   time.Duration
 }
 
 // Demand is what callers of a place asked for, in operations per second.
@@ -126,7 +123,6 @@
 	demands       map[string]Demand
 	suspects      map[string]time.Duration
 	stopped       map[string]bool
-	cuts          map[string]time.Duration // servers that this instance does not reach, until then
 	changed       chan struct{}
 }
 
@@ -144,7 +140,7 @@
 	t := &Table{
 		self: self, decoder: d, observer: o, leaders: map[string]Leader{},
 		disproved: map[string]disproval{}, presences: map[string]Presence{}, demands: map[string]Demand{},
-		suspects: map[string]time.Duration{}, stopped: map[string]bool{}, cuts: map[string]time.Duration{}, changed: make(chan struct{}),
+		suspects: map[string]time.Duration{}, stopped: map[string]bool{}, changed: make(chan struct{}),
 	}
 	t.members = roster.New(0, []roster.Member{{Name: self.Name, Address: self.Address, Place: self.Place}})
 	return t
--- a/internal/fleet/belief/presence.go
+++ b/internal/fleet/belief/presence.go
@@ -106,43 +106,17 @@
 }
 
 // Holders returns the instances through which a server is to be used, best first. All instances derive the same order
-// from the same members; those that do not reach the server come last.
+// from the same members.
 func (t *Table) Holders(now time.Duration, server, place string) []roster.Member {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	var usable, cut []roster.Member
+	var usable []roster.Member
 	for _, m := range t.members.Rank(server, place) {
-		switch {
-		case !t.alive(now, m):
-		case t.reaches(now, m.Name, server):
+		if t.alive(now, m) {
 			usable = append(usable, m)
-		default:
-			cut = append(cut, m)
 		}
 	}
-	return append(usable, cut...)
-}
-
-func (t *Table) reaches(now time.Duration, name, server string) bool {
-	if name == t.self.Name {
-		return now >= t.cuts[server]
-	}
-	p := t.presences[name]
-	return now-p.Heard > presenceFor || !slices.Contains(p.Unreachable, server)
-}
-
-// Cut notes that this instance does not reach a server.
-func (t *Table) Cut(now time.Duration, server string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.cuts[server] = now + cutFor
-}
-
-// Reached notes that this instance reaches a server.
-func (t *Table) Reached(server string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.cuts, server)
+	return usable
 }
 
 // Stewards returns the instances of a place in the order in which they act for it.
@@ -201,11 +175,6 @@
 	defer t.mu.RUnlock()
 	p := t.self
 	p.Heard = now
-	for server, until := range t.cuts {
-		if now < until {
-			p.Unreachable = append(p.Unreachable, server)
-		}
-	}
 	return p
 }
 
@@ -245,7 +214,7 @@
 			continue
 		}
 		p.Down = now-p.Heard >= AliveFor
-		if p.Down || p.Leaving || len(p.Unreachable) > 0 {
+		if p.Down || p.Leaving {
 			p.Heard = now
 			b.Presences = append(b.Presences, p)
 		}
--- a/internal/fleet/relay/message.go
+++ b/internal/fleet/relay/message.go
@@ -154,14 +154,14 @@
 func encodePresence(p belief.Presence, now time.Duration) *relayv1.Presence {
 	return &relayv1.Presence{
 		Name: p.Name, Address: p.Address, Place: p.Place, Leaving: p.Leaving, Down: p.Down,
-		AgeMilliseconds: age(now, p.Heard), Unreachable: p.Unreachable,
+		AgeMilliseconds: age(now, p.Heard),
 	}
 }
 
 func decodePresence(p *relayv1.Presence, now time.Duration) belief.Presence {
 	return belief.Presence{
 		Name: p.GetName(), Address: p.GetAddress(), Place: p.GetPlace(),
-		Leaving: p.GetLeaving(), Down: p.GetDown(), Unreachable: p.GetUnreachable(), Heard: moment(now, p.GetAgeMilliseconds()),
+		Leaving: p.GetLeaving(), Down: p.GetDown(), Heard: moment(now, p.GetAgeMilliseconds()),
 	}
 }
 
