Check that a port is free by connecting to it

FreeAddresses listened on the port and closed it. A process that is started in between inherits the descriptor and keeps the port until it runs its own program, so that the caller's own listen fails.

TestPortsAreFreeBesideStarts fails at once. After: the test passes; the check only connects.

--- a/internal/standin/network/port.go
+++ b/internal/standin/network/port.go
@@ -1,10 +1,13 @@
 package network
 
 import (
+	"errors"
 	"net"
 	"os"
 	"strconv"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -17,6 +20,7 @@
 	firstPort    = 12000
 	portsOfBlock = 250
 	blocks       = 80
+	dialTimeout  = time.Second
 )
 
 var ports struct {
@@ -39,18 +43,25 @@
 		}
 		address := loopback(ports.first + ports.next)
 		ports.next++
-		l, err := net.Listen("tcp", address)
-		if err != nil {
+		if !refuses(address) {
 			continue
 		}
-		if err := l.Close(); err != nil {
-			return nil, eris.Wrap(err, "close "+address)
-		}
 		addresses = append(addresses, address)
 	}
 	return addresses, nil
 }
 
+// refuses reports whether nothing listens at an address. Listening there would not do as a check: a process that is started
+// meanwhile inherits the descriptor and holds the port until it runs its own program.
+func refuses(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 // claimBlock takes the next block that no process holds. Processes start at different blocks to meet fewer claims.
 func claimBlock() error {
 	for i := range blocks {
--- a/internal/standin/network/port_test.go
+++ b/internal/standin/network/port_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"io"
+	"net"
 	"os"
 	"os/exec"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 
 	"tanagercross/internal/standin/network"
@@ -71,6 +73,37 @@
 	}
 }
 
+// Guards against an address that is still taken by the check that found it free: a process that is started meanwhile
+// inherits the descriptor until it runs its own program.
+func TestPortsAreFreeBesideStarts(t *testing.T) {
+	ended := make(chan struct{})
+	var starters sync.WaitGroup
+	t.Cleanup(func() { close(ended); starters.Wait() })
+	for range 4 {
+		starters.Go(func() {
+			for {
+				select {
+				case <-ended:
+					return
+				default:
+					_ = exec.Command("true").Run()
+				}
+			}
+		})
+	}
+	for range 1500 {
+		addresses, err := network.FreeAddresses(1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, err := net.Listen("tcp", addresses[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = l.Close()
+	}
+}
+
 // Guards against an address that one process is given twice, also after its first block of ports is used up.
 func TestPortsAreGivenOnce(t *testing.T) {
 	seen := map[string]bool{}
