Add a fault soak of real processes before a stand-in of the platform

Processes are stopped, killed, paused and reloaded by signals; servers crash, go dark, lag, lose answers; the store refuses, is slow or silent, loses answers, forgets its history. Checked while it runs and at the end: stale reads by kind of database, writes lost, doubled or kept after a refusal, session values, tokens, missing answers, withdrawn keys and removed databases, recovery.

What a server gets and does not understand stays a fault of the test (Cluster.Fault). The stand-in's check of tokens held only for its own store: it now remembers which holder used a token first, for all groups.

Repeating lost writes was not found: a lost write uses up its statement's time, so that no time for a second one is left.

--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -67,9 +67,11 @@
 	turnedAway    map[string]bool // instances that the store does not serve
 	calls         int
 	promotions    int
-	tokens        map[string]uint64
-	acknowledged  map[string]driver.Position // by item
-	runs          map[string]int             // committed writes by statement id
+	tokens        map[string]uint64 // newest by group
+	holders       map[uint64]string // of the promotion duty, by token
+	runs          map[string]int    // committed writes by statement id
+	rolledBack    map[commit]bool   // commits that a promotion dropped
+	synchronous   map[string]bool   // groups whose commits wait for a replica
 	faults        []string
 	changed       chan struct{}
 }
@@ -78,8 +80,8 @@
 func New(boot func() time.Duration) *Cluster {
 	return &Cluster{
 		boot: boot, servers: map[string]*Server{}, members: map[string]member{}, duties: map[string]dutyRow{},
-		turnedAway: map[string]bool{}, tokens: map[string]uint64{}, acknowledged: map[string]driver.Position{},
-		runs: map[string]int{}, changed: make(chan struct{}), version: 1,
+		turnedAway: map[string]bool{}, tokens: map[string]uint64{}, holders: map[uint64]string{},
+		runs: map[string]int{}, rolledBack: map[commit]bool{}, synchronous: map[string]bool{}, changed: make(chan struct{}), version: 1,
 	}
 }
 
@@ -115,6 +117,13 @@
 	c.configuration, c.configured = configuration, c.version
 }
 
+// Synchronous makes the commits of a group wait until a replica has received them.
+func (c *Cluster) Synchronous(group string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.synchronous[group] = true
+}
+
 // Crash stops a server with its connections; Restart brings it back with its log.
 func (c *Cluster) Crash(id string) { c.change(id, func(s *Server) { s.down = true; s.drop() }) }
 
@@ -213,6 +222,13 @@
 	return best
 }
 
+// Fault keeps what broke a promise, as seen by an adapter before the servers.
+func (c *Cluster) Fault(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fault(format, args...)
+}
+
 func (c *Cluster) fault(format string, args ...any) {
 	c.faults = append(c.faults, fmt.Sprintf(format, args...))
 }
@@ -260,6 +276,11 @@
 		term = max(term, old.term)
 		old.Role = driver.Replica
 	}
+	if old != nil {
+		for _, e := range old.log[min(len(s.log), len(old.log)):] {
+			c.rolledBack[e] = true
+		}
+	}
 	s.Role, s.term, s.paused, s.applied = driver.Primary, term+1, false, len(s.log)
 	for _, other := range c.servers {
 		if other.Group == s.Group {
--- a/internal/standin/cluster/conn.go
+++ b/internal/standin/cluster/conn.go
@@ -158,11 +158,13 @@
 	case statement.Close:
 		k.open, k.failed, k.writes, k.ids = false, false, nil, nil
 	case statement.Forward:
+		before := len(s.log)
 		a = k.forward(command)
 		if s.lose > 0 {
 			s.lose--
 			lost = true
 		}
+		lost = lost || len(s.log) > before && c.synchronous[s.Group] && !c.received(s)
 	}
 	if a.Code != "" && k.open {
 		k.failed = true
--- a/internal/standin/cluster/store.go
+++ b/internal/standin/cluster/store.go
@@ -144,6 +144,7 @@
 		}
 		d.holder, d.until = holder, now+lease
 		c.duties[duty] = d
+		c.holders[d.token] = holder
 		claim = entry.Claim{Holder: holder, Token: d.token, Remaining: lease}
 		return nil
 	})
@@ -158,10 +159,10 @@
 	if s == nil || s.down || token < c.tokens[group] {
 		return entry.ErrConflict
 	}
-	if token == c.tokens[group] && c.duties["promotion"].holder != holder {
-		c.fault("%s promotes with the token %d of another holder", holder, token)
+	if other, used := c.holders[token]; used && other != holder {
+		c.fault("%s promotes with the token %d of %s", holder, token, other)
 	}
-	c.tokens[group] = token
+	c.tokens[group], c.holders[token] = token, holder
 	time.AfterFunc(promoteDelay, func() { c.promote(s) })
 	return nil
 }
--- /dev/null
+++ b/test/soak/caller_test.go
@@ -0,0 +1,293 @@
+package soak
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	statementTimeout = 800 * time.Millisecond
+	answerMargin     = 1200 * time.Millisecond // beyond the statement's time, before an answer counts as missing
+	socketTimeout    = 6 * time.Second
+	stalenessBound   = 1500 * time.Millisecond
+	settled          = 6 * time.Second // after a disturbance, before a missing answer counts
+	thinkTime        = 15 * time.Millisecond
+)
+
+// promises are the codes after which nothing of the attempt is kept.
+var promises = []string{"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"}
+
+// acknowledged is one write of an item that its caller was told to be done.
+type acknowledged struct {
+	value uint64
+	at    time.Time
+}
+
+// register holds what was acknowledged of each item. Each item has one writer, whose values grow.
+type register struct {
+	mu     sync.Mutex
+	writes map[string][]acknowledged
+}
+
+func (r *register) note(item string, value uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writes[item] = append(r.writes[item], acknowledged{value: value, at: time.Now()})
+}
+
+// before returns what was acknowledged before a moment, the newest last.
+func (r *register) before(item string, moment time.Time) []acknowledged {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := r.writes[item]
+	n := len(all)
+	for n > 0 && !all[n-1].at.Before(moment) {
+		n--
+	}
+	return slices.Clone(all[:n])
+}
+
+// reply is the answer to one query.
+type reply struct {
+	rows  []string
+	code  string
+	state string
+}
+
+// session is one connection of a caller.
+type session struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func (s *session) close() { _ = s.conn.Close() }
+
+var errSession = errors.New("session refused")
+
+func openSession(address, database, key string) (*session, string, error) {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return nil, "", err
+	}
+	s := &session{conn: conn, in: bufio.NewReader(conn)}
+	_ = conn.SetDeadline(time.Now().Add(socketTimeout))
+	if _, err := fmt.Fprintf(conn, "START %s %s\r\n", database, key); err != nil {
+		s.close()
+		return nil, "", err
+	}
+	line, err := s.in.ReadString('\n')
+	if err != nil {
+		s.close()
+		return nil, "", err
+	}
+	if word, rest, _ := strings.Cut(strings.TrimSpace(line), " "); word != "READY" {
+		s.close()
+		code, _, _ := strings.Cut(rest, " ")
+		return nil, code, errSession
+	}
+	return s, "", nil
+}
+
+func (s *session) query(id, text string) (reply, error) {
+	_ = s.conn.SetDeadline(time.Now().Add(socketTimeout))
+	if _, err := fmt.Fprintf(s.conn, "QUERY %s %s\r\n", id, text); err != nil {
+		return reply{}, err
+	}
+	var r reply
+	for {
+		line, err := s.in.ReadString('\n')
+		if err != nil {
+			return reply{}, err
+		}
+		word, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
+		switch word {
+		case "ROW":
+			r.rows = append(r.rows, rest)
+		case "ERROR":
+			r.code, _, _ = strings.Cut(rest, " ")
+		case "READY":
+			r.state, _, _ = strings.Cut(rest, " ")
+			return r, nil
+		}
+	}
+}
+
+// caller runs operations in sessions of one database until the trial ends them.
+type caller struct {
+	trial    *trial
+	name     string
+	database string
+	group    string
+	key      string
+	random   *rand.Rand
+	next     uint64 // value and statement id
+	own      []acknowledged
+}
+
+func (c *caller) run() {
+	for !c.trial.ended() {
+		i := c.trial.instances[c.random.IntN(len(c.trial.instances))]
+		s, _, err := openSession(i.callers.Address(), c.host(), c.key)
+		if err != nil {
+			time.Sleep(5 * thinkTime)
+			continue
+		}
+		c.own = nil
+		if r, err := s.query(c.id(), "SET owner "+c.name); err == nil && r.code == "" {
+			for range 5 + c.random.IntN(40) {
+				if c.trial.ended() || !c.operate(s, i) {
+					break
+				}
+				time.Sleep(time.Duration(c.random.Int64N(int64(2 * thinkTime))))
+			}
+		}
+		s.close()
+	}
+}
+
+// host is the name under which callers know the database.
+func (c *caller) host() string {
+	if c.group == groups[0] {
+		return c.database
+	}
+	return c.group + "-" + c.database
+}
+
+func (c *caller) id() string {
+	c.next++
+	return c.name + "/" + strconv.FormatUint(c.next, 10)
+}
+
+func (c *caller) operate(s *session, i *instance) bool {
+	switch n := c.random.IntN(10); {
+	case n < 3:
+		return c.write(s, i)
+	case n < 4:
+		return c.transaction(s, i)
+	}
+	return c.read(s, i)
+}
+
+// ask sends a query and checks that it is answered in time.
+func (c *caller) ask(s *session, i *instance, id, text string) (reply, bool) {
+	started := time.Now()
+	r, err := s.query(id, text)
+	if took := time.Since(started); took > statementTimeout+answerMargin && !i.harmedSince(started.Add(-settled)) {
+		c.trial.fault("%s got no answer from %s to %s within %v: %v", c.name, i.name, id, took, err)
+	}
+	return r, err == nil
+}
+
+// refused notes that nothing of the statements may be kept.
+func (c *caller) refused(code string, ids ...string) {
+	if slices.Contains(promises, code) {
+		c.trial.mu.Lock()
+		defer c.trial.mu.Unlock()
+		for _, id := range ids {
+			c.trial.refused[id] = code
+		}
+	}
+}
+
+func (c *caller) done(value uint64) {
+	c.trial.register.note(c.name, value)
+	c.own = append(c.own, acknowledged{value: value, at: time.Now()})
+}
+
+func (c *caller) write(s *session, i *instance) bool {
+	id := c.id()
+	value := c.next
+	r, ok := c.ask(s, i, id, fmt.Sprintf("WRITE %s %d", c.name, value))
+	if !ok {
+		return false
+	}
+	if r.code == "" {
+		c.done(value)
+		return true
+	}
+	c.refused(r.code, id)
+	return true
+}
+
+func (c *caller) transaction(s *session, i *instance) bool {
+	if r, ok := c.ask(s, i, c.id(), "BEGIN"); !ok || r.code != "" {
+		return ok && r.state == "I"
+	}
+	id := c.id()
+	value := c.next
+	r, ok := c.ask(s, i, id, fmt.Sprintf("WRITE %s %d", c.name, value))
+	if !ok {
+		return false
+	}
+	end := "COMMIT"
+	if r.code != "" || c.random.IntN(4) == 0 {
+		end = "ROLLBACK"
+	}
+	last, ok := c.ask(s, i, c.id(), end)
+	switch {
+	case !ok:
+		return false
+	case end == "ROLLBACK":
+		c.refused("ABORTED", id)
+	case last.code == "":
+		c.done(value)
+	default:
+		c.refused(last.code, id)
+	}
+	return last.state == "I"
+}
+
+// read reads an item and checks that it holds what the database promises.
+func (c *caller) read(s *session, i *instance) bool {
+	item := c.name
+	if c.random.IntN(3) == 0 {
+		others := c.trial.callersOf(c.group)
+		item = others[c.random.IntN(len(others))].name
+	}
+	id, started := c.id(), time.Now()
+	r, ok := c.ask(s, i, id, "READ "+item)
+	if !ok {
+		return false
+	}
+	if r.code != "" {
+		return true
+	}
+	var value uint64
+	if len(r.rows) == 1 && r.rows[0] != "" {
+		var err error
+		if value, err = strconv.ParseUint(r.rows[0], 10, 64); err != nil {
+			c.trial.fault("%s read %q from %s", c.name, r.rows[0], item)
+		}
+	}
+	var want []acknowledged
+	switch {
+	case c.database == "bookings":
+		want = c.trial.register.before(item, started)
+	case c.database == "plates":
+		want = c.trial.register.before(item, started.Add(-stalenessBound))
+	case item == c.name:
+		want = c.own
+	}
+	c.checkAge(id, item, value, want)
+	return true
+}
+
+// checkAge reports a read that lacks a write that it had to see. Writes that a promotion dropped do not count.
+func (c *caller) checkAge(id, item string, value uint64, want []acknowledged) {
+	for n := len(want) - 1; n >= 0 && want[n].value > value; n-- {
+		if c.trial.cluster.RolledBack(item, strconv.FormatUint(want[n].value, 10)) {
+			continue
+		}
+		c.trial.fault("%s on %s read %d from %s, which was %d since %v", id, c.database, value, item, want[n].value,
+			time.Since(want[n].at).Round(time.Millisecond))
+		return
+	}
+}
