Let places lend each other tokens of an organisation's rate

The rate is divided between six places: a share of 1/6 of a rate of 17 with a burst of 17 is 2.8 a second with two whole tokens saved up, too few for the chance of a moment at half the rate, while the other places' tokens lie unused. The same holds in small on the sites with three places.

Change: the steward of a place that has used its share up asks the stewards of up to three other places, those with most to spare first, within 180 ms. A lender hands out tokens of its own bucket, so that the sum of all places stays what it was. A place that had too few is left alone for 0.5 s, and one whose demand exceeds its share is not asked.

Tests: TestPlacesLendTokens (3 of 30 at once were served of a rate of 12 with full buckets, now at least 7 and at most 16), TestLenders, the relay's Take with the new field.

--- a/internal/fleet/relay/handler.go
+++ b/internal/fleet/relay/handler.go
@@ -46,7 +46,9 @@
 
 // Take implements the service.
 func (h *handler) Take(ctx context.Context, r *connect.Request[relayv1.TakeRequest]) (*connect.Response[relayv1.TakeResponse], error) {
-	g := h.services.Take(ctx, r.Msg.From, r.Msg.Organisation, int(r.Msg.Wanted))
+	g := h.services.Take(ctx, Tokens{
+		From: r.Msg.From, Organisation: r.Msg.Organisation, Wanted: int(r.Msg.Wanted), Lend: r.Msg.Lend,
+	})
 	return connect.NewResponse(&relayv1.TakeResponse{
 		Granted: uint32(max(0, g.Granted)), RetryMilliseconds: uint32(g.RetryAfter.Milliseconds()),
 	}), nil
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -85,11 +85,19 @@
 	Planned bool   // the primary still serves
 }
 
+// Tokens asks for tokens of an organisation's rate.
+type Tokens struct {
+	From         string // instance
+	Organisation string
+	Wanted       int
+	Lend         bool // for callers of another place
+}
+
 // Services is what an instance offers to others.
 type Services interface {
 	Execute(ctx context.Context, server string, c statement.Call) statement.Answer
 	Exchange(ctx context.Context, e Exchange) belief.Beliefs
-	Take(ctx context.Context, from, organisation string, wanted int) allotment.Grant
+	Take(ctx context.Context, t Tokens) allotment.Grant
 	Head(ctx context.Context, server string) (proof.Proof, bool)
 	Probe(ctx context.Context, server string) Probe
 	Succeed(ctx context.Context, s Succession) (accepted bool, l belief.Leader)
@@ -210,8 +218,8 @@
 }
 
 // Take asks an instance for rate tokens.
-func (c *Client) Take(ctx context.Context, address, from, organisation string, wanted int) (allotment.Grant, error) {
-	in := &relayv1.TakeRequest{From: from, Organisation: organisation, Wanted: uint32(max(0, wanted))}
+func (c *Client) Take(ctx context.Context, address string, t Tokens) (allotment.Grant, error) {
+	in := &relayv1.TakeRequest{From: t.From, Organisation: t.Organisation, Wanted: uint32(max(0, t.Wanted)), Lend: t.Lend}
 	p := c.peer(address)
 	out, err := watchedCall(ctx, "take", p, p.service.Take, in, takeTimeout)
 	if err != nil {
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -38,8 +38,8 @@
 	return i.told
 }
 
-func (i *instance) Take(_ context.Context, _, _ string, wanted int) allotment.Grant {
-	return allotment.Grant{Granted: wanted - 1, RetryAfter: 30 * time.Millisecond}
+func (i *instance) Take(_ context.Context, w relay.Tokens) allotment.Grant {
+	return allotment.Grant{Granted: w.Wanted - 1, RetryAfter: 30 * time.Millisecond}
 }
 
 func (i *instance) Head(context.Context, string) (proof.Proof, bool) {
@@ -167,7 +167,7 @@
 // Guards against the remaining calls losing what they carry.
 func TestOtherCalls(t *testing.T) {
 	client, address := serve(t, &instance{})
-	if g, err := client.Take(context.Background(), address, "i1", "coop", 3); err != nil || g.Granted != 2 || g.RetryAfter != 30*time.Millisecond {
+	if g, err := client.Take(context.Background(), address, relay.Tokens{From: "i1", Organisation: "coop", Wanted: 3, Lend: true}); err != nil || g.Granted != 2 || g.RetryAfter != 30*time.Millisecond {
 		t.Errorf("grant %+v, %v", g, err)
 	}
 	if p, err := client.Probe(context.Background(), address, "meals-1"); err != nil || !p.Reached || p.Primary {
--- a/internal/instance/entry/exchange.go
+++ b/internal/instance/entry/exchange.go
@@ -301,9 +301,12 @@
 }
 
 // Take implements relay.Services.
-func (s *services) Take(_ context.Context, from, organisation string, wanted int) allotment.Grant {
-	s.n.table.Trust(s.n.boot(), from)
-	return s.n.rates.grant(organisation, wanted)
+func (s *services) Take(ctx context.Context, t relay.Tokens) allotment.Grant {
+	if t.Lend {
+		return s.n.rates.grant(t.Organisation, t.Wanted)
+	}
+	s.n.table.Trust(s.n.boot(), t.From)
+	return s.n.rates.supply(ctx, t.Organisation, t.Wanted)
 }
 
 // Head implements relay.Services.
--- a/internal/instance/entry/rates.go
+++ b/internal/instance/entry/rates.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"sync"
 	"time"
 
 	"tanagercross/internal/fleet/belief"
+	"tanagercross/internal/fleet/relay"
 	"tanagercross/internal/organisation/allotment"
 	"tanagercross/internal/session/outcome"
 )
@@ -26,7 +28,8 @@
 )
 
 // rates keeps organisations in their rates. The steward of a place hands out the place's share of each rate, cut by the
-// part of the place's instances that it hears: instances that are cut off together have no more than their part.
+// part of the place's instances that it hears: instances that are cut off together have no more than their part. A place
+// that has used its share up borrows tokens from the others.
 type rates struct {
 	n     *Node
 	homes allotment.Homes
@@ -39,6 +42,7 @@
 	anew    bool          // no instance of the place knew an earlier demand
 	settled belief.Demand // own place's demand as last told to others
 	next    belief.Demand
+	empty   map[lender]time.Duration // places that had nothing to lend, until then
 }
 
 type heardDemand struct {
@@ -47,7 +51,7 @@
 }
 
 func newRates(n *Node) *rates {
-	return &rates{n: n, counts: map[string]float64{}, demand: map[string]float64{}, others: map[string]heardDemand{}}
+	return &rates{n: n, counts: map[string]float64{}, demand: map[string]float64{}, others: map[string]heardDemand{}, empty: map[lender]time.Duration{}}
 }
 
 // admit takes a token and counts the demand.
@@ -92,6 +96,7 @@
 		r.demand[o] = d
 	}
 	clear(r.counts)
+	maps.DeleteFunc(r.empty, func(_ lender, until time.Duration) bool { return now >= until })
 	r.publish(now)
 }
 
@@ -191,12 +196,7 @@
 		since -= restartShare
 	}
 	r.mu.Unlock()
-	g := r.homes.Grant(moment(now), moment(since), organisation, s, wanted)
-	if g.Granted < wanted {
-		r.n.log.Info("rate used up", "organisation", organisation, "rate", o.Rate, "burst", o.Burst, "part", part, "live", live, "all", all,
-			"wanted", wanted, "granted", g.Granted, "retry_ms", g.RetryAfter.Milliseconds())
-	}
-	return g
+	return r.homes.Grant(moment(now), moment(since), organisation, s, wanted)
 }
 
 // moment turns a reading of the boot clock into a time, for code that takes times.
@@ -205,14 +205,14 @@
 // Take implements allotment.Taker: it asks the steward of the place.
 func (r *rates) Take(ctx context.Context, organisation string, wanted, _ int) (allotment.Grant, error) {
 	if r.n.exchanges.steward() {
-		return r.grant(organisation, wanted), nil
+		return r.supply(ctx, organisation, wanted), nil
 	}
 	now := r.n.boot()
 	for _, m := range r.n.table.Stewards(r.n.settings.Place) {
 		if m.Name == r.n.settings.Name || r.n.exchanges.failing(now, m.Name) {
 			continue
 		}
-		g, err := r.n.client.Take(ctx, m.Address, r.n.settings.Name, organisation, wanted)
+		g, err := r.n.client.Take(ctx, m.Address, relay.Tokens{From: r.n.settings.Name, Organisation: organisation, Wanted: wanted})
 		if err != nil {
 			r.n.table.Suspect(r.n.boot(), m.Name)
 		}
--- a/internal/instance/entry/rates_test.go
+++ b/internal/instance/entry/rates_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -66,6 +67,43 @@
 	}
 }
 
+// Guards against callers of one place that are refused within the rate of their organisation while the shares of other
+// places lie unused, and against tokens that are counted twice on their way.
+func TestPlacesLendTokens(t *testing.T) {
+	const rate = 12.0
+	f := newFleet(t, "agreste", "agreste", "sertao", "litoral")
+	f.cluster.Configure(configuration(2, rate, keyText))
+	time.Sleep(4 * time.Second) // the buckets of all places fill
+	var served atomic.Int64
+	var callers sync.WaitGroup
+	for range 30 {
+		callers.Go(func() {
+			if f.session(0, "plates").read("plates").OK() {
+				served.Add(1)
+			}
+		})
+	}
+	callers.Wait()
+	if n := served.Load(); n < 7 || n > rate+4 {
+		t.Errorf("%d of 30 served at once, want at least 7 of the %g of all places, and no more than what fills up meanwhile", n, rate)
+	}
+}
+
+// Guards against calls between regions to places that have nothing to lend.
+func TestLenders(t *testing.T) {
+	places := []string{"agreste", "litoral", "sertao"}
+	demands := map[string]belief.Demand{
+		"agreste": {Rates: map[string]float64{"coop": 9}}, "litoral": {Rates: map[string]float64{"coop": 6}},
+	}
+	if got := entry.Lenders("coop", 20, "agreste", places, demands); !slices.Equal(got, []string{"sertao", "litoral"}) {
+		t.Errorf("lenders %v, want the one with most to spare first", got)
+	}
+	demands["sertao"] = belief.Demand{Rates: map[string]float64{"coop": 60}}
+	if got := entry.Lenders("coop", 20, "agreste", places, demands); slices.Contains(got, "sertao") {
+		t.Errorf("lenders %v, want none that asks for more than its share", got)
+	}
+}
+
 // Guards against callers that are refused within their rate because the steward of the place stops, and against a new
 // steward that believes that its place has no demand.
 func TestRateSurvivesTheSteward(t *testing.T) {
