Put holders and stewards on the powerful machines of their place

The busiest primary is used through front-buxton-a-5, one of 16 machines of its place with 0.134 cores and 10 Mbit/s; two others have 0.8 cores and 200 Mbit/s. That instance is also the steward of its place. 574 attempts get no answer from it in time and 6,798 meet its full queue. The rendezvous order does not know what a machine can do.

Change: an instance tells its processing power in its row and in its presence. Holders and stewards are ranked by power first: members with at least half the power of the place's most powerful one come before the others; among them the rendezvous order holds as before. Where all machines are alike nothing changes. Weighting the rendezvous scores by power was weighed: two machines of 0.8 beside 16 of 0.134 would still leave half of the servers with the weak ones.

--- a/internal/fleet/belief/belief.go
+++ b/internal/fleet/belief/belief.go
@@ -64,7 +64,8 @@
 	Address string
 	Place   string
 	Leaving bool
-	Down    bool // not heard by the steward of its place; told to other places only
+	Down    bool    // not heard by the steward of its place; told to other places only
+	Power   float64 // processing power of the machine, in cores; 0 if not known
 	Heard   time.Duration
 }
 
@@ -142,7 +143,7 @@
 		disproved: map[string]disproval{}, presences: map[string]Presence{}, demands: map[string]Demand{},
 		suspects: map[string]time.Duration{}, stopped: map[string]bool{}, changed: make(chan struct{}),
 	}
-	t.members = roster.New(0, []roster.Member{{Name: self.Name, Address: self.Address, Place: self.Place}})
+	t.members = roster.New(0, []roster.Member{{Name: self.Name, Address: self.Address, Place: self.Place, Power: self.Power}})
 	return t
 }
 
@@ -354,7 +355,7 @@
 	if r.Version < t.memberRows.Version {
 		return
 	}
-	members := []roster.Member{{Name: t.self.Name, Address: t.self.Address, Place: t.self.Place}}
+	members := []roster.Member{{Name: t.self.Name, Address: t.self.Address, Place: t.self.Place, Power: t.self.Power}}
 	for _, row := range r.Rows {
 		m, err := t.decoder.Member(row.Key, row.Value)
 		if err != nil {
--- a/internal/fleet/belief/presence.go
+++ b/internal/fleet/belief/presence.go
@@ -31,7 +31,7 @@
 	m, listed := t.members.Member(p.Name)
 	if p.Address != "" && (!listed || m.Address != p.Address) {
 		members := slices.DeleteFunc(slices.Clone(t.members.Members()), func(m roster.Member) bool { return m.Name == p.Name })
-		members = append(members, roster.Member{Name: p.Name, Address: p.Address, Place: p.Place})
+		members = append(members, roster.Member{Name: p.Name, Address: p.Address, Place: p.Place, Power: p.Power})
 		t.members = roster.New(t.members.Version(), members)
 	}
 }
@@ -111,7 +111,7 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	var usable []roster.Member
-	for _, m := range t.members.Rank(server, place) {
+	for _, m := range t.members.RankByPower(server, place) {
 		if t.alive(now, m) {
 			usable = append(usable, m)
 		}
@@ -123,7 +123,7 @@
 func (t *Table) Stewards(place string) []roster.Member {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	all := t.members.Rank("steward", place)
+	all := t.members.RankByPower("steward", place)
 	n := slices.IndexFunc(all, func(m roster.Member) bool { return m.Place != place })
 	if n >= 0 {
 		all = all[:n]
--- a/internal/fleet/relay/message.go
+++ b/internal/fleet/relay/message.go
@@ -153,14 +153,14 @@
 
 func encodePresence(p belief.Presence, now time.Duration) *relayv1.Presence {
 	return &relayv1.Presence{
-		Name: p.Name, Address: p.Address, Place: p.Place, Leaving: p.Leaving, Down: p.Down,
+		Name: p.Name, Address: p.Address, Place: p.Place, Leaving: p.Leaving, Down: p.Down, Power: float32(p.Power),
 		AgeMilliseconds: age(now, p.Heard),
 	}
 }
 
 func decodePresence(p *relayv1.Presence, now time.Duration) belief.Presence {
 	return belief.Presence{
-		Name: p.GetName(), Address: p.GetAddress(), Place: p.GetPlace(),
+		Name: p.GetName(), Address: p.GetAddress(), Place: p.GetPlace(), Power: float64(p.GetPower()),
 		Leaving: p.GetLeaving(), Down: p.GetDown(), Heard: moment(now, p.GetAgeMilliseconds()),
 	}
 }
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -27,12 +27,17 @@
 // fleet of 4,000 would send 33 KB/s; the budget is 12 KB/s.
 const maximumWitnesses = 255
 
+// muchPower is the share of the power of the place's most powerful member from which a member counts as powerful.
+const muchPower = 0.5
+
 // Member is an instance of the fleet. The name is kept over restarts.
 type Member struct {
 	Name    string `json:"name"`
 	Address string `json:"address"` // host:port for other instances
 	Place   string `json:"place"`
 	Leaving bool   `json:"leaving,omitempty"`
+	// Power is the processing power of the machine in cores; 0 if it is not known.
+	Power float64 `json:"power,omitempty"`
 }
 
 // Roster is an immutable list of members, ordered by name. The zero value is an empty roster of version 0.
@@ -163,6 +168,26 @@
 	return members
 }
 
+// RankByPower orders members like Rank, but within a place those with much processing power come before the others. Work
+// that one member does for many belongs on these.
+func (r Roster) RankByPower(key, place string) []Member {
+	most := map[string]float64{}
+	for _, m := range r.members {
+		most[m.Place] = max(most[m.Place], m.Power)
+	}
+	weak := func(m Member) int {
+		if m.Power < most[m.Place]*muchPower {
+			return 1
+		}
+		return 0
+	}
+	members := r.rank(key, staying)
+	slices.SortStableFunc(members, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(distance(a, place), distance(b, place)), cmp.Compare(weak(a), weak(b)))
+	})
+	return members
+}
+
 func distance(m Member, place string) int {
 	if m.Place == place {
 		return 0
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -138,3 +138,34 @@
 		}
 	}
 }
+
+// Guards against work for many instances on a machine that is much weaker than others of its place, and against all of it
+// on one machine.
+func TestRankByPower(t *testing.T) {
+	list := []roster.Member{{Name: "x", Place: "sertao", Power: 4}}
+	for n := range 12 {
+		m := roster.Member{Name: fmt.Sprint("i", n), Place: "agreste", Power: 0.134}
+		if n%4 == 0 {
+			m.Power = 0.8
+		}
+		list = append(list, m)
+	}
+	r := roster.New(1, list)
+	first := map[string]bool{}
+	for k := range 100 {
+		ranked := r.RankByPower(fmt.Sprint(k), "agreste")
+		first[ranked[0].Name] = true
+		for n, m := range ranked {
+			if strong := m.Power == 0.8; strong != (n < 3) || (m.Place == "sertao") != (n == 12) {
+				t.Fatalf("key %d: %s with power %g is at %d", k, m.Name, m.Power, n)
+			}
+		}
+	}
+	if len(first) != 3 {
+		t.Errorf("only %v come first", first)
+	}
+	equal := roster.New(1, members(9))
+	if d := cmp.Diff(names(equal.Rank("k", "place-1")), names(equal.RankByPower("k", "place-1"))); d != "" {
+		t.Error(d)
+	}
+}
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -41,7 +41,8 @@
 type Settings struct {
 	Name         string
 	Place        string
-	PeersAddress string // for other instances
+	Power        float64 // processing power of the machine, in cores; 0 if not known
+	PeersAddress string  // for other instances
 	DutyLease    time.Duration
 	// ConfigurationLimit is the age of the configuration past which callers are refused; 0 for no limit.
 	ConfigurationLimit time.Duration
@@ -114,7 +115,7 @@
 		prefix: hex.EncodeToString(random) + "-",
 	}
 	n.observer = newObserver(n, o.Log, o.Metrics)
-	self := belief.Presence{Name: o.Settings.Name, Address: o.Settings.PeersAddress, Place: o.Settings.Place}
+	self := belief.Presence{Name: o.Settings.Name, Address: o.Settings.PeersAddress, Place: o.Settings.Place, Power: o.Settings.Power}
 	n.table = belief.NewTable(self, o.Decoder, n.observer)
 	n.rates = newRates(n)
 	n.gates = newGates(n)
--- a/internal/instance/entry/ports.go
+++ b/internal/instance/entry/ports.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tanagercross/internal/fleet/belief"
+	"tanagercross/internal/fleet/roster"
 )
 
 // Errors of the ports.
@@ -36,7 +37,7 @@
 	// Members reads the instances' rows.
 	Members(ctx context.Context) (belief.Rows, error)
 	// Announce writes the row of an instance.
-	Announce(ctx context.Context, name, address, place string) error
+	Announce(ctx context.Context, m roster.Member) error
 	// Forget removes the row of an instance if it still has a version.
 	Forget(ctx context.Context, name string, version uint64) error
 	// Claim takes or renews a duty for an instance unless another one holds it.
--- a/internal/instance/entry/reader.go
+++ b/internal/instance/entry/reader.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"tanagercross/internal/fleet/belief"
+	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/instance/clock"
 )
 
@@ -72,7 +73,9 @@
 func (n *Node) announce(ctx context.Context) bool {
 	call, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	err := n.options.Store.Announce(call, n.settings.Name, n.settings.PeersAddress, n.settings.Place)
+	err := n.options.Store.Announce(call, roster.Member{
+		Name: n.settings.Name, Address: n.settings.PeersAddress, Place: n.settings.Place, Power: n.settings.Power,
+	})
 	n.observer.dependency("store members", err)
 	if err != nil {
 		// The list of members is useful even if the own row could not be written.
--- a/internal/standin/cluster/store.go
+++ b/internal/standin/cluster/store.go
@@ -110,10 +110,10 @@
 }
 
 // Announce implements entry.Store.
-func (s Store) Announce(_ context.Context, name, address, place string) error {
+func (s Store) Announce(_ context.Context, m roster.Member) error {
 	return s.call(func(c *Cluster) error {
 		c.bump()
-		c.members[name] = member{address: address, place: place, version: c.version}
+		c.members[m.Name] = member{address: m.Address, place: m.Place, version: c.version}
 		return nil
 	})
 }
