Replace a leader that its own entry calls a replica

Cause: found by a new test of faults in pairs. The primary crashes, another server is promoted and dies before the order's instance sees it lead, and the old primary comes back as a replica. The guardian still believes that the old one leads, and as it is listed again the group does not count as without a leader: nothing examines it, "no primary is known" for as long as the test ran (600 s). Other instances knew better, but a refused write disproves the leader only where it was refused.

Change: the guardian counts a group as without a leader also while the entry of the known leader does not say that it is primary.

Tests: TestPromotedServerDies (fails before, 4.4 s after); TestTwoGroupsLoseTheirPrimaries, TestPrimaryAndInstanceDieTogether and TestPrimaryDiesDuringAnOutageOfTheStore passed at once and are kept as proofs.

--- a/internal/instance/entry/succession.go
+++ b/internal/instance/entry/succession.go
@@ -179,7 +179,8 @@
 	l, known := g.n.table.Leader(group)
 	s, listed := g.n.table.Servers().Server(l.Server)
 	g.mu.Lock()
-	if known && listed {
+	// A server that died right after its promotion leaves its predecessor as the known leader, which is back as a replica.
+	if known && listed && s.Role == driver.Primary {
 		delete(g.leaderless, group)
 	} else if g.leaderless[group] == 0 {
 		g.leaderless[group] = now
