Promote in synchronous groups only with all replicas that may hold a commit

Cause: the number of replicas that must report was taken from the listed servers.

Change: before a choice in a group with synchronous replicas the servers are read from the store; replicas that leave are asked too; a replica whose entry is gone counts until the leader has outlived it by 8 s. A relieved primary whose whole log is on the next one needs no further reports.

--- a/internal/database/succession/succession.go
+++ b/internal/database/succession/succession.go
@@ -4,7 +4,9 @@
 //
 //	switch succession.Judge(evidence) {
 //	case succession.Replace:
-//		next, ok := succession.Choose(reports, needed)
+//		if succession.Sufficient(reports, replicas, syncReplicas, relieved) {
+//			next, ok := succession.Choose(reports, place)
+//		}
 //	case succession.Keep, succession.Wait:
 //	}
 //
@@ -75,8 +77,9 @@
 
 // Report is a server's answer during a change of primary.
 type Report struct {
-	Server string
-	Place  string
+	Server  string
+	Place   string
+	Leaving bool
 	statement.Report
 }
 
@@ -89,19 +92,36 @@
 	return max(1, replicas-syncReplicas+1)
 }
 
-// Choose returns the server that received the most, preferring the place of the old primary.
+// Sufficient reports whether the reports show a server that has all acknowledged commits: enough replicas report, or one
+// has all that the relieved primary had. The replicas are those of the group, listed or missing.
+func Sufficient(reports []Report, replicas, syncReplicas int, relieved driver.Position) bool {
+	if best, ok := Choose(reports, ""); ok && relieved.Term > 0 && best.Received.Compare(relieved) >= 0 {
+		return true
+	}
+	return len(reports) >= Needed(replicas, syncReplicas)
+}
+
+// Choose returns the server that received the most; of equal ones it prefers those that stay, then those in the place of
+// the old primary.
 func Choose(reports []Report, place string) (Report, bool) {
 	var best Report
 	found := false
 	for _, r := range reports {
 		c := r.Received.Compare(best.Received)
-		if !found || c > 0 || c == 0 && r.Place == place && best.Place != place {
+		if !found || c > 0 || c == 0 && r.preferred(best, place) {
 			best, found = r, true
 		}
 	}
 	return best, found
 }
 
+func (r Report) preferred(other Report, place string) bool {
+	if r.Leaving != other.Leaving {
+		return other.Leaving
+	}
+	return r.Place == place && other.Place != place
+}
+
 // Term returns a term above all that the servers know.
 func Term(reports []Report, known uint64) uint64 {
 	for _, r := range reports {
--- a/internal/database/succession/succession_test.go
+++ b/internal/database/succession/succession_test.go
@@ -70,6 +70,42 @@
 	}
 }
 
+// Guards against a choice from too few reports while a replica that is not listed may have more, and against one that
+// waits for replicas although the relieved primary's whole log was received.
+func TestSufficientReports(t *testing.T) {
+	two := []succession.Report{report("a", "x", 3, 7), report("b", "y", 3, 9)}
+	for name, c := range map[string]struct {
+		reports        []succession.Report
+		replicas, sync int
+		relieved       driver.Position
+		want           bool
+	}{
+		"asynchronous":                   {two[:1], 2, 0, driver.Position{}, true},
+		"all report":                     {two, 2, 1, driver.Position{}, true},
+		"one is missing":                 {two, 3, 1, driver.Position{}, false},
+		"has all of the relieved":        {two, 3, 1, driver.Position{Term: 3, Index: 9}, true},
+		"lacks one of the relieved":      {two, 3, 1, driver.Position{Term: 3, Index: 10}, false},
+		"nobody reports, asynchronous":   {nil, 2, 0, driver.Position{}, false},
+		"nobody reports to the relieved": {nil, 2, 0, driver.Position{Term: 3, Index: 9}, false},
+	} {
+		if got := succession.Sufficient(c.reports, c.replicas, c.sync, c.relieved); got != c.want {
+			t.Errorf("%s: %t, want %t", name, got, c.want)
+		}
+	}
+}
+
+// Guards against a choice of a server that is about to stop, unless no other one has as much.
+func TestChooseOneThatStays(t *testing.T) {
+	leaving := report("a", "x", 3, 9)
+	leaving.Leaving = true
+	if best, _ := succession.Choose([]succession.Report{leaving, report("b", "y", 3, 9)}, "x"); best.Server != "b" {
+		t.Errorf("chose %s, want the one that stays", best.Server)
+	}
+	if best, _ := succession.Choose([]succession.Report{report("b", "y", 3, 8), leaving}, "y"); best.Server != "a" {
+		t.Errorf("chose %s, want the most advanced", best.Server)
+	}
+}
+
 // Guards against a second change when a server leads already.
 func TestLeading(t *testing.T) {
 	leads := report("b", "y", 4, 1)
--- a/internal/fleet/belief/belief.go
+++ b/internal/fleet/belief/belief.go
@@ -33,6 +33,9 @@
 	presenceFor = 3 * time.Second
 	// missingFor is how long a server whose entry is missing is kept after an outage of the store.
 	missingFor = 2500 * time.Millisecond
+	// excusedAfter is how long a server must be missing before its group's leader is known to have outlived it: the entry
+	// of a leader that has died lasts three heartbeats, and the list is up to two seconds old.
+	excusedAfter = 8 * time.Second
 	// outageAfter is the pause between two reads that counts as an outage.
 	outageAfter = 4 * time.Second
 )
@@ -116,6 +119,7 @@
 	servers       catalog.Servers
 	serverRows    Rows
 	outageUntil   time.Duration
+	missing       map[string]missingServer // by id
 	members       roster.Roster
 	memberRows    Rows
 	leaders       map[string]Leader
@@ -127,6 +131,12 @@
 	changed       chan struct{}
 }
 
+// missingServer is a server whose entry is gone.
+type missingServer struct {
+	server catalog.Server
+	since  time.Duration
+}
+
 // disproval is a leader that refused to lead.
 type disproval struct {
 	leader Leader
@@ -140,7 +150,7 @@
 func NewTable(self Presence, d Decoder, o Observer) *Table {
 	t := &Table{
 		self: self, decoder: d, observer: o, leaders: map[string]Leader{},
-		disproved: map[string]disproval{}, presences: map[string]Presence{}, demands: map[string]Demand{},
+		missing: map[string]missingServer{}, disproved: map[string]disproval{}, presences: map[string]Presence{}, demands: map[string]Demand{},
 		suspects: map[string]time.Duration{}, stopped: map[string]bool{}, changed: make(chan struct{}),
 	}
 	t.members = roster.New(0, []roster.Member{{Name: self.Name, Address: self.Address, Place: self.Place, Power: self.Power}})
@@ -258,6 +268,7 @@
 	}
 	before := t.servers
 	t.servers, t.serverRows = catalog.NewServers(r.Version, list), r
+	t.noteMissing(before)
 	if !slices.Equal(before.All(), t.servers.All()) {
 		t.observer.ServersChanged(before, t.servers, r.Read)
 		t.adoptRoles()
@@ -267,6 +278,36 @@
 	t.servers = before
 }
 
+// noteMissing keeps the servers whose entries went. One is excused once the leader of its group has outlived it: whatever
+// the leader acknowledged since then is on the others.
+func (t *Table) noteMissing(before catalog.Servers) {
+	for _, s := range before.All() {
+		if _, listed := t.servers.Server(s.ID); !listed {
+			t.missing[s.ID] = missingServer{server: s, since: t.serverRows.Read}
+		}
+	}
+	for id, m := range t.missing {
+		leader, listed := t.servers.Server(t.leaders[m.server.Group].Server)
+		outlived := listed && leader.Role == driver.Primary && t.serverRows.Read-m.since > excusedAfter
+		if _, back := t.servers.Server(id); back || outlived {
+			delete(t.missing, id)
+		}
+	}
+}
+
+// MissingReplicas returns how many replicas of a group are not listed and may hold commits that no listed one has.
+func (t *Table) MissingReplicas(group string) int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	n := 0
+	for _, m := range t.missing {
+		if m.server.Group == group && m.server.Role == driver.Replica {
+			n++
+		}
+	}
+	return n
+}
+
 // adoptRoles derives leaders from the servers' own reports where nothing better is known.
 func (t *Table) adoptRoles() {
 	for _, s := range t.servers.All() {
--- a/internal/fleet/belief/belief_test.go
+++ b/internal/fleet/belief/belief_test.go
@@ -192,3 +192,37 @@
 		}
 	}
 }
+
+// Guards against a missing replica that is forgotten while it may be the only one with the last commits, and against one
+// that is waited for although the leader has outlived it.
+func TestMissingReplicas(t *testing.T) {
+	b, _ := table()
+	at := time.Second
+	read := func(entries ...string) int {
+		at += time.Second
+		b.SetServers(at, rows(uint64(at), at, entries...))
+		return b.MissingReplicas("meals")
+	}
+	if n := read("a=primary", "b=replica", "c=replica"); n != 0 {
+		t.Errorf("%d missing, want none", n)
+	}
+	if n := read("a=primary", "b=replica"); n != 1 {
+		t.Errorf("%d missing, want c", n)
+	}
+	if n := read("a=primary", "b=replica", "c=replica"); n != 0 {
+		t.Errorf("%d missing after c came back", n)
+	}
+	for range 9 {
+		read("a=primary", "b=replica")
+	}
+	if n := read("a=primary", "b=replica"); n != 0 {
+		t.Errorf("%d missing although the leader has outlived c", n)
+	}
+	read("a=primary")
+	for range 9 {
+		read()
+	}
+	if n := b.MissingReplicas("meals"); n != 1 {
+		t.Errorf("%d missing after the death of all, want b", n)
+	}
+}
--- a/internal/fleet/catalog/catalog.go
+++ b/internal/fleet/catalog/catalog.go
@@ -92,6 +92,13 @@
 	return c
 }
 
+// WithGroup returns a copy in which a replicated database is added or replaced.
+func (c Configuration) WithGroup(g Group) Configuration {
+	c.groups = maps.Clone(c.groups)
+	c.groups[g.Name] = g
+	return c
+}
+
 // Database returns a database by the name that callers use.
 func (c Configuration) Database(name string) (Database, bool) {
 	d, ok := c.databases[name]
--- a/internal/instance/entry/entry_test.go
+++ b/internal/instance/entry/entry_test.go
@@ -93,11 +93,10 @@
 
 func (f *fleet) eventually(what string, ok func() bool) {
 	f.t.Helper()
-	for range 600 {
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if ok() {
 			return
 		}
-		time.Sleep(10 * time.Millisecond)
 	}
 	f.t.Fatalf("%s: not within 6 s", what)
 }
--- a/internal/instance/entry/reader.go
+++ b/internal/instance/entry/reader.go
@@ -168,20 +168,26 @@
 			clock.Sleep(ctx, idleCheck/2)
 			continue
 		}
-		call, cancel := context.WithTimeout(ctx, readTimeout)
-		started := n.boot()
-		rows, err := n.options.Store.Servers(call)
-		cancel()
-		n.observer.dependency("store servers", err)
-		if err != nil {
+		if err := n.readServersOnce(ctx); err != nil {
 			clock.Sleep(ctx, readRetry)
-			continue
 		}
-		rows.Read = started
-		n.table.SetServers(n.boot(), rows)
 	}
 }
 
+func (n *Node) readServersOnce(ctx context.Context) error {
+	call, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	started := n.boot()
+	rows, err := n.options.Store.Servers(call)
+	n.observer.dependency("store servers", err)
+	if err != nil {
+		return err
+	}
+	rows.Read = started
+	n.table.SetServers(n.boot(), rows)
+	return nil
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/instance/entry/replace.go
+++ b/internal/instance/entry/replace.go
@@ -28,7 +28,17 @@
 	if l, ok := g.n.table.Leader(group); ok && old.ID != "" && l.Server != old.ID {
 		return nil
 	}
-	candidates := g.candidates(group, old.ID)
+	syncReplicas := 0
+	if c, ok := g.n.table.Configuration().Group(group); ok {
+		syncReplicas = c.SyncReplicas
+	}
+	if syncReplicas > 0 {
+		// A replica that came back after the last read may have the last commits.
+		if err := g.n.readServersOnce(ctx); err != nil {
+			return err
+		}
+	}
+	candidates := g.candidates(group, old.ID, syncReplicas > 0)
 	if len(candidates) == 0 {
 		return eris.Errorf("no other server of %s", group)
 	}
@@ -41,13 +51,10 @@
 		g.lead(group, leading)
 		return nil
 	}
-	syncReplicas := 0
-	if c, ok := g.n.table.Configuration().Group(group); ok {
-		syncReplicas = c.SyncReplicas
-	}
-	if needed := succession.Needed(len(candidates), syncReplicas); len(reports) < needed {
+	missing := g.n.table.MissingReplicas(group)
+	if !succession.Sufficient(reports, len(candidates)+missing, syncReplicas, relieved) {
 		g.resume(candidates, reports, "")
-		return eris.Errorf("%d of %d replicas report, %d needed", len(reports), len(candidates), needed)
+		return eris.Errorf("%d of %d replicas report, %d are missing: an acknowledged commit may be lost", len(reports), len(candidates), missing)
 	}
 	return g.promote(ctx, group, old, claim, candidates, reports)
 }
@@ -78,8 +85,9 @@
 	return eris.Errorf("the duty is held by %s, which is not reached", claim.Holder)
 }
 
-// candidates returns the servers that may lead, those that stay first.
-func (g *guard) candidates(group, old string) []catalog.Server {
+// candidates returns the servers that may lead: those that stay, if there are any. With synchronous replicas one that
+// leaves may be the only one that has the last commits.
+func (g *guard) candidates(group, old string, synchronous bool) []catalog.Server {
 	var staying, leaving []catalog.Server
 	for _, s := range g.n.table.Servers().Of(group) {
 		switch {
@@ -90,8 +98,8 @@
 			staying = append(staying, s)
 		}
 	}
-	if len(staying) == 0 {
-		return leaving
+	if synchronous || len(staying) == 0 {
+		return append(staying, leaving...)
 	}
 	return staying
 }
@@ -144,7 +152,7 @@
 				results <- nil
 				return
 			}
-			results <- &succession.Report{Server: s.ID, Place: s.Place, Report: r}
+			results <- &succession.Report{Server: s.ID, Place: s.Place, Leaving: s.Leaving, Report: r}
 		}()
 	}
 	var reports []succession.Report
