Send no write whose time ended while its instance stood still

Cause: an instance that was stopped or suspended sent a write or commit that waited in it after it woke. Timers do not count the time of a suspended machine, and after a stop the statement can win against its timer.

Change: the gate takes the end of a statement's time by the clock that counts suspended time, and looks at it before it sends a single write or a commit. Such a statement is answered with aborted, which is true.

--- a/internal/database/gate/gate.go
+++ b/internal/database/gate/gate.go
@@ -163,6 +163,8 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, c.Timeout)
 		defer cancel()
+		// The timer does not count the time of a suspended machine.
+		c.Expires = g.options.Boot() + c.Timeout
 	}
 	switch c.Step {
 	case statement.Next, statement.End:
--- a/internal/database/gate/gate_test.go
+++ b/internal/database/gate/gate_test.go
@@ -239,3 +239,52 @@
 		t.Errorf("got %+v after %v, want an answer within 600 ms", a, time.Since(started))
 	}
 }
+
+// suspension is a clock that jumps after its next reading, as if the machine had been suspended then.
+type suspension struct {
+	mu    sync.Mutex
+	armed bool
+	slept time.Duration
+}
+
+func (s *suspension) arm() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.armed = true
+}
+
+func (s *suspension) boot() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Boot() + s.slept
+	if s.armed {
+		s.armed = false
+		s.slept += 5 * time.Second
+	}
+	return now
+}
+
+// Guards against a write that is sent after its time is over, because the machine was suspended while it waited.
+func TestWriteOfASuspendedMachineIsNotSent(t *testing.T) {
+	var s suspension
+	c, g := start(t, primary, gate.Options{Boot: s.boot})
+	s.arm()
+	if a := g.Execute(context.Background(), write("s1", 1)); a.Fate != statement.NotSent || a.Code != statement.Aborted || c.Runs("s1/1") != 0 {
+		t.Errorf("got %+v and %d runs, want aborted and none", a, c.Runs("s1/1"))
+	}
+	first := write("s1", 2)
+	first.Step = statement.First
+	opened := g.Execute(context.Background(), first)
+	end := write("s1", 3)
+	end.Step, end.Body, end.Transaction = statement.End, statement.Commit{}, opened.Transaction
+	s.arm()
+	if a := g.Execute(context.Background(), end); a.Code != statement.Aborted || c.Runs("s1/2") != 0 {
+		t.Errorf("commit: got %+v and %d runs, want aborted and none", a, c.Runs("s1/2"))
+	}
+	if a := g.Execute(context.Background(), write("s1", 4)); !a.OK() {
+		t.Errorf("a write in time: %+v", a)
+	}
+	if _, transactions, _, _ := g.Counts(); transactions != 0 {
+		t.Errorf("%d transactions are open", transactions)
+	}
+}
--- a/internal/database/gate/run.go
+++ b/internal/database/gate/run.go
@@ -109,6 +109,9 @@
 	if c.Scope == statement.Replica {
 		forward.After = c.After
 	}
+	if c.Writes() && g.expired(c) {
+		return expiredRefusal(), true
+	}
 	commands := []statement.Command{forward}
 	if proving {
 		commands = append(commands, statement.Close{})
@@ -206,9 +209,20 @@
 		g.finish(c.Transaction, t, false)
 		return statement.Refused(statement.Aborted, refusal.Text)
 	}
+	if _, ok := c.Body.(statement.Commit); ok && g.expired(c) {
+		_ = g.rollback(ctx, c.Transaction, t)
+		return expiredRefusal()
+	}
 	return g.run(ctx, c.Transaction, t, c)
 }
 
+// expired reports whether a statement's time is over.
+func (g *Gate) expired(c statement.Call) bool { return c.Expires > 0 && g.options.Boot() > c.Expires }
+
+func expiredRefusal() statement.Answer {
+	return statement.Refused(statement.Aborted, "its time was over before it was sent")
+}
+
 // rollback ends a transaction; its connection is closed if the server does not confirm.
 func (g *Gate) rollback(ctx context.Context, id uint64, t *transaction) statement.Answer {
 	answers, err := g.send(t.link, deadlineOf(ctx, controlTimeout), statement.Close{})
--- a/internal/database/statement/statement.go
+++ b/internal/database/statement/statement.go
@@ -161,6 +161,7 @@
 	Values       []Value
 	Preparation  *Preparation // set for Execute
 	Timeout      time.Duration
+	Expires      time.Duration // end of the timeout by the clock of the instance that uses the server; 0 for none
 }
 
 // Writes reports whether the statement itself changes data.
