Repeat the first read of a starting instance while the store is silent

A call that reached it then is never answered, so that each instance found out at its time-out of 1 s and a pause of 0.4 s that the store was back, 0.55 s late.

Change: until an instance that starts again has a configuration, it reads it again each 250 ms without giving up the calls before. Servers and members are read once it has one, so that one kind of call is repeated.

--- a/internal/instance/entry/reader.go
+++ b/internal/instance/entry/reader.go
@@ -18,6 +18,10 @@
 	readTimeout       = time.Second
 	readRetry         = 400 * time.Millisecond // after a failed read
 	idleCheck         = 150 * time.Millisecond
+	// firstRepeat is the pause after which an instance that starts again repeats its first read although the one before
+	// is not answered: a store that was silent answers only calls that reach it after its return, and callers wait.
+	firstRepeat = 250 * time.Millisecond
+	firstCheck  = 5 * time.Millisecond
 	// staleAfter is the age of a document past which an instance reads it itself; a further step for each instance that
 	// comes before it keeps all of a place from reading at once.
 	staleAfter = 2200 * time.Millisecond
@@ -48,6 +52,7 @@
 	// The list is read after the own row is written: of two instances that start together one sees the other. An
 	// instance that starts again knows the others sooner if it reads the list at once.
 	if !n.settings.FirstStart {
+		n.awaitStore(ctx)
 		n.spawn(func() { n.readMembersOnce(ctx) })
 	}
 	for !n.announce(ctx) {
@@ -116,6 +121,51 @@
 	}
 }
 
+// awaitStore waits until an instance that starts again has its configuration, so that only one kind of call is repeated
+// while the store does not answer.
+func (n *Node) awaitStore(ctx context.Context) {
+	for end := n.boot() + readTimeout; n.boot() < end && clock.Sleep(ctx, firstCheck); {
+		if read, _, _ := n.table.Ages(); read > 0 {
+			return
+		}
+	}
+}
+
+// repeated makes a call, and makes it again at each pause until one succeeds or the context ends. The last error counts.
+func repeated[T any](ctx context.Context, pause time.Duration, call func(context.Context) (T, error)) (T, error) {
+	type result struct {
+		value T
+		err   error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result)
+	ticker := time.NewTicker(pause)
+	defer ticker.Stop()
+	last := result{err: context.DeadlineExceeded}
+	for {
+		go func() {
+			v, err := call(ctx)
+			select {
+			case results <- result{v, err}:
+			case <-ctx.Done():
+			}
+		}()
+		for waiting := true; waiting; {
+			select {
+			case last = <-results:
+				if last.err == nil {
+					return last.value, nil
+				}
+			case <-ticker.C:
+				waiting = false
+			case <-ctx.Done():
+				return last.value, last.err
+			}
+		}
+	}
+}
+
 // readConfiguration follows the configuration while it is this instance's turn.
 func (n *Node) readConfiguration(ctx context.Context) {
 	following := uint64(0) // version after which changes are awaited; 0 to read the row first
@@ -129,7 +179,11 @@
 		next, err := n.followConfiguration(ctx, following)
 		n.observer.dependency("store configuration", err)
 		following = next
-		if err != nil {
+		switch {
+		case err == nil:
+		case read == 0:
+			clock.Sleep(ctx, firstRepeat)
+		default:
 			clock.Sleep(ctx, readRetry)
 		}
 	}
@@ -142,7 +196,11 @@
 	if after == 0 {
 		call, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
-		rows, err = n.options.Store.Configuration(call)
+		if read, _, _ := n.table.Ages(); read == 0 && !n.settings.FirstStart {
+			rows, err = repeated(call, firstRepeat, n.options.Store.Configuration)
+		} else {
+			rows, err = n.options.Store.Configuration(call)
+		}
 	} else {
 		call, cancel := context.WithTimeout(ctx, configurationWait+readTimeout/2)
 		defer cancel()
@@ -161,6 +219,9 @@
 
 // readServers reads the servers' rows while it is this instance's turn, and at once when a leader is in doubt.
 func (n *Node) readServers(ctx context.Context) {
+	if !n.settings.FirstStart {
+		n.awaitStore(ctx)
+	}
 	for ctx.Err() == nil {
 		_, read, _ := n.table.Ages()
 		due := n.reads(read) && n.boot()-read >= serversPeriod
