Hand out the tokens that a restarted place has saved up as its instances are heard

The time for which the place had saved up tokens was put into a bucket at its first use, multiplied by the part of the place that the steward heard then, which is one instance of seven; the rest was lost.

Change: the steward adds what was saved up step by step as it hears more instances, for one second. The time from the process's start to the first steward counts too, because no instance of the place admitted anybody. A demand that another instance tells from before this steward shows that the place served meanwhile, and ends it.

--- a/internal/instance/entry/exchange.go
+++ b/internal/instance/entry/exchange.go
@@ -242,6 +242,9 @@
 	if n.table.Heard(m.Name) == 0 {
 		n.table.Hear(belief.Presence{Name: m.Name, Address: m.Address, Place: m.Place, Heard: 1})
 	}
+	if m.Place == n.settings.Place {
+		n.rates.learn(answer.Demands)
+	}
 	n.table.Merge(now, answer) // the answer may say that the instance leaves
 	n.table.Trust(now, m.Name)
 	e.mu.Lock()
@@ -295,6 +298,7 @@
 	n.table.Trust(now, x.Sender.Name)
 	if x.Sender.Place == n.settings.Place {
 		n.rates.heard(x.Sender.Name, x.Rates, now)
+		n.rates.learn(x.Beliefs.Demands)
 	}
 	n.table.Merge(now, x.Beliefs)
 	return n.table.Beliefs(now, x.Beliefs, x.Sender.Place)
--- a/internal/instance/entry/rates.go
+++ b/internal/instance/entry/rates.go
@@ -22,9 +22,13 @@
 	evenShare = 0.3
 	// smallDemand is added to the demand of each place, in operations per second, so that little demand divides evenly.
 	smallDemand = 0.5
-	// restartShare is the time for which a place that starts anew may have saved up tokens. All of its instances were
-	// down, and nothing was admitted meanwhile; callers come back at once.
+	// restartShare is the time between the end of a place's instances and their start anew, for which the place may have
+	// saved up tokens. The time from the start to the first steward is added, up to maximumSaved. Nothing was admitted
+	// meanwhile, and callers come back at once.
 	restartShare = 400 * time.Millisecond
+	maximumSaved = 2 * time.Second
+	// savedFor is how long a steward hands out what was saved up, while it hears the instances of its place.
+	savedFor = time.Second
 )
 
 // rates keeps organisations in their rates. The steward of a place hands out the place's share of each rate, cut by the
@@ -39,8 +43,9 @@
 	demand  map[string]float64 // smoothed, per second
 	ticked  time.Duration
 	others  map[string]heardDemand
-	anew    bool          // no instance of the place knew an earlier demand
-	settled belief.Demand // own place's demand as last told to others
+	saved   time.Duration      // for which the place has saved up tokens, because all of it starts anew
+	given   map[string]float64 // tokens of that time that the bucket has got, by organisation
+	settled belief.Demand      // own place's demand as last told to others
 	next    belief.Demand
 	empty   map[lender]time.Duration // places that had nothing to lend, until then
 }
@@ -129,7 +134,10 @@
 	told := r.n.table.Demands()[r.n.settings.Place]
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.anew = told.Heard == 0
+	r.saved, r.given = 0, map[string]float64{}
+	if told.Heard == 0 {
+		r.saved = min(restartShare+now-r.n.exchanges.started, maximumSaved)
+	}
 	told.Heard = now
 	r.settled, r.next = told, told
 }
@@ -191,14 +199,41 @@
 	part := r.share(organisation) * float64(live) / float64(max(1, all))
 	s := allotment.Settings{Rate: o.Rate * part, Burst: max(o.Burst*part, allotment.MinimumBurst)}
 	since := r.n.exchanges.began()
-	r.mu.Lock()
-	if r.anew {
-		since -= restartShare
+	if tokens := r.unused(now-since, organisation, s.Rate); tokens > 0 {
+		r.homes.Add(moment(since), organisation, s, tokens)
 	}
-	r.mu.Unlock()
 	return r.homes.Grant(moment(now), moment(since), organisation, s, wanted)
 }
 
+// learn takes what another instance of the place told: a demand from before this steward shows that the place has served
+// meanwhile and saved nothing.
+func (r *rates) learn(demands []belief.Demand) {
+	since := r.n.exchanges.began()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, d := range demands {
+		if d.Place == r.n.settings.Place && d.Heard < since {
+			r.saved = 0
+		}
+	}
+}
+
+// unused returns the tokens that a place that starts anew has saved up and not yet put into the bucket. They grow with
+// the part of the place that is heard and has not served before.
+func (r *rates) unused(acting time.Duration, organisation string, rate float64) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.saved == 0 || acting > savedFor {
+		return 0
+	}
+	tokens := rate*r.saved.Seconds() - r.given[organisation]
+	if tokens <= 0 {
+		return 0
+	}
+	r.given[organisation] += tokens
+	return tokens
+}
+
 // moment turns a reading of the boot clock into a time, for code that takes times.
 func moment(d time.Duration) time.Time { return time.Unix(0, 0).Add(d) }
 
--- a/internal/instance/entry/rates_test.go
+++ b/internal/instance/entry/rates_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"sync"
@@ -148,3 +149,82 @@
 		t.Errorf("%d refused and %d served inside the rate", r, s)
 	}
 }
+
+// Guards against callers who are refused within the rate when all instances of a place start again: nothing was admitted
+// meanwhile, and everybody asks at once.
+func TestPlaceThatStartsAnewHasSavedTokens(t *testing.T) {
+	const rate, asked = 60.0, 42
+	f := newFleet(t, "agreste", "agreste", "agreste")
+	f.cluster.Configure(configuration(2, rate, keyText))
+	for _, n := range f.nodes {
+		n.Stop()
+	}
+	f.nodes = nil
+	f.cluster.SetStoreDown(true)
+	for n := range 3 {
+		f.start(fmt.Sprintf("i%d", n+1), "agreste")
+	}
+	time.Sleep(time.Second)
+	f.cluster.SetStoreDown(false)
+	for _, n := range f.nodes {
+		f.eventually("ready", n.Ready)
+		f.session(0, "plates").read("plates") // the first one asks before all instances are heard
+	}
+	var served atomic.Int64
+	var callers sync.WaitGroup
+	for n := range asked {
+		callers.Go(func() {
+			if f.session(n%3, "plates").read("plates").OK() {
+				served.Add(1)
+			}
+		})
+	}
+	callers.Wait()
+	if n := served.Load(); n < asked*9/10 {
+		t.Errorf("%d of %d served, which the place has saved up", n, asked)
+	}
+}
+
+// Guards against an instance that starts again as the steward of a place that served meanwhile, and takes it for one that
+// has saved up tokens.
+func TestRestartedStewardHasSavedNothing(t *testing.T) {
+	const rate, window = 60.0, 4
+	f := newFleet(t, "agreste", "agreste", "agreste")
+	f.cluster.Configure(configuration(2, rate, keyText))
+	time.Sleep(1500 * time.Millisecond)
+	var admitted atomic.Int64
+	var callers sync.WaitGroup
+	end := time.Now().Add(window * time.Second)
+	steward := 0
+	for n := range f.nodes {
+		if f.nodes[n].Steward() {
+			steward = n
+		}
+	}
+	for n := range f.nodes {
+		if n == steward {
+			continue
+		}
+		for range 3 {
+			callers.Go(func() {
+				for s := f.session(n, "plates"); time.Now().Before(end); {
+					if s.read("plates").OK() {
+						admitted.Add(1)
+					}
+				}
+			})
+		}
+	}
+	for range 2 {
+		f.nodes[steward].Stop()
+		f.nodes[steward] = nil
+		time.Sleep(200 * time.Millisecond)
+		f.nodes[steward] = f.start(fmt.Sprintf("i%d", steward+1), "agreste")
+		f.nodes = f.nodes[:3]
+		time.Sleep(1200 * time.Millisecond)
+	}
+	callers.Wait()
+	if limit := int64(rate*window + rate); admitted.Load() > limit+limit/10 {
+		t.Errorf("%d admitted in %d s, want at most %d", admitted.Load(), window, limit)
+	}
+}
--- a/internal/instance/entry/reader.go
+++ b/internal/instance/entry/reader.go
@@ -124,13 +124,28 @@
 // awaitStore waits until an instance that starts again has its configuration, so that only one kind of call is repeated
 // while the store does not answer.
 func (n *Node) awaitStore(ctx context.Context) {
-	for end := n.boot() + readTimeout; n.boot() < end && clock.Sleep(ctx, firstCheck); {
+	for end := n.boot() + joinWait; n.boot() < end && clock.Sleep(ctx, firstCheck); {
 		if read, _, _ := n.table.Ages(); read > 0 {
 			return
 		}
 	}
 }
 
+// firstConfiguration reads the configuration while callers wait for it.
+func (n *Node) firstConfiguration(ctx context.Context) (belief.Rows, error) {
+	return repeated(ctx, firstRepeat, func(ctx context.Context) (belief.Rows, error) {
+		call, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		started := n.boot()
+		rows, err := n.options.Store.Configuration(call)
+		if ctx.Err() == nil {
+			n.observer.dependency("store configuration", err)
+		}
+		rows.Read = started
+		return rows, err
+	})
+}
+
 // repeated makes a call, and makes it again at each pause until one succeeds or the context ends. The last error counts.
 func repeated[T any](ctx context.Context, pause time.Duration, call func(context.Context) (T, error)) (T, error) {
 	type result struct {
@@ -179,11 +194,7 @@
 		next, err := n.followConfiguration(ctx, following)
 		n.observer.dependency("store configuration", err)
 		following = next
-		switch {
-		case err == nil:
-		case read == 0:
-			clock.Sleep(ctx, firstRepeat)
-		default:
+		if err != nil {
 			clock.Sleep(ctx, readRetry)
 		}
 	}
@@ -193,18 +204,20 @@
 	started := n.boot()
 	var rows belief.Rows
 	var err error
-	if after == 0 {
-		call, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		if read, _, _ := n.table.Ages(); read == 0 && !n.settings.FirstStart {
-			rows, err = repeated(call, firstRepeat, n.options.Store.Configuration)
-		} else {
-			rows, err = n.options.Store.Configuration(call)
-		}
-	} else {
+	known, _, _ := n.table.Ages()
+	switch {
+	case after > 0:
 		call, cancel := context.WithTimeout(ctx, configurationWait+readTimeout/2)
 		defer cancel()
 		rows, err = n.options.Store.AwaitConfiguration(call, after, configurationWait)
+		rows.Read = started
+	case known == 0 && !n.settings.FirstStart:
+		rows, err = n.firstConfiguration(ctx)
+	default:
+		call, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		rows, err = n.options.Store.Configuration(call)
+		rows.Read = started
 	}
 	if errors.Is(err, ErrCompacted) {
 		return 0, nil
@@ -212,7 +225,6 @@
 	if err != nil {
 		return 0, err
 	}
-	rows.Read = started
 	n.table.SetConfiguration(rows)
 	return max(after, rows.Version), nil
 }
--- a/internal/organisation/allotment/bucket.go
+++ b/internal/organisation/allotment/bucket.go
@@ -90,6 +90,13 @@
 	return g
 }
 
+// Add puts tokens into the bucket that were saved up before it began.
+func (b *Bucket) Add(s Settings, tokens float64) {
+	if s.Valid() {
+		b.level = min(b.level+tokens, s.capacity())
+	}
+}
+
 type account struct {
 	bucket *Bucket
 	since  time.Time
@@ -106,6 +113,18 @@
 func (h *Homes) Grant(now, since time.Time, organisation string, s Settings, wanted int) Grant {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.bucket(since, organisation).Take(now, s, wanted)
+}
+
+// Add gives an organisation tokens that were saved up before its home began. The caller knows that nobody has used them.
+func (h *Homes) Add(since time.Time, organisation string, s Settings, tokens float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.bucket(since, organisation).Add(s, tokens)
+}
+
+// bucket returns the bucket of an organisation; the caller holds the lock.
+func (h *Homes) bucket(since time.Time, organisation string) *Bucket {
 	a, ok := h.accounts[organisation]
 	if !ok || !a.since.Equal(since) {
 		a = account{bucket: NewBucket(since), since: since}
@@ -114,5 +133,5 @@
 		}
 		h.accounts[organisation] = a
 	}
-	return a.bucket.Take(now, s, wanted)
+	return a.bucket
 }
