Agree on holders before the instances of a place have heard each other

Cause: an instance that started knew the others of its place only once it had heard them, and served callers before it had the list of instances. After a kill of all instances 13 of them opened connections of their own to one primary within 0.2 s, each connection holding a slot for 27 ms; it answered 8 statements in the first 0.8 s.

Change: callers wait until the list of instances is known, and the instances of the own place count as alive for 0.5 s after it is.

--- a/internal/fleet/belief/belief.go
+++ b/internal/fleet/belief/belief.go
@@ -27,6 +27,9 @@
 const (
 	// AliveFor is how long an instance counts as alive after it was last heard.
 	AliveFor = 1500 * time.Millisecond
+	// assumedFor is how long the instances of the own place count as alive after this one has learned of them. Otherwise
+	// instances that start together would each use every server until they hear the others.
+	assumedFor = 500 * time.Millisecond
 	// suspectFor is how long an instance is passed over after a call to it failed.
 	suspectFor = 800 * time.Millisecond
 	// presenceFor is how long a report about an instance of another place holds.
@@ -122,6 +125,7 @@
 	missing       map[string]missingServer // by id
 	members       roster.Roster
 	memberRows    Rows
+	membersKnown  time.Duration // moment of the first list
 	leaders       map[string]Leader
 	disproved     map[string]disproval
 	presences     map[string]Presence
@@ -408,6 +412,9 @@
 		}
 	}
 	t.members, t.memberRows = roster.New(r.Version, members), r
+	if t.membersKnown == 0 {
+		t.membersKnown = r.Read
+	}
 }
 
 // MemberRow returns the row version of an instance.
--- a/internal/fleet/belief/belief_test.go
+++ b/internal/fleet/belief/belief_test.go
@@ -226,3 +226,28 @@
 		t.Errorf("%d missing after the death of all, want b", n)
 	}
 }
+
+// Guards against instances that start together and each use every server until they hear the others.
+func TestInstancesOfThePlaceAreAssumedAliveAtFirst(t *testing.T) {
+	b, _ := table()
+	holders := func(now time.Duration) []string {
+		var names []string
+		for _, m := range b.Holders(now, "server", "agreste") {
+			names = append(names, m.Name)
+		}
+		slices.Sort(names)
+		return names
+	}
+	b.SetMembers(rows(1, time.Second, "i2=agreste", "i3=agreste"))
+	if got := holders(1100 * time.Millisecond); !slices.Equal(got, []string{"i1", "i2", "i3"}) {
+		t.Errorf("holders %v at first, want all", got)
+	}
+	b.Suspect(1100*time.Millisecond, "i2")
+	b.Hear(belief.Presence{Name: "i3", Place: "agreste", Heard: 1200 * time.Millisecond, Leaving: true})
+	if got := holders(1200 * time.Millisecond); !slices.Equal(got, []string{"i1"}) {
+		t.Errorf("holders %v, want neither the one that does not answer nor the one that leaves", got)
+	}
+	if got := holders(3 * time.Second); !slices.Equal(got, []string{"i1"}) {
+		t.Errorf("holders %v later, want only what was heard", got)
+	}
+}
--- a/internal/fleet/belief/presence.go
+++ b/internal/fleet/belief/presence.go
@@ -90,7 +90,7 @@
 }
 
 // alive reports whether an instance can be called. Instances of other places count as alive until something else is
-// heard.
+// heard, those of the own place only for a moment.
 func (t *Table) alive(now time.Duration, m roster.Member) bool {
 	if m.Name == t.self.Name {
 		return !t.self.Leaving
@@ -99,8 +99,11 @@
 		return false
 	}
 	p, heard := t.presences[m.Name]
-	if m.Place == t.self.Place {
-		return heard && !p.Leaving && now-p.Heard < AliveFor
+	switch {
+	case m.Place == t.self.Place && !heard:
+		return now-t.membersKnown < assumedFor
+	case m.Place == t.self.Place:
+		return !p.Leaving && now-p.Heard < AliveFor
 	}
 	return !heard || now-p.Heard > presenceFor || !p.Leaving && !p.Down
 }
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -151,13 +151,20 @@
 
 // Session starts a caller's session, or returns nil and the refusal.
 func (n *Node) Session(database, key string) (*conversation.Conversation, statement.Answer) {
-	for end := n.boot() + configurationHold; n.table.Configuration().Version == 0 && n.boot() < end; {
-		time.Sleep(joinTick)
+	for end := n.boot() + configurationHold; !n.informed() && n.boot() < end; {
+		time.Sleep(firstCheck)
 	}
 	id := n.prefix + strconv.FormatUint(n.sessions.Add(1), 36)
 	return conversation.Start(n.environment, id, database, key)
 }
 
+// informed reports whether the instance knows the configuration and, unless it has waited for them, the other instances:
+// before that it would open connections of its own to all servers.
+func (n *Node) informed() bool {
+	_, _, members := n.table.Ages()
+	return n.table.Configuration().Version > 0 && (members > 0 || n.boot()-n.exchanges.started > joinWait)
+}
+
 // current reports whether the configuration is recent enough to admit callers.
 func (n *Node) current() bool {
 	read, _, _ := n.table.Ages()
--- a/internal/instance/entry/entry_test.go
+++ b/internal/instance/entry/entry_test.go
@@ -69,6 +69,12 @@
 }
 
 func (f *fleet) start(name, place string) *entry.Node {
+	f.t.Helper()
+	return f.startAt(name, place, f.cluster.Store(name))
+}
+
+// startAt starts an instance before a store of its own.
+func (f *fleet) startAt(name, place string, store entry.Store) *entry.Node {
 	f.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -80,7 +86,7 @@
 	}
 	n, err := entry.Start(entry.Options{
 		Settings: entry.Settings{Name: name, Place: place, PeersAddress: address, DutyLease: time.Second},
-		Store:    f.cluster.Store(name), Promoter: f.cluster, Decoder: f.cluster, Dialer: f.cluster.Dialer(name),
+		Store:    store, Promoter: f.cluster, Decoder: f.cluster, Dialer: f.cluster.Dialer(name),
 		Metrics: metric.New(), Log: slog.New(slog.NewJSONHandler(logWriter(), nil)).With("node", name),
 	})
 	if err != nil {
