Serve the newest statement of an organisation first while too many wait

Cause: after a kill of all instances the queues before the servers are full for a second. Served in order, each statement waited longer than its operation may take, so that all were late, and a full queue turned away the newest.

Change: while more than 6 statements of an organisation wait, the newest goes first, and a full queue gives up its oldest with the answer that it has not run. Turns between organisations are as before.

--- a/internal/database/gate/gate.go
+++ b/internal/database/gate/gate.go
@@ -35,8 +35,10 @@
 	aheadStatements = 1
 	// queuedStatements bounds the queue of one organisation.
 	queuedStatements = 24
-	dialTimeout      = 600 * time.Millisecond
-	controlTimeout   = 400 * time.Millisecond // for statements that occupy no slot
+	// inOrderStatements of an organisation wait less than most operations may take, even beside seven others.
+	inOrderStatements = 6
+	dialTimeout       = 600 * time.Millisecond
+	controlTimeout    = 400 * time.Millisecond // for statements that occupy no slot
 	// answerExpected is the time after which a statement without an answer no longer counts as work of the server.
 	answerExpected  = 300 * time.Millisecond
 	idleConnection  = 45 * time.Second // servers close connections after a minute
@@ -122,7 +124,7 @@
 	o = o.WithDefaults()
 	return &Gate{
 		target: t, dialer: d, options: o, limit: o.Connections,
-		scheduler: fairness.NewScheduler[string](fairness.Options{Bound: queuedStatements}, o.Slots+aheadStatements),
+		scheduler: fairness.NewScheduler[string](fairness.Options{Bound: queuedStatements, InOrder: inOrderStatements}, o.Slots+aheadStatements),
 		idle:      map[string][]*link{}, transactions: map[uint64]*transaction{},
 		unanswered: map[*link]time.Duration{}, sequence: uint64(time.Now().UnixNano()),
 	}
--- a/internal/organisation/fairness/queue.go
+++ b/internal/organisation/fairness/queue.go
@@ -17,6 +17,7 @@
 package fairness
 
 import (
+	"slices"
 	"time"
 
 	"tanagercross/internal/session/outcome"
@@ -41,6 +42,10 @@
 	// Short. An item behind a long one would wait for it at the server and be charged the wait as service time.
 	Ahead int
 	Short time.Duration
+	// InOrder is how many queued items of an organisation are served in order. While there are more, the newest goes first
+	// and a full queue gives up its oldest item: in an overload the oldest ones are too late for their callers anyway, and
+	// serving them makes all others late too. 0 serves in order always.
+	InOrder int
 	// Share returns what is set for an organisation; nil sets nothing. It is asked for each item and must be fast.
 	Share func(organisation string) Share
 }
@@ -155,7 +160,12 @@
 	}
 	f.weight = share.Weight
 	if len(f.items) >= share.Bound {
-		return failure("push", outcome.QueueFull)
+		if !q.newestFirst(f) {
+			return failure("push", outcome.QueueFull)
+		}
+		q.reject(f.items[0].value, outcome.QueueFull)
+		f.items = f.items[1:]
+		q.queued--
 	}
 	f.items = append(f.items, item[T]{value: value, deadline: deadline})
 	if q.queued == 0 || deadline.Before(q.earliest) {
@@ -182,9 +192,18 @@
 	}
 }
 
+// newestFirst reports whether an organisation has too many items to serve them in order.
+func (q *Queue[T]) newestFirst(f *flow[T]) bool {
+	return q.options.InOrder > 0 && len(f.items) > q.options.InOrder
+}
+
 func (q *Queue[T]) take(f *flow[T]) Grant[T] {
-	g := Grant[T]{Organisation: f.name, Value: f.items[0].value, estimate: f.estimate}
-	f.items = f.items[1:]
+	next := 0
+	if q.newestFirst(f) {
+		next = len(f.items) - 1
+	}
+	g := Grant[T]{Organisation: f.name, Value: f.items[next].value, estimate: f.estimate}
+	f.items = slices.Delete(f.items, next, next+1)
 	f.credit -= f.estimate
 	f.running++
 	q.queued--
