Keep a primary that starts again under another id

Its own entry gives no term, so that the leader that other instances still told of, the same server under its earlier id, won against it; a proof of its lead in the same term was refused too.

Change: a leader that is taken from the servers' entries keeps the term of the one before; in the same term a listed server follows one whose entry is gone.

Test failed first: TestLeaderUnderAnotherID.

--- a/internal/fleet/belief/belief.go
+++ b/internal/fleet/belief/belief.go
@@ -329,7 +329,8 @@
 		if d, ok := t.disproved[s.Group]; ok && d.leader.Server == s.ID && t.serverRows.Read < d.at+reportDelay {
 			continue
 		}
-		t.setLeader(Leader{Group: s.Group, Server: s.ID, Term: 0})
+		// Others may still tell of the earlier leader, so that the term stays.
+		t.setLeader(Leader{Group: s.Group, Server: s.ID, Term: present.Term})
 	}
 }
 
@@ -361,11 +362,11 @@
 }
 
 func (t *Table) lead(now time.Duration, l Leader) {
-	if d, ok := t.disproved[l.Group]; ok && l.Term <= d.leader.Term {
+	if d, ok := t.disproved[l.Group]; ok && !t.follows(l, d.leader) {
 		return // a server that refused to lead leads again only in a later term
 	}
 	present, known := t.leaders[l.Group]
-	if !known || l.Term > present.Term {
+	if !known || t.follows(l, present) {
 		if known && present.Server != l.Server {
 			t.disproved[l.Group] = disproval{leader: present, at: now}
 		}
@@ -373,6 +374,17 @@
 	}
 }
 
+// follows reports whether a leader comes after another one: in a later term, or in the same one under another id, because
+// its server started again under that id and the earlier one is gone.
+func (t *Table) follows(l, earlier Leader) bool {
+	if l.Term != earlier.Term || l.Server == earlier.Server {
+		return l.Term > earlier.Term
+	}
+	_, listed := t.servers.Server(l.Server)
+	_, remains := t.servers.Server(earlier.Server)
+	return listed && !remains
+}
+
 // Disprove takes back that a server leads, because it refused to.
 func (t *Table) Disprove(now time.Duration, group, server string) {
 	t.mu.Lock()
--- a/internal/fleet/belief/belief_test.go
+++ b/internal/fleet/belief/belief_test.go
@@ -251,3 +251,30 @@
 		t.Errorf("holders %v later, want only what was heard", got)
 	}
 }
+
+// Guards against a primary that starts again under another id and is given up for its earlier id, of which other instances
+// still tell.
+func TestLeaderUnderAnotherID(t *testing.T) {
+	for _, disproved := range []bool{false, true} {
+		b, _ := table()
+		b.SetServers(time.Second, rows(1, time.Second, "a=primary", "b=replica"))
+		b.Lead(time.Second, belief.Leader{Group: "meals", Server: "a", Term: 2})
+		if disproved {
+			b.Disprove(time.Second, "meals", "a")
+		}
+		b.SetServers(2*time.Second, rows(2, 2*time.Second, "b=replica", "c=primary"))
+		b.Merge(2*time.Second, belief.Beliefs{Leaders: []belief.Leader{{Group: "meals", Server: "a", Term: 2}}})
+		if l, _ := b.Leader("meals"); l.Server != "c" {
+			t.Errorf("disproved %t: leader %+v, want c", disproved, l)
+		}
+		b.Lead(2*time.Second, belief.Leader{Group: "meals", Server: "c", Term: 2})
+		b.Lead(2*time.Second, belief.Leader{Group: "meals", Server: "b", Term: 3})
+		if l, _ := b.Leader("meals"); l.Server != "b" || l.Term != 3 {
+			t.Errorf("disproved %t: leader %+v, want b in term 3", disproved, l)
+		}
+		b.Merge(2*time.Second, belief.Beliefs{Leaders: []belief.Leader{{Group: "meals", Server: "c", Term: 2}}})
+		if l, _ := b.Leader("meals"); l.Server != "b" {
+			t.Errorf("disproved %t: leader %+v, went back", disproved, l)
+		}
+	}
+}
