--- a/internal/instance/entry/pairs_test.go
+++ b/internal/instance/entry/pairs_test.go
@@ -95,3 +95,32 @@
 	f.cluster.SetStoreDown(false)
 	f.eventually("a write after the outage", func() bool { return writer.write("plates", "2").OK() })
 }
+
+// Guards against a group that waits for an order that was not carried out.
+func TestUnansweredPromotionIsOrderedAgain(t *testing.T) {
+	f := newFleet(t, "agreste", "sertao", "litoral")
+	f.cluster.DelayOrders(1, time.Hour)
+	f.cluster.Crash("meals-agreste")
+	began := time.Now()
+	f.eventually("another primary", func() bool { return f.cluster.Promotions() > 0 })
+	if took := time.Since(began); took > 2500*time.Millisecond {
+		t.Errorf("another primary after %v", took)
+	}
+}
+
+// Guards against an order that is carried out late and ends the lead of the server that was named after it.
+func TestLatePromotionIsOverruled(t *testing.T) {
+	f := newFleet(t, "agreste", "sertao", "litoral")
+	f.cluster.DelayOrders(1, 6*time.Second)
+	f.cluster.Crash("meals-agreste")
+	f.eventually("another primary", func() bool { return f.cluster.Promotions() == 1 })
+	second := f.cluster.Primary("meals")
+	f.cluster.Crash(second)
+	f.eventually("a third primary", func() bool { return f.cluster.Promotions() == 2 })
+	f.cluster.Restart(second)
+	third := f.cluster.Primary("meals")
+	time.Sleep(5 * time.Second)
+	if now := f.cluster.Primary("meals"); now != third {
+		t.Errorf("%s leads after the late order, want %s", now, third)
+	}
+}
--- a/internal/instance/entry/ports.go
+++ b/internal/instance/entry/ports.go
@@ -40,8 +40,8 @@
 	Announce(ctx context.Context, m roster.Member) error
 	// Forget removes the row of an instance if it still has a version.
 	Forget(ctx context.Context, name string, version uint64) error
-	// Claim takes or renews a duty for an instance unless another one holds it.
-	Claim(ctx context.Context, duty, holder string, lease time.Duration) (Claim, error)
+	// Claim takes or renews a duty for an instance unless another one holds it. The token of a claim is above the given one.
+	Claim(ctx context.Context, duty, holder string, above uint64, lease time.Duration) (Claim, error)
 }
 
 // Promoter names the server that is to lead a group.
--- a/internal/instance/entry/reader.go
+++ b/internal/instance/entry/reader.go
@@ -133,7 +133,7 @@
 
 // firstConfiguration reads the configuration while callers wait for it.
 func (n *Node) firstConfiguration(ctx context.Context) (belief.Rows, error) {
-	return repeated(ctx, firstRepeat, func(ctx context.Context) (belief.Rows, error) {
+	return clock.Repeat(ctx, firstRepeat, func(ctx context.Context) (belief.Rows, error) {
 		call, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		started := n.boot()
@@ -146,41 +146,6 @@
 	})
 }
 
-// repeated makes a call, and makes it again at each pause until one succeeds or the context ends. The last error counts.
-func repeated[T any](ctx context.Context, pause time.Duration, call func(context.Context) (T, error)) (T, error) {
-	type result struct {
-		value T
-		err   error
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan result)
-	ticker := time.NewTicker(pause)
-	defer ticker.Stop()
-	last := result{err: context.DeadlineExceeded}
-	for {
-		go func() {
-			v, err := call(ctx)
-			select {
-			case results <- result{v, err}:
-			case <-ctx.Done():
-			}
-		}()
-		for waiting := true; waiting; {
-			select {
-			case last = <-results:
-				if last.err == nil {
-					return last.value, nil
-				}
-			case <-ticker.C:
-				waiting = false
-			case <-ctx.Done():
-				return last.value, last.err
-			}
-		}
-	}
-}
-
 // readConfiguration follows the configuration while it is this instance's turn.
 func (n *Node) readConfiguration(ctx context.Context) {
 	following := uint64(0) // version after which changes are awaited; 0 to read the row first
--- a/internal/instance/entry/replace.go
+++ b/internal/instance/entry/replace.go
@@ -18,7 +18,7 @@
 
 // replace names a new primary. The duty is claimed first, so that no other instance names one meanwhile.
 func (g *guard) replace(ctx context.Context, group string, old catalog.Server, planned bool) error {
-	claim, err := g.claim(ctx)
+	claim, err := g.claim(ctx, 0)
 	if err != nil {
 		return err
 	}
@@ -59,11 +59,11 @@
 	return g.promote(ctx, group, old, claim, candidates, reports)
 }
 
-// claim takes the promotion duty.
-func (g *guard) claim(ctx context.Context) (Claim, error) {
+// claim takes the promotion duty with a token above a given one.
+func (g *guard) claim(ctx context.Context, above uint64) (Claim, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	claim, err := g.n.options.Store.Claim(ctx, duty, g.n.settings.Name, g.n.settings.DutyLease)
+	claim, err := g.n.options.Store.Claim(ctx, duty, g.n.settings.Name, above, g.n.settings.DutyLease)
 	g.n.observer.dependency("store duties", err)
 	if err == nil {
 		g.n.log.Info("duty", "holder", claim.Holder, "token", claim.Token, "remaining_ms", claim.Remaining.Milliseconds())
@@ -164,22 +164,34 @@
 	return reports
 }
 
-// promote names the most advanced server and waits until it leads.
+// order is an order to the platform to make a server lead.
+type order struct {
+	server string
+	token  uint64
+}
+
+// promote names the most advanced server and waits until it leads. An order without an answer is given again.
 func (g *guard) promote(ctx context.Context, group string, old catalog.Server, claim Claim, candidates []catalog.Server, reports []succession.Report) error {
 	best, ok := succession.Choose(reports, old.Place)
 	if !ok {
 		return eris.Errorf("no replica of %s reports", group)
 	}
-	call, cancel := context.WithTimeout(ctx, promoteTimeout)
-	err := g.n.options.Promoter.Promote(call, claim.Holder, claim.Token, group, best.Server)
-	cancel()
-	g.n.log.Info("promotion ordered", "group", group, "old", old.ID, "new", best.Server, "received", best.Received.String(),
-		"reports", len(reports), "token", claim.Token, "error", errorText(err))
-	if errors.Is(err, ErrConflict) {
+	claim, err := g.overrule(ctx, group, best.Server, claim)
+	if err != nil {
 		g.resume(candidates, reports, "")
 		return err
 	}
+	ordered := ErrUncertain
 	for end := g.n.boot() + leadWait; g.n.boot() < end; clock.Sleep(ctx, leadPause) {
+		if errors.Is(ordered, ErrUncertain) {
+			ordered = g.order(ctx, group, best.Server, claim)
+			g.n.log.Info("promotion ordered", "group", group, "old", old.ID, "new", best.Server, "received", best.Received.String(),
+				"reports", len(reports), "token", claim.Token, "error", errorText(ordered))
+		}
+		if errors.Is(ordered, ErrConflict) {
+			g.resume(candidates, reports, "")
+			return ordered
+		}
 		s, _ := g.n.table.Servers().Server(best.Server)
 		r, err := g.ask(ctx, s, probeTimeout, statement.Status{})
 		if err == nil && r.Role == driver.Primary {
@@ -192,6 +204,37 @@
 	return eris.Errorf("%s does not lead %s in time", best.Server, group)
 }
 
+// overrule takes a higher token if an order for another server has not been answered: it may be carried out later and
+// would end the lead of the server that is named now.
+func (g *guard) overrule(ctx context.Context, group, server string, claim Claim) (Claim, error) {
+	g.mu.Lock()
+	earlier, ok := g.unanswered[group]
+	g.mu.Unlock()
+	if !ok || earlier.server == server || earlier.token < claim.Token {
+		return claim, nil
+	}
+	higher, err := g.claim(ctx, earlier.token)
+	if err != nil {
+		return claim, err
+	}
+	if higher.Holder != claim.Holder {
+		return claim, eris.Errorf("the duty has passed to %s", higher.Holder)
+	}
+	return higher, nil
+}
+
+func (g *guard) order(ctx context.Context, group, server string, claim Claim) error {
+	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	err := g.n.options.Promoter.Promote(ctx, claim.Holder, claim.Token, group, server)
+	if errors.Is(err, ErrUncertain) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.unanswered[group] = order{server: server, token: claim.Token}
+	}
+	return err
+}
+
 // lead makes a new leader known.
 func (g *guard) lead(group string, r succession.Report) {
 	now := g.n.boot()
--- a/internal/instance/entry/succession.go
+++ b/internal/instance/entry/succession.go
@@ -30,10 +30,11 @@
 	catchUpWait  = 700 * time.Millisecond
 	catchUpPause = 30 * time.Millisecond
 	// leadWait is how long a promoted server may take to lead.
-	leadWait       = 2 * time.Second
-	leadPause      = 60 * time.Millisecond
-	promoteTimeout = 800 * time.Millisecond
-	claimTimeout   = 900 * time.Millisecond
+	leadWait  = 2 * time.Second
+	leadPause = 60 * time.Millisecond
+	// promoteTimeout is how long the answer to an order is awaited before the order is given again.
+	promoteTimeout = 500 * time.Millisecond
+	claimTimeout   = 1800 * time.Millisecond
 	// attemptLimit bounds one change of primary; a further one follows if the group still has none.
 	attemptLimit  = 8 * time.Second
 	duty          = "promotion"
@@ -53,6 +54,7 @@
 	reported   map[string]time.Duration
 	leaderless map[string]time.Duration
 	leaving    map[string]time.Duration // servers that lead and leave, since when
+	unanswered map[string]order         // orders that may still be carried out, by group
 	asked      time.Duration            // last read of the servers on demand
 	wanted     bool
 }
@@ -60,7 +62,7 @@
 func newGuard(n *Node) *guard {
 	return &guard{
 		n: n, running: map[string]bool{}, kept: map[string]time.Duration{}, reported: map[string]time.Duration{}, leaderless: map[string]time.Duration{},
-		leaving: map[string]time.Duration{},
+		leaving: map[string]time.Duration{}, unanswered: map[string]order{},
 	}
 }
 
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -67,6 +67,8 @@
 	turnedAway    map[string]bool // instances that the store does not serve
 	calls         int
 	promotions    int
+	lateOrders    int // promotions to carry out late and without an answer
+	lateBy        time.Duration
 	tokens        map[string]uint64 // newest by group
 	holders       map[uint64]string // of the promotion duty, by token
 	runs          map[string]int    // committed writes by statement id
@@ -167,6 +169,13 @@
 	c.storeDown = down
 }
 
+// DelayOrders makes the next n promotions get no answer and take effect only later.
+func (c *Cluster) DelayOrders(n int, by time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lateOrders, c.lateBy = n, by
+}
+
 // TurnAway makes the store refuse an instance.
 func (c *Cluster) TurnAway(instance string, refused bool) {
 	c.mu.Lock()
--- a/internal/standin/cluster/store.go
+++ b/internal/standin/cluster/store.go
@@ -131,7 +131,7 @@
 }
 
 // Claim implements entry.Store.
-func (s Store) Claim(_ context.Context, duty, holder string, lease time.Duration) (claim entry.Claim, err error) {
+func (s Store) Claim(_ context.Context, duty, holder string, above uint64, lease time.Duration) (claim entry.Claim, err error) {
 	err = s.call(func(c *Cluster) error {
 		now := c.boot()
 		d := c.duties[duty]
@@ -139,7 +139,7 @@
 			claim = entry.Claim{Holder: d.holder, Token: d.token, Remaining: d.until - now}
 			return nil
 		}
-		if d.holder != holder {
+		if d.holder != holder || d.token <= above {
 			d.token++
 		}
 		d.holder, d.until = holder, now+lease
@@ -152,8 +152,15 @@
 }
 
 // Promote implements entry.Promoter.
-func (c *Cluster) Promote(_ context.Context, holder string, token uint64, group, server string) error {
+func (c *Cluster) Promote(ctx context.Context, holder string, token uint64, group, server string) error {
 	c.mu.Lock()
+	if c.lateOrders > 0 {
+		c.lateOrders--
+		time.AfterFunc(c.lateBy, func() { _ = c.Promote(context.Background(), holder, token, group, server) })
+		c.mu.Unlock()
+		<-ctx.Done()
+		return entry.ErrUncertain
+	}
 	defer c.mu.Unlock()
 	s := c.servers[server]
 	if s == nil || s.down || token < c.tokens[group] {
