Roll back what a lagging replica of the stand-in has applied

A replica that applies late kept the number of entries that it had applied when its log was replaced by the shorter one of a new primary.

Change: a replica that receives another log keeps only the applied entries that both logs share.

--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -253,6 +253,8 @@
 		return
 	}
 	s.term = p.term
+	// What the primary does not have is rolled back, also where it was applied already.
+	s.applied = min(s.applied, common(s.log, p.log))
 	s.log = slices.Clone(p.log)
 	if s.lag == 0 {
 		s.applied = len(s.log)
@@ -260,6 +262,15 @@
 	s.received = len(s.log)
 }
 
+// common returns the number of first entries that two logs share.
+func common(a, b []commit) int {
+	n := 0
+	for n < len(a) && n < len(b) && a[n] == b[n] {
+		n++
+	}
+	return n
+}
+
 // position returns the end of what a server has applied.
 func (s *Server) position() driver.Position {
 	if s.applied == 0 {
