Share the observation of connections and the start of processes, and count borrowed tokens

The same code stood in internal/service/rest, internal/fleet/relay and internal/fleet/peer (whether a call got a connection), and in internal/tool/scenario and test/soak (the thread that starts processes); it moves to internal/service/trace and internal/tool/deployment. The place's part of a rate is worked out once for a grant, its loan and the log line, whose part now has the cut by live instances. belief.go is split: leader.go and missing.go. New counter tanagercross_tokens_borrowed_total.

No change of behaviour is meant. Tests: TestConnectionIsObserved; the tests of the packages named pass.

--- a/internal/fleet/belief/belief.go
+++ b/internal/fleet/belief/belief.go
@@ -19,7 +19,6 @@
 	"sync"
 	"time"
 
-	"tanagercross/internal/database/driver"
 	"tanagercross/internal/fleet/catalog"
 	"tanagercross/internal/fleet/roster"
 )
@@ -57,13 +56,6 @@
 	Read    time.Duration // moment before the read
 }
 
-// Leader is the primary of a group. Term 0 means that only the server's own entry tells so.
-type Leader struct {
-	Group  string
-	Server string
-	Term   uint64
-}
-
 // Presence is an instance as last heard.
 type Presence struct {
 	Name    string
@@ -135,21 +127,6 @@
 	changed       chan struct{}
 }
 
-// missingServer is a server whose entry is gone.
-type missingServer struct {
-	server catalog.Server
-	since  time.Duration
-}
-
-// disproval is a leader that refused to lead.
-type disproval struct {
-	leader Leader
-	at     time.Duration
-}
-
-// reportDelay is how long a server's report of a new role may be under way to the store and the reader.
-const reportDelay = 300 * time.Millisecond
-
 // NewTable returns the table of an instance that knows only itself.
 func NewTable(self Presence, d Decoder, o Observer) *Table {
 	t := &Table{
@@ -282,129 +259,6 @@
 	t.servers = before
 }
 
-// noteMissing keeps the servers whose entries went. One is excused once the leader of its group has outlived it: whatever
-// the leader acknowledged since then is on the others.
-func (t *Table) noteMissing(before catalog.Servers) {
-	for _, s := range before.All() {
-		if _, listed := t.servers.Server(s.ID); !listed {
-			t.missing[s.ID] = missingServer{server: s, since: t.serverRows.Read}
-		}
-	}
-	for id, m := range t.missing {
-		leader, listed := t.servers.Server(t.leaders[m.server.Group].Server)
-		outlived := listed && leader.Role == driver.Primary && t.serverRows.Read-m.since > excusedAfter
-		if _, back := t.servers.Server(id); back || outlived {
-			delete(t.missing, id)
-		}
-	}
-}
-
-// MissingReplicas returns how many replicas of a group are not listed and may hold commits that no listed one has.
-func (t *Table) MissingReplicas(group string) int {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	n := 0
-	for _, m := range t.missing {
-		if m.server.Group == group && m.server.Role == driver.Replica {
-			n++
-		}
-	}
-	return n
-}
-
-// adoptRoles derives leaders from the servers' own reports where nothing better is known.
-func (t *Table) adoptRoles() {
-	for _, s := range t.servers.All() {
-		if s.Role != driver.Primary {
-			continue
-		}
-		present, known := t.leaders[s.Group]
-		if known {
-			holder, listed := t.servers.Server(present.Server)
-			if present.Server == s.ID || listed && holder.Role == driver.Primary {
-				continue
-			}
-		}
-		// The list may be older than the refusal, or than the promotion of another server.
-		if d, ok := t.disproved[s.Group]; ok && d.leader.Server == s.ID && t.serverRows.Read < d.at+reportDelay {
-			continue
-		}
-		// Others may still tell of the earlier leader, so that the term stays.
-		t.setLeader(Leader{Group: s.Group, Server: s.ID, Term: present.Term})
-	}
-}
-
-func (t *Table) setLeader(l Leader) {
-	before := t.leaders[l.Group]
-	if before == l {
-		return
-	}
-	t.leaders[l.Group] = l
-	if before.Server != l.Server {
-		t.observer.LeaderChanged(before, l)
-	}
-	t.signal()
-}
-
-// Leader returns the primary of a group.
-func (t *Table) Leader(group string) (Leader, bool) {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	l, ok := t.leaders[group]
-	return l, ok
-}
-
-// Lead takes a leader with the term in which it was proved to lead. A lower term than the known one changes nothing.
-func (t *Table) Lead(now time.Duration, l Leader) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.lead(now, l)
-}
-
-func (t *Table) lead(now time.Duration, l Leader) {
-	if d, ok := t.disproved[l.Group]; ok && !t.follows(l, d.leader) {
-		return // a server that refused to lead leads again only in a later term
-	}
-	present, known := t.leaders[l.Group]
-	if !known || t.follows(l, present) {
-		if known && present.Server != l.Server {
-			t.disproved[l.Group] = disproval{leader: present, at: now}
-		}
-		t.setLeader(l)
-	}
-}
-
-// follows reports whether a leader comes after another one: in a later term, or in the same one under another id, because
-// its server started again under that id and the earlier one is gone.
-func (t *Table) follows(l, earlier Leader) bool {
-	if l.Term != earlier.Term || l.Server == earlier.Server {
-		return l.Term > earlier.Term
-	}
-	_, listed := t.servers.Server(l.Server)
-	_, remains := t.servers.Server(earlier.Server)
-	return listed && !remains
-}
-
-// Disprove takes back that a server leads, because it refused to.
-func (t *Table) Disprove(now time.Duration, group, server string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	l, ok := t.leaders[group]
-	if !ok || l.Server != server {
-		return
-	}
-	// The server's term may not be known, but it is not below that of an earlier refusal.
-	l.Term = max(l.Term, t.disproved[group].leader.Term)
-	t.disproved[group] = disproval{leader: l, at: now}
-	delete(t.leaders, group)
-	t.observer.LeaderChanged(l, Leader{Group: group})
-	for _, s := range t.servers.Of(group) {
-		if s.Role == driver.Primary && s.ID != server {
-			t.setLeader(Leader{Group: group, Server: s.ID})
-		}
-	}
-}
-
 // SetMembers takes the instances' rows as read.
 func (t *Table) SetMembers(r Rows) {
 	t.mu.Lock()
--- a/internal/fleet/peer/client.go
+++ b/internal/fleet/peer/client.go
@@ -6,9 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -17,6 +15,7 @@
 	"tanagercross/internal/database/operation"
 	"tanagercross/internal/fleet/exchange"
 	"tanagercross/internal/genproto/peer/v1/peerv1connect"
+	"tanagercross/internal/service/trace"
 	"tanagercross/internal/session/outcome"
 )
 
@@ -107,17 +106,14 @@
 func call[I, O any](ctx context.Context, operation string, m method[I, O], in *I, limit time.Duration) (*O, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
+	ctx, connection := trace.Connect(ctx)
 	response, err := m(ctx, connect.NewRequest(in))
 	if err == nil {
 		return response.Msg, nil
 	}
 	kind := Lost
 	switch {
-	case !connected.Load():
+	case !connection.Obtained():
 		kind = NotSent
 	case connect.IsWireError(err) && refused(connect.CodeOf(err)):
 		kind = Denied
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -17,9 +17,7 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,6 +30,7 @@
 	relayv1 "tanagercross/internal/genproto/relay/v1"
 	"tanagercross/internal/genproto/relay/v1/relayv1connect"
 	"tanagercross/internal/organisation/allotment"
+	"tanagercross/internal/service/trace"
 )
 
 // Limits of calls.
@@ -168,13 +167,10 @@
 func call[I, O any](ctx context.Context, operation string, m method[I, O], in *I, limit time.Duration) (*O, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
+	ctx, connection := trace.Connect(ctx)
 	response, err := m(ctx, connect.NewRequest(in))
 	if err != nil {
-		return nil, &Error{Operation: operation, Sent: connected.Load(), Refused: errors.Is(err, syscall.ECONNREFUSED), Err: eris.Wrap(err, "call")}
+		return nil, &Error{Operation: operation, Sent: connection.Obtained(), Refused: errors.Is(err, syscall.ECONNREFUSED), Err: eris.Wrap(err, "call")}
 	}
 	return response.Msg, nil
 }
--- a/internal/instance/entry/exchange.go
+++ b/internal/instance/entry/exchange.go
@@ -307,7 +307,8 @@
 // Take implements relay.Services.
 func (s *services) Take(ctx context.Context, t relay.Tokens) allotment.Grant {
 	if t.Lend {
-		return s.n.rates.grant(t.Organisation, t.Wanted)
+		g, _ := s.n.rates.hand(t.Organisation, t.Wanted)
+		return g
 	}
 	s.n.table.Trust(s.n.boot(), t.From)
 	return s.n.rates.supply(ctx, t.Organisation, t.Wanted)
--- a/internal/instance/entry/lending.go
+++ b/internal/instance/entry/lending.go
@@ -7,6 +7,7 @@
 
 	"tanagercross/internal/fleet/belief"
 	"tanagercross/internal/fleet/relay"
+	"tanagercross/internal/instance/metric"
 	"tanagercross/internal/organisation/allotment"
 )
 
@@ -25,44 +26,52 @@
 // supply hands out tokens of the place, and borrows what is missing from another place: shares follow the demand of
 // seconds, and the share of one place is too small for the chance of a moment.
 func (r *rates) supply(ctx context.Context, organisation string, wanted int) allotment.Grant {
-	g := r.grant(organisation, wanted)
-	if g.NotHome || g.Granted >= wanted {
+	g, a := r.hand(organisation, wanted)
+	if g.NotHome || g.Granted >= wanted || a.organisation == "" {
 		return g
 	}
-	borrowed, from := r.borrow(ctx, organisation, wanted-g.Granted)
+	borrowed, from := r.borrow(ctx, a, wanted-g.Granted)
 	g.Granted += borrowed
-	o, _ := r.n.table.Configuration().Organisation(organisation)
-	live, all := r.n.table.Live(r.n.boot())
-	r.n.log.Info("rate used up", "organisation", organisation, "rate", o.Rate, "burst", o.Burst, "part", r.share(organisation),
-		"live", live, "all", all, "wanted", wanted, "granted", g.Granted, "borrowed", borrowed, "lenders", from,
+	r.n.observer.metrics.Add(metric.TokensBorrowed, borrowed)
+	r.n.log.Info("rate used up", "organisation", organisation, "rate", a.rate, "burst", a.burst, "part", a.part,
+		"live", a.live, "all", a.all, "wanted", wanted, "granted", g.Granted, "borrowed", borrowed, "lenders", from,
 		"retry_ms", g.RetryAfter.Milliseconds())
 	return g
 }
 
-// borrow asks the places that have most to spare, one after the other.
-func (r *rates) borrow(ctx context.Context, organisation string, wanted int) (n int, from []string) {
-	o, ok := r.n.table.Configuration().Organisation(organisation)
+// hand hands out tokens of the place alone.
+func (r *rates) hand(organisation string, wanted int) (allotment.Grant, allowance) {
+	if !r.n.exchanges.steward() {
+		return allotment.Grant{NotHome: true}, allowance{}
+	}
+	now := r.n.boot()
+	a, ok := r.allowance(now, organisation)
 	if !ok {
-		return 0, nil
+		return allotment.Grant{}, allowance{}
 	}
+	return r.grant(now, a, wanted), a
+}
+
+// borrow asks the places that have most to spare, one after the other.
+func (r *rates) borrow(ctx context.Context, a allowance, wanted int) (n int, from []string) {
 	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
 	defer cancel()
 	now := r.n.boot()
-	for _, place := range Lenders(organisation, o.Rate, r.n.settings.Place, r.n.table.Places(), r.n.table.Demands()) {
+	for _, place := range Lenders(a.organisation, a.rate, r.n.settings.Place, r.n.table.Places(), r.n.table.Demands()) {
 		if n >= wanted || len(from) == maximumLenders || ctx.Err() != nil {
 			break
 		}
 		r.mu.Lock()
-		paused := now < r.empty[lender{organisation, place}]
+		paused := now < r.empty[lender{a.organisation, place}]
 		r.mu.Unlock()
 		if paused {
 			continue
 		}
-		n += r.ask(ctx, organisation, place, wanted-n)
+		n += r.ask(ctx, a.organisation, place, wanted-n)
 		from = append(from, place)
 		if n < wanted {
 			r.mu.Lock()
-			r.empty[lender{organisation, place}] = now + lendPause
+			r.empty[lender{a.organisation, place}] = now + lendPause
 			r.mu.Unlock()
 		}
 	}
--- a/internal/instance/entry/rates.go
+++ b/internal/instance/entry/rates.go
@@ -185,24 +185,36 @@
 	return evenShare/float64(len(places)) + (1-evenShare)*mine/sum
 }
 
-// grant hands out tokens of the place.
-func (r *rates) grant(organisation string, wanted int) allotment.Grant {
-	if !r.n.exchanges.steward() {
-		return allotment.Grant{NotHome: true}
-	}
+// allowance is what a place may hand out of an organisation's rate.
+type allowance struct {
+	allotment.Settings         // of the place
+	organisation       string  // name
+	rate               float64 // of all places together
+	burst              float64
+	part               float64 // of the whole rate
+	live, all          int     // instances of the place that are heard, and that there are
+}
+
+// allowance returns the place's part of a rate. It fails for an organisation that is not configured.
+func (r *rates) allowance(now time.Duration, organisation string) (a allowance, ok bool) {
 	o, ok := r.n.table.Configuration().Organisation(organisation)
 	if !ok {
-		return allotment.Grant{}
+		return a, false
 	}
-	now := r.n.boot()
-	live, all := r.n.table.Live(now)
-	part := r.share(organisation) * float64(live) / float64(max(1, all))
-	s := allotment.Settings{Rate: o.Rate * part, Burst: max(o.Burst*part, allotment.MinimumBurst)}
+	a = allowance{organisation: organisation, rate: o.Rate, burst: o.Burst}
+	a.live, a.all = r.n.table.Live(now)
+	a.part = r.share(organisation) * float64(a.live) / float64(max(1, a.all))
+	a.Settings = allotment.Settings{Rate: o.Rate * a.part, Burst: max(o.Burst*a.part, allotment.MinimumBurst)}
+	return a, true
+}
+
+// grant hands out tokens of the place.
+func (r *rates) grant(now time.Duration, a allowance, wanted int) allotment.Grant {
 	since := r.n.exchanges.began()
-	if tokens := r.unused(now-since, organisation, s.Rate); tokens > 0 {
-		r.homes.Add(moment(since), organisation, s, tokens)
+	if tokens := r.unused(now-since, a.organisation, a.Rate); tokens > 0 {
+		r.homes.Add(moment(since), a.organisation, a.Settings, tokens)
 	}
-	return r.homes.Grant(moment(now), moment(since), organisation, s, wanted)
+	return r.homes.Grant(moment(now), moment(since), a.organisation, a.Settings, wanted)
 }
 
 // learn takes what another instance of the place told: a demand from before this steward shows that the place has served
--- a/internal/instance/metric/entry.go
+++ b/internal/instance/metric/entry.go
@@ -11,6 +11,7 @@
 	StatementRefused CounterName = "tanagercross_statement_refused_total" // by code and reason
 	StatementRetried CounterName = "tanagercross_statement_retried_total" // by reason
 	ReadsServed      CounterName = "tanagercross_reads_served_total"      // by scope
+	TokensBorrowed   CounterName = "tanagercross_tokens_borrowed_total"   // from other places
 	LeaderChanges    CounterName = "tanagercross_leader_changes_total"
 	DependencyErrors CounterName = "tanagercross_dependency_errors_total" // by dependency
 )
@@ -33,6 +34,9 @@
 // Count adds one to a counter. Label values must come from small sets.
 func (r *Registry) Count(name CounterName, labels ...Label) { r.count(string(name), labels...) }
 
+// Add adds a number to a counter without labels.
+func (r *Registry) Add(name CounterName, n int) { r.set.GetOrCreateCounter(string(name)).Add(n) }
+
 // Statement records a statement's duration by its code.
 func (r *Registry) Statement(code string, d time.Duration) {
 	r.set.GetOrCreatePrometheusHistogramExt(series(StatementDuration, Label{"code", code}), latencyBounds).Update(d.Seconds())
--- a/internal/service/rest/rest.go
+++ b/internal/service/rest/rest.go
@@ -16,14 +16,13 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"tanagercross/internal/service/store"
+	"tanagercross/internal/service/trace"
 )
 
 // Defaults of Options.
@@ -180,17 +179,14 @@
 func (s *Store) do(ctx context.Context, c call, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
+	ctx, connection := trace.Connect(ctx)
 	request, err := http.NewRequestWithContext(ctx, c.method, s.base+c.path, bytes.NewReader(body))
 	if err != nil {
 		return nil, c.fail(store.Invalid, err)
 	}
 	response, err := s.client.Do(request)
 	if err != nil {
-		if c.write && connected.Load() {
+		if c.write && connection.Obtained() {
 			return nil, c.fail(store.Unknown, err)
 		}
 		return nil, c.fail(store.Unavailable, err)
--- a/internal/tool/scenario/process.go
+++ b/internal/tool/scenario/process.go
@@ -8,13 +8,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"tanagercross/internal/standin/network"
+	"tanagercross/internal/tool/deployment"
 )
 
 const (
@@ -24,17 +24,6 @@
 	shortPause    = 20 * time.Millisecond
 )
 
-// starts takes the starts of processes. The kernel ends them with the thread that started them, so that a test that is
-// killed or times out leaves none behind; that thread must therefore live as long as the test.
-var starts = make(chan func())
-
-func serveStarts() {
-	runtime.LockOSThread()
-	for start := range starts {
-		start()
-	}
-}
-
 // freeAddress returns a loopback address for a listener.
 func freeAddress() (string, error) {
 	addresses, err := network.FreeAddresses(1)
@@ -68,9 +57,7 @@
 	command := exec.Command(p.path, p.arguments...)
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	started := make(chan error)
-	starts <- func() { started <- command.Start() }
-	if err := <-started; err != nil {
+	if err := deployment.StartProcess(command); err != nil {
 		return eris.Wrap(err, p.name)
 	}
 	ended := make(chan struct{})
--- a/internal/tool/scenario/scenario.go
+++ b/internal/tool/scenario/scenario.go
@@ -52,7 +52,6 @@
 		return nil, eris.Wrapf(err, "build the programs: %s", output)
 	}
 	binaries = directory
-	go serveStarts()
 	return remove, nil
 }
 
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -6,7 +6,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -15,6 +14,7 @@
 
 	"tanagercross/internal/standin/network"
 	"tanagercross/internal/standin/wire"
+	"tanagercross/internal/tool/deployment"
 )
 
 const (
@@ -23,17 +23,6 @@
 	readyPoll    = 50 * time.Millisecond
 )
 
-// starts takes the starts of processes. The kernel ends them with the thread that started them, so that none outlives
-// the test.
-var starts = make(chan func())
-
-func serveStarts() {
-	runtime.LockOSThread()
-	for start := range starts {
-		start()
-	}
-}
-
 // instance is one process with proxies before its listeners for callers and for other instances, and on its way to the
 // platform.
 type instance struct {
@@ -100,9 +89,7 @@
 	command.Env = append(os.Environ(), "TANAGERCROSS_BOOT="+i.settings)
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	started := make(chan error)
-	starts <- func() { started <- command.Start() }
-	if err := <-started; err != nil {
+	if err := deployment.StartProcess(command); err != nil {
 		return err
 	}
 	ended := make(chan struct{})
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -56,7 +56,6 @@
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 		return 1
 	}
-	go serveStarts()
 	return m.Run()
 }
 
