Await a frozen holder of the promotion duty no longer than its claim lasts

The next guardian called it for 0.7 s and then waited for the whole of the 0.66 s that the claim had left before the call; before that it asked the same frozen instance for a second opinion three times.

Change: the call to the holder counts as part of the wait. An instance that does not answer a request for an opinion is passed over for a moment.

--- a/internal/instance/entry/entry_test.go
+++ b/internal/instance/entry/entry_test.go
@@ -99,12 +99,17 @@
 
 func (f *fleet) eventually(what string, ok func() bool) {
 	f.t.Helper()
-	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+	f.eventuallyWithin(6*time.Second, what, ok)
+}
+
+func (f *fleet) eventuallyWithin(limit time.Duration, what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if ok() {
 			return
 		}
 	}
-	f.t.Fatalf("%s: not within 6 s", what)
+	f.t.Fatalf("%s: not within %v", what, limit)
 }
 
 // session starts a session whose value "owner" the servers check.
--- a/internal/instance/entry/replace.go
+++ b/internal/instance/entry/replace.go
@@ -73,15 +73,18 @@
 
 // handOver asks the holder of the duty, and waits for the end of its claim if it is not reached.
 func (g *guard) handOver(ctx context.Context, claim Claim, x relay.Succession) error {
+	end := g.n.boot() + min(claim.Remaining, time.Second)
 	if m, ok := g.n.table.Roster().Member(claim.Holder); ok {
-		accepted, _, err := g.n.client.Succeed(ctx, m.Address, x)
+		call, cancel := context.WithTimeout(ctx, claim.Remaining)
+		accepted, _, err := g.n.client.Succeed(call, m.Address, x)
+		cancel()
 		if err == nil {
 			g.n.log.Info("change of primary handed over", "group", x.Group, "holder", claim.Holder, "accepted", accepted)
 			clock.Sleep(ctx, time.Second)
 			return nil
 		}
 	}
-	clock.Sleep(ctx, min(claim.Remaining, time.Second))
+	clock.Sleep(ctx, max(0, end-g.n.boot()))
 	return eris.Errorf("the duty is held by %s, which is not reached", claim.Holder)
 }
 
--- a/internal/instance/entry/succession.go
+++ b/internal/instance/entry/succession.go
@@ -284,6 +284,10 @@
 	}
 	go func() {
 		p, err := g.n.client.Probe(ctx, other.Address, server)
+		if err != nil {
+			g.n.table.Suspect(g.n.boot(), other.Name) // another one is asked next time
+			g.n.observer.peerLost(other.Name, err)
+		}
 		out <- opinion{Probe: p, asked: err == nil}
 	}()
 	return out
