Slow the first reads of an instance down after five seconds

Cause: an instance that starts while the store is silent repeated its first read each 250 ms without an end, 8 reads in 2 s, each of which is paid, and went on when another instance had told it the configuration.

Change: it does so for 5 s after its start and until it has a configuration; after that it reads at the usual pace.

Test failed first: TestFirstReadsSlowDown.

--- a/internal/instance/entry/reader.go
+++ b/internal/instance/entry/reader.go
@@ -22,6 +22,8 @@
 	// is not answered: a store that was silent answers only calls that reach it after its return, and callers wait.
 	firstRepeat = 250 * time.Millisecond
 	firstCheck  = 5 * time.Millisecond
+	// firstFor is how long after its start an instance does so: most outages end sooner, and calls are paid.
+	firstFor = 5 * time.Second
 	// staleAfter is the age of a document past which an instance reads it itself; a further step for each instance that
 	// comes before it keeps all of a place from reading at once.
 	staleAfter = 2200 * time.Millisecond
@@ -133,9 +135,14 @@
 
 // firstConfiguration reads the configuration while callers wait for it.
 func (n *Node) firstConfiguration(ctx context.Context) (belief.Rows, error) {
+	ctx, stop := context.WithTimeout(ctx, n.exchanges.started+firstFor-n.boot())
+	defer stop()
 	return clock.Repeat(ctx, firstRepeat, func(ctx context.Context) (belief.Rows, error) {
 		call, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
+		if known, _, _ := n.table.Ages(); known > 0 {
+			return belief.Rows{}, nil // another instance has told
+		}
 		started := n.boot()
 		rows, err := n.options.Store.Configuration(call)
 		if ctx.Err() == nil {
@@ -176,7 +183,7 @@
 		defer cancel()
 		rows, err = n.options.Store.AwaitConfiguration(call, after, configurationWait)
 		rows.Read = started
-	case known == 0 && !n.settings.FirstStart:
+	case known == 0 && !n.settings.FirstStart && n.boot() < n.exchanges.started+firstFor:
 		rows, err = n.firstConfiguration(ctx)
 	default:
 		call, cancel := context.WithTimeout(ctx, readTimeout)
--- a/internal/instance/entry/reader_test.go
+++ b/internal/instance/entry/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,3 +48,33 @@
 		t.Error("no session after the other instances are known")
 	}
 }
+
+// silentStore answers no read of the configuration and counts them.
+type silentStore struct {
+	entry.Store
+	calls *atomic.Int64
+}
+
+func (s silentStore) Configuration(ctx context.Context) (belief.Rows, error) {
+	s.calls.Add(1)
+	<-ctx.Done()
+	return belief.Rows{}, ctx.Err()
+}
+
+// Guards against an instance that goes on repeating its first read, each of which is paid, while the store stays silent.
+func TestFirstReadsSlowDown(t *testing.T) {
+	f := newFleet(t, "agreste")
+	f.nodes[0].Stop()
+	store := silentStore{Store: f.cluster.Store("i2"), calls: new(atomic.Int64)}
+	f.startAt("i2", "litoral", store)
+	time.Sleep(time.Second)
+	if n := store.calls.Load(); n < 3 {
+		t.Errorf("%d reads in the first second, want one each 250 ms", n)
+	}
+	time.Sleep(5 * time.Second)
+	before := store.calls.Load()
+	time.Sleep(2 * time.Second)
+	if n := store.calls.Load() - before; n > 3 {
+		t.Errorf("%d reads in 2 s after the start, want one in 1.4 s", n)
+	}
+}
