--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -9,8 +9,8 @@
 //	node.Stop()
 //
 // Files of the package: reader.go reads the store, exchange.go talks to other instances, rates.go keeps organisations in
-// their rates, servers.go uses servers, succession.go examines primaries, replace.go names new ones, observe.go writes logs
-// and metrics.
+// their rates, lending.go borrows tokens of other places, servers.go uses servers, succession.go examines primaries,
+// replace.go names new ones, observe.go writes logs and metrics.
 package entry
 
 import (
--- a/internal/organisation/fairness/queue.go
+++ b/internal/organisation/fairness/queue.go
@@ -4,6 +4,8 @@
 // estimate when it starts, and the difference when it ends. An organisation that leaves the queue keeps its debt as
 // long as others wait, so that leaving and coming back gains nothing.
 //
+// The items of one organisation are served in order, or with Options.InOrder the newest first while too many wait.
+//
 // # Usage
 //
 //	s := fairness.NewScheduler[string](fairness.Options{}, 2)
