Count demand in the share of a place once all places acknowledged it

Load: an organisation becomes busy in all places within a second, or all instances restart. Cause: a place counted its own new demand 0.9 s after it was published, but the demand of the others at once, so that all shares of a rate together fell to about 0.3 for up to a second.

Change: allotment.PlaceDemand. A lower demand counts at once, a higher one when all other places acknowledged it, or as before after a whole interval. A place that is short of tokens publishes to all places at once if its share would grow by a fifth.

--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -91,6 +91,16 @@
 	Demands              []Demand
 }
 
+// DemandOf returns the demand of a place in the state, the zero value if it has none.
+func (s State) DemandOf(place string) Demand {
+	for _, d := range s.Demands {
+		if d.Place == place {
+			return d
+		}
+	}
+	return Demand{}
+}
+
 // Decoder decodes rows of the store. A row that cannot be decoded is ignored.
 type Decoder interface {
 	Configuration(value []byte) (catalog.Configuration, error)
--- a/internal/instance/entry/failover.go
+++ b/internal/instance/entry/failover.go
@@ -39,7 +39,7 @@
 	// changeTimeout bounds one change of primary. Another one starts if the group still has no primary.
 	changeTimeout      = 8 * time.Second
 	promotionLeaseName = "promotion"
-	maxCoordinators    = 3 // failover coordinators that a report is offered to
+	maxCoordinators    = 3                      // failover coordinators that a report is offered to
 	minRefreshInterval = 400 * time.Millisecond // between two requested reads of the servers
 	// demoteDelay lets running statements end before a leaving primary is demoted.
 	demoteDelay = 300 * time.Millisecond
--- a/internal/instance/entry/gossip.go
+++ b/internal/instance/entry/gossip.go
@@ -100,7 +100,7 @@
 	if members == 0 && now-e.started < joinTimeout {
 		return // no other instance is known yet
 	}
-	n.rates.tick(now)
+	urgent := n.rates.tick(now)
 	var targets []roster.Member
 	coordinator := n.settings.Name
 	for _, m := range n.table.Coordinators(n.settings.Place) {
@@ -118,7 +118,7 @@
 	coordinating := coordinator == n.settings.Name && !n.table.Self().Leaving
 	e.setCoordinating(now, coordinating)
 	if coordinating {
-		targets = append(append(targets, e.overdueMembers(now)...), e.dueRemoteCoordinators(now)...)
+		targets = append(append(targets, e.overdueMembers(now)...), e.dueRemoteCoordinators(now, urgent)...)
 	}
 	for _, m := range targets {
 		e.startExchange(m, coordinating)
@@ -177,8 +177,8 @@
 
 // dueRemoteCoordinators returns the coordinators of other places that are to be called now. Between two places, the
 // coordinator of the place whose name sorts first calls, since one exchange transfers state both ways; the other one
-// calls only if it has not seen the first for three intervals.
-func (e *gossip) dueRemoteCoordinators(now time.Duration) []roster.Member {
+// calls only if it has not seen the first for three intervals. With urgent set, all are due.
+func (e *gossip) dueRemoteCoordinators(now time.Duration, urgent bool) []roster.Member {
 	var list []roster.Member
 	for _, place := range e.n.table.Places() {
 		if place == e.n.settings.Place {
@@ -192,7 +192,7 @@
 			if e.n.table.Suspected(now, m.Name) {
 				continue
 			}
-			if e.due(now, m.Name, period) && (place > e.n.settings.Place || now-e.n.table.LastSeen(m.Name) > period) {
+			if urgent || e.due(now, m.Name, period) && (place > e.n.settings.Place || now-e.n.table.LastSeen(m.Name) > period) {
 				list = append(list, m)
 			}
 			break
@@ -254,6 +254,8 @@
 	}
 	if m.Place == n.settings.Place {
 		n.rates.checkEarlierDemand(answer.Demands)
+	} else {
+		n.rates.acknowledged(m.Place, message.State.DemandOf(n.settings.Place).UpdatedAt)
 	}
 	n.table.Merge(now, answer) // before ClearSuspicion, because the answer may say that the instance is leaving
 	n.table.ClearSuspicion(now, m.Name)
--- a/internal/instance/entry/lending.go
+++ b/internal/instance/entry/lending.go
@@ -31,6 +31,7 @@
 	if g.NotHome || g.Granted >= wanted || a.organisation == "" {
 		return g
 	}
+	r.recordShortage(organisation)
 	borrowed, from := r.borrow(ctx, a, wanted-g.Granted)
 	g.Granted += borrowed
 	r.n.observer.metrics.Add(metric.TokensBorrowed, borrowed)
@@ -40,6 +41,13 @@
 	return g
 }
 
+// recordShortage records that the place has fewer tokens of an organisation than its callers need.
+func (r *rates) recordShortage(organisation string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.shortOf[organisation] = true
+}
+
 // grantLocal hands out tokens of the place alone. If this instance is not the coordinator, the grant says so.
 func (r *rates) grantLocal(organisation string, wanted int) (allotment.Grant, allowance) {
 	if !r.n.gossip.isCoordinator() {
@@ -105,8 +113,9 @@
 func Lenders(organisation string, rate float64, self string, places []string, demands map[string]view.Demand) []string {
 	spare := map[string]float64{}
 	var list []string
+	demand := func(place string) float64 { return demands[place].Rates[organisation] }
 	for _, p := range places {
-		spare[p] = rate*PlaceShare(organisation, p, places, demands) - demands[p].Rates[organisation]
+		spare[p] = rate*allotment.PlaceShare(p, places, demand) - demand(p)
 		if p != self && spare[p] > 0 {
 			list = append(list, p)
 		}
--- a/internal/instance/entry/rates.go
+++ b/internal/instance/entry/rates.go
@@ -18,12 +18,8 @@
 	demandHalfLife = 1500 * time.Millisecond
 	// demandTTL is how long the demand that another instance of the place reported is counted.
 	demandTTL = 3 * time.Second
-	// evenShare is the part of a rate that is divided evenly between the places, so that a place whose demand has just
-	// begun has tokens.
-	evenShare = 0.3
-	// demandOffset is added to the demand of each place, in operations per second, so that a rate with little demand is
-	// divided almost evenly.
-	demandOffset = 0.5
+	// urgentInterval is the shortest time between two publications of the demand. Each is sent to all places.
+	urgentInterval = 280 * time.Millisecond
 	// assumedDowntime is the assumed time between the stop of all instances of a place and their restart. Tokens
 	// accumulate during this time and until the place has a coordinator, for at most maxSavedTime: nothing was admitted
 	// meanwhile, and all callers return at the same time.
@@ -49,8 +45,9 @@
 	memberDemands     map[string]memberDemand
 	savedTime         time.Duration            // time for which the place has accumulated tokens, because all its instances restarted
 	savedGranted      map[string]float64       // accumulated tokens already put into the bucket, by organisation
-	effective         view.Demand              // demand of the own place that its share is computed from: the one published before
-	published         view.Demand              // demand of the own place that was last sent to the others
+	placeDemand       allotment.PlaceDemand    // of the own place
+	publishedAt       time.Duration            // when placeDemand was last published
+	shortOf           map[string]bool          // organisations with too few tokens since the last tick
 	lenderPausedUntil map[lender]time.Duration // until when places that could not lend enough are skipped
 }
 
@@ -61,7 +58,7 @@
 }
 
 func newRates(n *Node) *rates {
-	return &rates{n: n, counts: map[string]float64{}, demand: map[string]float64{}, memberDemands: map[string]memberDemand{}, lenderPausedUntil: map[lender]time.Duration{}}
+	return &rates{n: n, counts: map[string]float64{}, demand: map[string]float64{}, memberDemands: map[string]memberDemand{}, shortOf: map[string]bool{}, lenderPausedUntil: map[lender]time.Duration{}}
 }
 
 // admit takes a token for an operation of an organisation and counts the operation as demand. It returns the reason of a
@@ -82,14 +79,15 @@
 	return allotment.Settings{Rate: o.Rate, Burst: max(o.Burst, allotment.MinBurst)}
 }
 
-// tick updates the smoothed demand of this instance and publishes the demand of the place.
-func (r *rates) tick(now time.Duration) {
+// tick updates the smoothed demand of this instance and publishes the demand of the place. It reports whether the other
+// places are to be told at once.
+func (r *rates) tick(now time.Duration) (urgent bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	elapsed := (now - r.lastTick).Seconds()
 	if r.lastTick == 0 || elapsed <= 0 {
 		r.lastTick = now
-		return
+		return false
 	}
 	r.lastTick = now
 	decay := math.Exp2(-elapsed / demandHalfLife.Seconds())
@@ -108,16 +106,29 @@
 	}
 	clear(r.counts)
 	maps.DeleteFunc(r.lenderPausedUntil, func(_ lender, until time.Duration) bool { return now >= until })
-	r.publish(now)
+	return r.publish(now)
 }
 
-// publish sets the demand that the coordinator sends to other places, once per remoteInterval. The place computes its own
-// share from a value only after that value was published for one interval, so that the other places have lowered their
-// shares before this one raises its own. The caller holds the lock.
-func (r *rates) publish(now time.Duration) {
-	if !r.n.gossip.isCoordinator() || r.published.UpdatedAt > 0 && now-r.published.UpdatedAt < remoteInterval {
-		return
+// publish sets the demand that the coordinator sends to other places, once per remoteInterval, and sooner if the place is
+// short of tokens that its present demand entitles it to; then it returns true. The caller holds the lock.
+func (r *rates) publish(now time.Duration) (urgent bool) {
+	age := now - r.publishedAt
+	if !r.n.gossip.isCoordinator() || age < urgentInterval {
+		return false
 	}
+	total := r.total(now)
+	urgent = r.deservesMore(total)
+	clear(r.shortOf)
+	if age < remoteInterval && !urgent {
+		return false
+	}
+	r.placeDemand, r.publishedAt = r.placeDemand.WithPublished(now, remoteInterval, total), now
+	r.n.table.SetDemand(view.Demand{Place: r.n.settings.Place, Rates: total, UpdatedAt: now})
+	return urgent
+}
+
+// total returns the present demand of the place, by organisation. The caller holds the lock.
+func (r *rates) total(now time.Duration) map[string]float64 {
 	total := map[string]float64{}
 	for o, d := range r.demand {
 		total[o] += d
@@ -131,9 +142,31 @@
 			total[o] += d
 		}
 	}
-	r.effective = r.published
-	r.published = view.Demand{Place: r.n.settings.Place, Rates: total, UpdatedAt: now}
-	r.n.table.SetDemand(r.published)
+	return total
+}
+
+// deservesMore reports whether the place's share of an organisation that it is short of is notably larger with the present
+// demand. The caller holds the lock.
+func (r *rates) deservesMore(total map[string]float64) bool {
+	if len(r.shortOf) == 0 {
+		return false
+	}
+	places, demands := r.n.table.Places(), r.n.table.Demands()
+	for o := range r.shortOf {
+		counted := r.shareWith(o, places, demands, r.placeDemand.Counted(o))
+		if allotment.Notable(counted, r.shareWith(o, places, demands, total[o])) {
+			return true
+		}
+	}
+	return false
+}
+
+// acknowledged records that another place knows the demand of this place that was published at a moment.
+func (r *rates) acknowledged(place string, at time.Duration) {
+	places := r.n.table.Places()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.placeDemand = r.placeDemand.WithAcknowledged(place, at, r.n.settings.Place, places)
 }
 
 // becomeCoordinator prepares a new coordinator: it starts from the demand that the coordinator before it published last,
@@ -147,8 +180,7 @@
 	if earlier.UpdatedAt == 0 {
 		r.savedTime = min(assumedDowntime+now-r.n.gossip.started, maxSavedTime)
 	}
-	earlier.UpdatedAt = now
-	r.effective, r.published = earlier, earlier
+	r.placeDemand, r.publishedAt = allotment.StartPlaceDemand(earlier.Rates), now
 }
 
 // localDemand returns the demand at this instance, by organisation.
@@ -171,29 +203,20 @@
 
 // placeShare returns the part of an organisation's rate that this place may use, between 0 and 1.
 func (r *rates) placeShare(organisation string) float64 {
-	places := r.n.table.Places()
-	demands := r.n.table.Demands()
 	r.mu.Lock()
-	demands[r.n.settings.Place] = r.effective
+	counted := r.placeDemand.Counted(organisation)
 	r.mu.Unlock()
-	return PlaceShare(organisation, r.n.settings.Place, places, demands)
+	return r.shareWith(organisation, r.n.table.Places(), r.n.table.Demands(), counted)
 }
 
-// PlaceShare returns a place's part of an organisation's rate: evenShare of the rate is divided evenly between the places,
-// and the rest in proportion to their demand. The shares of all places add up to 1.
-func PlaceShare(organisation, place string, places []string, demands map[string]view.Demand) float64 {
-	sum, own := 0.0, 0.0
-	for _, p := range places {
-		d := demands[p].Rates[organisation] + demandOffset
-		sum += d
-		if p == place {
-			own = d
+// shareWith returns the part of an organisation's rate that this place may use if its own demand is the given one.
+func (r *rates) shareWith(organisation string, places []string, demands map[string]view.Demand, own float64) float64 {
+	return allotment.PlaceShare(r.n.settings.Place, places, func(place string) float64 {
+		if place == r.n.settings.Place {
+			return own
 		}
-	}
-	if sum == 0 {
-		return 0
-	}
-	return evenShare/float64(len(places)) + (1-evenShare)*own/sum
+		return demands[place].Rates[organisation]
+	})
 }
 
 // allowance is what a place may hand out of an organisation's rate.
--- a/internal/instance/entry/rates_test.go
+++ b/internal/instance/entry/rates_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -14,28 +13,6 @@
 	"tanagercross/internal/instance/entry"
 )
 
-// Guards against shares of a rate that do not add up to the rate, and against a place whose share is too small for its
-// demand.
-func TestPlaceShare(t *testing.T) {
-	places := []string{"agreste", "litoral", "sertao"}
-	for _, rates := range [][]float64{{0, 0, 0}, {30, 0, 0}, {10, 10, 10}, {200, 1, 1}} {
-		demands := map[string]view.Demand{}
-		for n, p := range places {
-			demands[p] = view.Demand{Place: p, Rates: map[string]float64{"coop": rates[n]}}
-		}
-		sum := 0.0
-		for _, p := range places {
-			sum += entry.PlaceShare("coop", p, places, demands)
-		}
-		if math.Abs(sum-1) > 1e-9 {
-			t.Errorf("demand %v: shares add up to %v, want 1", rates, sum)
-		}
-		if s := entry.PlaceShare("coop", "agreste", places, demands); rates[0] > 20 && s < 0.75 || s < 0.1 {
-			t.Errorf("demand %v: share of agreste %v, want at least 0.1, and 0.75 if its demand is above 20", rates, s)
-		}
-	}
-}
-
 // Guards against an organisation that exceeds its rate and burst over all instances together, and against one that is
 // refused although it is below its rate.
 func TestRateHoldsOverAllInstances(t *testing.T) {
--- /dev/null
+++ b/internal/organisation/allotment/share.go
@@ -0,0 +1,108 @@
+package allotment
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// The rate of an organisation is divided between the places by their demand. The load that this answers: the demand of
+// all places rises within a second, because an organisation becomes busy everywhere or all instances restart. A place
+// that counted its own new demand before the others know of it would let the organisation exceed its rate; a place that
+// waits for a fixed time leaves most of the rate unused while the others count the new demand of everyone else.
+
+const (
+	// evenShare is the part of a rate that is divided evenly between the places, so that a place whose demand has just
+	// begun has tokens.
+	evenShare = 0.3
+	// demandOffset is added to the demand of each place, in operations per second, so that a rate with little demand is
+	// divided almost evenly.
+	demandOffset = 0.5
+	// notableGrowth is the growth of a share from which demand is published before the regular time.
+	notableGrowth = 1.2
+)
+
+// PlaceShare returns a place's part of an organisation's rate: evenShare of the rate is divided evenly between the places,
+// and the rest in proportion to their demand in operations per second. The shares of all places add up to 1.
+func PlaceShare(place string, places []string, demand func(place string) float64) float64 {
+	sum, own := 0.0, 0.0
+	for _, p := range places {
+		d := demand(p) + demandOffset
+		sum += d
+		if p == place {
+			own = d
+		}
+	}
+	if sum == 0 {
+		return 0
+	}
+	return evenShare/float64(len(places)) + (1-evenShare)*own/sum
+}
+
+// PlaceDemand is the demand of a place: as it was published to the other places, and as the place may count it in its own
+// share. A lower demand counts at once. A higher one counts when every other place has acknowledged it, or when it has
+// been published for a whole interval, so that the others have lowered their shares before. The zero value is the demand
+// of a place that has published nothing.
+type PlaceDemand struct {
+	inForce map[string]float64 // operations per second, by organisation
+	pending []publication      // oldest first
+}
+
+// publication is a published demand that not all places are known to have received.
+type publication struct {
+	at           time.Duration
+	rates        map[string]float64
+	acknowledged map[string]bool // by place
+}
+
+// StartPlaceDemand returns the demand of a place whose new coordinator knows what the one before it published.
+func StartPlaceDemand(rates map[string]float64) PlaceDemand { return PlaceDemand{inForce: rates} }
+
+// Counted returns the demand of an organisation that the place counts in its own share.
+func (d PlaceDemand) Counted(organisation string) float64 {
+	counted := d.inForce[organisation]
+	for _, p := range d.pending {
+		counted = min(counted, p.rates[organisation])
+	}
+	return counted
+}
+
+// WithPublished returns the demand after rates were published. Those published for an interval come into force.
+func (d PlaceDemand) WithPublished(now, interval time.Duration, rates map[string]float64) PlaceDemand {
+	for n, p := range slices.Backward(d.pending) {
+		if now-p.at >= interval {
+			d = d.withInForce(n)
+			break
+		}
+	}
+	d.pending = append(slices.Clip(d.pending), publication{at: now, rates: rates})
+	return d
+}
+
+// withInForce returns the demand with a pending publication in force and the earlier ones dropped.
+func (d PlaceDemand) withInForce(n int) PlaceDemand {
+	return PlaceDemand{inForce: d.pending[n].rates, pending: d.pending[n+1:]}
+}
+
+// WithAcknowledged returns the demand after a place has confirmed that it knows what was published at a moment. places are
+// all places with instances, self among them.
+func (d PlaceDemand) WithAcknowledged(place string, at time.Duration, self string, places []string) PlaceDemand {
+	n := slices.IndexFunc(d.pending, func(p publication) bool { return p.at == at })
+	if n < 0 {
+		return d
+	}
+	acknowledged := map[string]bool{self: true, place: true}
+	maps.Copy(acknowledged, d.pending[n].acknowledged)
+	d.pending = slices.Clone(d.pending)
+	d.pending[n].acknowledged = acknowledged
+	for _, p := range places {
+		if !acknowledged[p] {
+			return d
+		}
+	}
+	return d.withInForce(n)
+}
+
+// Notable reports whether the share of a place grows so much with its present demand that it is worth a publication
+// before the regular time.
+func Notable(counted, present float64) bool { return present >= counted*notableGrowth }
