Publish demand early only for a gain of six tokens

Cause: with the change before, a place published early whenever a share grew by a fifth.

Change: an early publication must bring at least six tokens, over all organisations that are short, until the regular one.

--- a/internal/instance/entry/rates.go
+++ b/internal/instance/entry/rates.go
@@ -145,20 +145,20 @@
 	return total
 }
 
-// deservesMore reports whether the place's share of an organisation that it is short of is notably larger with the present
-// demand. The caller holds the lock.
+// deservesMore reports whether the place would get enough more tokens of the organisations that it is short of if its
+// present demand counted. The caller holds the lock.
 func (r *rates) deservesMore(total map[string]float64) bool {
 	if len(r.shortOf) == 0 {
 		return false
 	}
 	places, demands := r.n.table.Places(), r.n.table.Demands()
+	gain := 0.0
 	for o := range r.shortOf {
 		counted := r.shareWith(o, places, demands, r.placeDemand.Counted(o))
-		if allotment.Notable(counted, r.shareWith(o, places, demands, total[o])) {
-			return true
-		}
+		present := r.shareWith(o, places, demands, total[o])
+		gain += allotment.Gain(counted, present, r.totalSettings(o).Rate, remoteInterval)
 	}
-	return false
+	return allotment.EarlyPublication(gain)
 }
 
 // acknowledged records that another place knows the demand of this place that was published at a moment.
--- a/internal/organisation/allotment/share.go
+++ b/internal/organisation/allotment/share.go
@@ -18,8 +18,9 @@
 	// demandOffset is added to the demand of each place, in operations per second, so that a rate with little demand is
 	// divided almost evenly.
 	demandOffset = 0.5
-	// notableGrowth is the growth of a share from which demand is published before the regular time.
-	notableGrowth = 1.2
+	// earlyGain is how many more tokens a place must get until the regular time for a publication before that time. Each
+	// publication is sent to all places, and traffic between regions is paid for.
+	earlyGain = 6
 )
 
 // PlaceShare returns a place's part of an organisation's rate: evenShare of the rate is divided evenly between the places,
@@ -103,6 +104,10 @@
 	return d.withInForce(n)
 }
 
-// Notable reports whether the share of a place grows so much with its present demand that it is worth a publication
-// before the regular time.
-func Notable(counted, present float64) bool { return present >= counted*notableGrowth }
+// Gain returns how many more tokens a place gets during an interval if its share of a rate grows.
+func Gain(counted, present, rate float64, interval time.Duration) float64 {
+	return max(0, present-counted) * rate * interval.Seconds()
+}
+
+// EarlyPublication reports whether the gain over all organisations is worth a publication before the regular time.
+func EarlyPublication(gain float64) bool { return gain >= earlyGain }
--- a/internal/organisation/allotment/share_test.go
+++ b/internal/organisation/allotment/share_test.go
@@ -35,6 +35,7 @@
 	tickInterval    = 300 * time.Millisecond
 	regularInterval = 900 * time.Millisecond
 	demandHalfLife  = 1500 * time.Millisecond
+	rate            = 180.0 // operations per second of all places together
 )
 
 // simulatedPlace is a place that publishes its demand of one organisation and knows what it received from the others.
@@ -86,7 +87,8 @@
 			}
 			present := p.target * (1 - math.Exp2(-now.Seconds()/demandHalfLife.Seconds()))
 			age := now - p.published.at
-			urgent := age >= tickInterval && Notable(share(p, p.demand.Counted("coop")), share(p, present))
+			gain := Gain(share(p, p.demand.Counted("coop")), share(p, present), rate, regularInterval)
+			urgent := age >= tickInterval && EarlyPublication(gain)
 			if !urgent && age < regularInterval {
 				continue
 			}
