Read the store once for each region

Cause: the coordinator of each place followed configuration, servers and members by itself.

Change: the coordinator of the first place of a region with a live instance reads; the coordinators of a region exchange state every 0.4 s, with server rows. A coordinator whose copy is stale (2.8 s, before 2.2 s) reads for 5 s itself. The regions come from the platform's settings. Rows of silent members are still removed by the coordinator of their place.

TestRegionWithoutItsReader: a withdrawn key is refused within 4 s if the reader stops or the store turns it away.

--- a/internal/fleet/view/presence.go
+++ b/internal/fleet/view/presence.go
@@ -196,8 +196,8 @@
 
 // Delta returns the part of the view that an instance of a place lacks. has holds the versions that the instance has. An
 // instance of another place receives only the presences of instances that it must not use (down or leaving), the demand
-// of this place alone, and server rows only if it has none or its own are older than storeOutageThreshold, because
-// traffic between regions is paid for.
+// of this place alone, and outside of the region server rows only if it has none or its own are older than
+// storeOutageThreshold, because traffic between regions is paid for.
 func (t *Table) Delta(now time.Duration, has State, place string) State {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -207,7 +207,7 @@
 		b.Configuration = t.configurationRows
 	}
 	samePlace := place == t.self.Place
-	if b.ServersVersion > has.ServersVersion && (samePlace || has.ServersVersion == 0 || now-has.Servers.ReadAt > storeOutageThreshold) {
+	if b.ServersVersion > has.ServersVersion && (t.regions.Same(place, t.self.Place) || has.ServersVersion == 0 || now-has.Servers.ReadAt > storeOutageThreshold) {
 		b.Servers = t.serverRows
 	}
 	if b.MembersVersion > has.MembersVersion {
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -120,6 +120,7 @@
 // Table is the view of one instance. It is safe for concurrent use.
 type Table struct {
 	self     Presence
+	regions  roster.Regions
 	decoder  Decoder
 	observer Observer
 
@@ -143,9 +144,9 @@
 }
 
 // NewTable returns a table that contains only the instance itself.
-func NewTable(self Presence, d Decoder, o Observer) *Table {
+func NewTable(self Presence, r roster.Regions, d Decoder, o Observer) *Table {
 	t := &Table{
-		self: self, decoder: d, observer: o, leaders: map[string]Leader{},
+		self: self, regions: r, decoder: d, observer: o, leaders: map[string]Leader{},
 		missingServers: map[string]missingServer{}, rejected: map[string]rejection{}, presences: map[string]Presence{}, demands: map[string]Demand{},
 		suspectedUntil: map[string]time.Duration{}, stopped: map[string]bool{}, changed: make(chan struct{}),
 	}
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -44,7 +44,7 @@
 
 func table() (*view.Table, *observer) {
 	o := &observer{}
-	return view.NewTable(view.Presence{Name: "i1", Address: "i1", Place: "agreste"}, decoder{}, o), o
+	return view.NewTable(view.Presence{Name: "i1", Address: "i1", Place: "agreste"}, nil, decoder{}, o), o
 }
 
 func rows(version uint64, read time.Duration, entries ...string) view.Rows {
@@ -201,7 +201,7 @@
 	members := rows(1, time.Second, "i1=agreste", "i2=agreste", "j1=sertao")
 	coordinator, _ := table()
 	coordinator.SetMembers(members)
-	remote := view.NewTable(view.Presence{Name: "j1", Address: "j1", Place: "sertao"}, decoder{}, &observer{})
+	remote := view.NewTable(view.Presence{Name: "j1", Address: "j1", Place: "sertao"}, nil, decoder{}, &observer{})
 	remote.SetMembers(members)
 	holds := func(now time.Duration) bool {
 		remote.Merge(now, coordinator.Delta(now, remote.Versions(), "sertao"))
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -33,6 +33,7 @@
 
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/fleet/relay"
+	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/clock"
 	"tanagercross/internal/instance/metric"
@@ -45,6 +46,7 @@
 type Settings struct {
 	Name           string
 	Place          string
+	Regions        roster.Regions
 	Power          float64       // processing power of the machine, in cores; 0 if not known
 	PeersAddress   string        // for other instances
 	PromotionLease time.Duration // how long the promotion lease lasts without renewal
@@ -88,6 +90,7 @@
 
 	prefix         string // of session ids
 	sessions       atomic.Uint64
+	readsUntil     atomic.Int64 // reading of boot until which this instance reads the store itself
 	endingSessions atomic.Bool
 	refusing       atomic.Bool
 	stopLoops      context.CancelFunc
@@ -122,7 +125,7 @@
 	}
 	n.observer = newObserver(n, o.Log, o.Metrics)
 	self := view.Presence{Name: o.Settings.Name, Address: o.Settings.PeersAddress, Place: o.Settings.Place, Power: o.Settings.Power}
-	n.table = view.NewTable(self, o.Decoder, n.observer)
+	n.table = view.NewTable(self, o.Settings.Regions, o.Decoder, n.observer)
 	n.rates = newRates(n)
 	n.pools = newPools(n)
 	n.readIndexes = newReadIndexes(n)
--- a/internal/instance/entry/entry_test.go
+++ b/internal/instance/entry/entry_test.go
@@ -14,6 +14,7 @@
 
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/fleet/catalog"
+	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/instance/clock"
 	"tanagercross/internal/instance/entry"
 	"tanagercross/internal/instance/metric"
@@ -29,6 +30,7 @@
 	t       *testing.T
 	cluster *cluster.Cluster
 	nodes   []*entry.Node
+	regions roster.Regions
 	ids     atomic.Int64
 }
 
@@ -54,7 +56,13 @@
 // and so on. At the end, the test fails if the servers have detected a violation, such as a statement that ran twice.
 func newFleet(t *testing.T, places ...string) *fleet {
 	t.Helper()
-	f := &fleet{t: t, cluster: cluster.New(clock.Boot)}
+	return newFleetIn(t, nil, places...)
+}
+
+// newFleetIn is newFleet with places that share regions.
+func newFleetIn(t *testing.T, regions roster.Regions, places ...string) *fleet {
+	t.Helper()
+	f := &fleet{t: t, cluster: cluster.New(clock.Boot), regions: regions}
 	f.cluster.AddGroup("meals", "agreste", "sertao", "litoral")
 	f.cluster.Configure(configuration(1, 100_000, keyText))
 	t.Cleanup(func() {
@@ -88,7 +96,7 @@
 		f.t.Fatal(err)
 	}
 	n, err := entry.Start(entry.Options{
-		Settings: entry.Settings{Name: name, Place: place, PeersAddress: address, PromotionLease: time.Second},
+		Settings: entry.Settings{Name: name, Place: place, Regions: f.regions, PeersAddress: address, PromotionLease: time.Second},
 		Store:    store, Promoter: f.cluster, Decoder: f.cluster, Dialer: f.cluster.Dialer(name),
 		Metrics: metric.New(), Log: slog.New(slog.NewJSONHandler(logWriter(), nil)).With("node", name),
 	})
--- a/internal/instance/entry/gossip.go
+++ b/internal/instance/entry/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 	joinInterval   = 40 * time.Millisecond // until the first answer
 	// remoteInterval is the gossip interval between the coordinators of two places; traffic between regions is paid for.
 	remoteInterval = 900 * time.Millisecond
+	// regionInterval is the interval between the coordinators of two places of a region, of which one reads the store for
+	// both.
+	regionInterval = 400 * time.Millisecond
 	// reportOverdue is the time since an instance of the place last called after which its coordinator calls it instead.
 	reportOverdue = 700 * time.Millisecond
 	// recheckInterval is the time between calls to instances that do not answer but rank higher as coordinator.
@@ -184,9 +188,9 @@
 		if place == e.n.settings.Place {
 			continue
 		}
-		period := remoteInterval
+		period := e.exchangeInterval(place)
 		if place < e.n.settings.Place {
-			period = 3 * remoteInterval
+			period *= 3
 		}
 		for _, m := range e.n.table.Coordinators(place) {
 			if e.n.table.Suspected(now, m.Name) {
@@ -201,6 +205,39 @@
 	return list
 }
 
+// exchangeInterval returns the interval of exchanges with the coordinator of another place.
+func (e *gossip) exchangeInterval(place string) time.Duration {
+	if e.n.settings.Regions.Same(place, e.n.settings.Place) {
+		return regionInterval
+	}
+	return remoteInterval
+}
+
+// readsForRegion reports whether this instance reads the store for its region: it is the coordinator of the first place
+// of the region, in alphabetical order, that has a live instance.
+func (e *gossip) readsForRegion(now time.Duration) bool {
+	if !e.isCoordinator() {
+		return false
+	}
+	for _, place := range e.n.table.Places() {
+		if place == e.n.settings.Place {
+			break
+		}
+		if e.n.settings.Regions.Same(place, e.n.settings.Place) && e.placeAnswers(now, place) {
+			return false
+		}
+	}
+	return true
+}
+
+// placeAnswers reports whether an instance of another place answered a call or called lately.
+func (e *gossip) placeAnswers(now time.Duration, place string) bool {
+	return slices.ContainsFunc(e.n.table.Coordinators(place), func(m roster.Member) bool {
+		seen := e.n.table.LastSeen(m.Name)
+		return seen > 0 && now-seen < view.AliveTimeout && !e.n.table.Suspected(now, m.Name)
+	})
+}
+
 // startExchange exchanges state with an instance in the background, unless a call of startExchange to it is in progress.
 func (e *gossip) startExchange(m roster.Member, coordinator bool) {
 	e.mu.Lock()
--- a/internal/instance/entry/reader.go
+++ b/internal/instance/entry/reader.go
@@ -10,8 +10,8 @@
 	"tanagercross/internal/instance/clock"
 )
 
-// Intervals of reads of the store. The coordinator of each place reads for the other instances, because each call is paid
-// for.
+// Intervals of reads of the store. The coordinator of one place reads for all instances of its region, because each call
+// is paid for.
 const (
 	configurationPollTimeout = 1200 * time.Millisecond // of one call that waits for a change of the configuration
 	serversReadInterval      = 2 * time.Second
@@ -26,18 +26,22 @@
 	// startupRepeatWindow is how long after its start an instance repeats reads like this. Most outages end sooner, and
 	// each call is paid for.
 	startupRepeatWindow = 5 * time.Second
-	// staleThreshold is the age of a document past which an instance that is not the coordinator reads it itself.
-	// staleRankDelay is added for each instance that ranks higher, so that not all instances of a place read at once.
-	staleThreshold = 2200 * time.Millisecond
+	// staleThreshold is the age of a document past which an instance reads it although another one reads for it. Servers
+	// are read every 2 s and take two exchanges. staleRankDelay is added for each instance that ranks higher, so that not
+	// all instances of a place read at once.
+	staleThreshold = 2800 * time.Millisecond
 	staleRankDelay = 250 * time.Millisecond
+	takeoverTime   = 5 * time.Second
 	// memberExpiry is how long an instance must not have been seen before its row is removed from the store.
 	memberExpiry = 12 * time.Second
 )
 
 // shouldRead reports whether this instance is to read a document from the store. asOf is the moment at which its copy was
-// last known to be current, 0 if it has none.
+// last known to be current, 0 if it has none. A coordinator whose copy is stale reads for takeoverTime, because the one that
+// reads for the region may be cut off from the store.
 func (n *Node) shouldRead(asOf time.Duration) bool {
-	if n.gossip.isCoordinator() {
+	now := n.boot()
+	if n.gossip.readsForRegion(now) || now < time.Duration(n.readsUntil.Load()) {
 		return true
 	}
 	rank := 0
@@ -49,7 +53,11 @@
 	if asOf == 0 && !n.settings.FirstStart {
 		return true // callers are waiting for a restarting instance
 	}
-	return n.boot()-max(asOf, n.gossip.started) > staleThreshold+time.Duration(min(rank, 4))*staleRankDelay
+	stale := now-max(asOf, n.gossip.started) > staleThreshold+time.Duration(min(rank, 4))*staleRankDelay
+	if stale && n.gossip.isCoordinator() {
+		n.readsUntil.Store(int64(now + takeoverTime))
+	}
+	return stale
 }
 
 // readMembers writes the row of this instance, reads the member list, and then reads it periodically while this instance is
@@ -67,12 +75,17 @@
 		}
 	}
 	n.readMembersOnce(ctx)
+	removal := n.boot()
 	for {
+		if n.boot()-removal > membersReadInterval {
+			removal = n.boot()
+			n.removeExpiredMembers(ctx)
+		}
 		_, _, read := n.table.ReadTimes()
 		if read == 0 && !clock.Sleep(ctx, readRetryDelay) {
 			return
 		}
-		if read == 0 || n.gossip.isCoordinator() && n.boot()-read > membersReadInterval {
+		if read == 0 || n.gossip.readsForRegion(n.boot()) && n.boot()-read > membersReadInterval {
 			n.readMembersOnce(ctx)
 		}
 		if !clock.Sleep(ctx, readRetryDelay) {
@@ -108,7 +121,6 @@
 	}
 	rows.ReadAt = started
 	n.table.SetMembers(rows)
-	n.removeExpiredMembers(ctx)
 }
 
 // removeExpiredMembers removes the rows of instances of the own place that were not seen for memberExpiry. Only an instance
--- a/internal/instance/entry/reader_test.go
+++ b/internal/instance/entry/reader_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"tanagercross/internal/database/statement"
+	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/entry"
 )
@@ -80,3 +82,38 @@
 		t.Errorf("%d reads in 2 s, more than 6 s after the start; want at most 3: one every 1.4 s", n)
 	}
 }
+
+// region has two places, so that one coordinator reads the store for both.
+var region = roster.Regions{"agreste": "north", "litoral": "south", "sertao": "north"}
+
+// Guards against store calls that grow with the places of a region: each is paid for.
+func TestOneReaderForEachRegion(t *testing.T) {
+	rate := func(places ...string) int {
+		f := newFleetIn(t, region, places...)
+		time.Sleep(2 * time.Second)
+		before := f.cluster.Calls()
+		time.Sleep(4 * time.Second)
+		return f.cluster.Calls() - before
+	}
+	if one, two := rate("agreste", "agreste"), rate("agreste", "sertao"); two > one+3 {
+		t.Errorf("%d calls in 4 s with two places in a region, %d with one; want at most 3 more", two, one)
+	}
+}
+
+// Guards against a withdrawn key that a place still accepts because the instance that reads for its region has stopped, or
+// is not served by the store any more.
+func TestRegionWithoutItsReader(t *testing.T) {
+	for name, fail := range map[string]func(*fleet){
+		"stopped":     func(f *fleet) { f.nodes[0].Stop() },
+		"turned away": func(f *fleet) { f.cluster.TurnAway("i1", true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleetIn(t, region, "agreste", "sertao", "sertao")
+			time.Sleep(2 * time.Second)
+			s := f.session(2, "bookings")
+			fail(f)
+			f.cluster.Configure(configuration(2, 100_000, "another key"))
+			f.eventuallyWithin(4*time.Second, "the key is refused", func() bool { return s.read("plates").Code == statement.Unauthorized })
+		})
+	}
+}
