Send rows to another region only if it does not read them itself

Cause: a coordinator sent each newer version of configuration and members to the other regions, although each region reads the store.

Change: outside of the region rows are sent only to an instance that has none or has not confirmed its own for 1.6 s (configuration), 4 s (servers, as before) or 15 s (members).

Result: TestRowsForOtherRegions is red without the change.

--- a/internal/fleet/view/presence.go
+++ b/internal/fleet/view/presence.go
@@ -196,21 +196,26 @@
 
 // Delta returns the part of the view that an instance of a place lacks. has holds the versions that the instance has. An
 // instance of another place receives only the presences of instances that it must not use (down or leaving), the demand
-// of this place alone, and outside of the region server rows only if it has none or its own are older than
-// storeOutageThreshold, because traffic between regions is paid for.
+// of this place alone, and outside of the region rows only if it has none or its own were not confirmed lately, because
+// traffic between regions is paid for.
 func (t *Table) Delta(now time.Duration, has State, place string) State {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	b := State{ConfigurationVersion: t.configurationVersion(), ServersVersion: t.serverRows.Version, MembersVersion: t.memberRows.Version}
 	b.Configuration.ReadAt, b.Servers.ReadAt, b.Members.ReadAt = t.configurationRows.ReadAt, t.serverRows.ReadAt, t.memberRows.ReadAt
-	if b.ConfigurationVersion > has.ConfigurationVersion {
+	sameRegion, samePlace := t.regions.Same(place, t.self.Place), place == t.self.Place
+	// needs reports whether rows are worth their bytes. Every region reads the store, so that one with recent rows will have
+	// the newer ones soon.
+	needs := func(known uint64, readAt, recent time.Duration) bool {
+		return sameRegion || known == 0 || now-readAt > recent
+	}
+	if b.ConfigurationVersion > has.ConfigurationVersion && needs(has.ConfigurationVersion, has.Configuration.ReadAt, recentConfiguration) {
 		b.Configuration = t.configurationRows
 	}
-	samePlace := place == t.self.Place
-	if b.ServersVersion > has.ServersVersion && (t.regions.Same(place, t.self.Place) || has.ServersVersion == 0 || now-has.Servers.ReadAt > storeOutageThreshold) {
+	if b.ServersVersion > has.ServersVersion && needs(has.ServersVersion, has.Servers.ReadAt, storeOutageThreshold) {
 		b.Servers = t.serverRows
 	}
-	if b.MembersVersion > has.MembersVersion {
+	if b.MembersVersion > has.MembersVersion && needs(has.MembersVersion, has.Members.ReadAt, recentMembers) {
 		b.Members = t.memberRows
 	}
 	for _, l := range t.leaders {
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -43,6 +43,10 @@
 	missingReplicaExpiry = 8 * time.Second
 	// storeOutageThreshold is the time between two successful reads of the servers that counts as an outage of the store.
 	storeOutageThreshold = 4 * time.Second
+	// recentConfiguration and recentMembers are the ages up to which an instance of another region counts as reading the
+	// store successfully. A healthy region confirms its configuration every 1.2 s and reads the members every 10 s.
+	recentConfiguration = 1600 * time.Millisecond
+	recentMembers       = 15 * time.Second
 )
 
 // Row is a row of the store.
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -195,6 +196,40 @@
 	}
 }
 
+// Guards against rows that are sent to another region although it reads the store itself: with 195 instances, the member
+// list alone was most of the traffic between regions that is not caused by callers. A region that is cut off from the
+// store, or has just started, needs them.
+func TestRowsForOtherRegions(t *testing.T) {
+	now := 30 * time.Second
+	b := view.NewTable(view.Presence{Name: "i1", Place: "agreste-a"}, roster.Regions{"agreste-a": "agreste", "agreste-b": "agreste"}, decoder{}, &observer{})
+	b.SetConfiguration(rows(9, now, "config=x"))
+	b.SetServers(now, rows(9, now, "a=primary"))
+	b.SetMembers(rows(9, now, "i2=agreste-a"))
+	sent := func(place string, version uint64, age time.Duration) string {
+		has := view.State{ConfigurationVersion: version, ServersVersion: version, MembersVersion: version}
+		has.Configuration.ReadAt, has.Servers.ReadAt, has.Members.ReadAt = now-age, now-age, now-age
+		d := b.Delta(now, has, place)
+		return fmt.Sprint(len(d.Configuration.Rows), len(d.Servers.Rows), len(d.Members.Rows))
+	}
+	for _, c := range []struct {
+		place   string
+		version uint64
+		age     time.Duration
+		want    string
+	}{
+		{"agreste-b", 8, time.Second, "1 1 1"},
+		{"agreste-b", 9, time.Second, "0 0 0"},
+		{"sertao-a", 8, time.Second, "0 0 0"},
+		{"sertao-a", 8, 2 * time.Second, "1 0 0"},
+		{"sertao-a", 8, 20 * time.Second, "1 1 1"},
+		{"sertao-a", 0, time.Second, "1 1 1"},
+	} {
+		if got := sent(c.place, c.version, c.age); got != c.want {
+			t.Errorf("%s has version %d, read %v ago: rows sent %s, want %s", c.place, c.version, c.age, got, c.want)
+		}
+	}
+}
+
 // Guards against an instance that has been down since before this one started and that other places keep calling: after a
 // restart of all, one machine that did not come back held up 6 statements a second for 400 ms each.
 func TestDeltaReportsMembersNeverSeen(t *testing.T) {
