End the work in which a panic happens instead of the process

Cause: no goroutine outside of internal/instance/api recovered from a panic. One in the handling of a caller's statement, of a row of the store or of a gossip message ended the process with all its callers.

Change: package recovery. A panic in a statement answers UNKNOWN, which is true whether it ran or not, and closes that session; one in a row makes the row ignored; one in a hedged read, a relayed statement, an exchange, a request for tokens or an examination ends that call; a loop starts again after 1 s. Each is logged with its stack and counted in tanagercross_panics_total.

--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -11,10 +11,10 @@
 //	node.EndSessions()
 //	node.Stop()
 //
-// Files of the package: reader.go reads the store, gossip.go exchanges state with other instances, rates.go limits the
-// rates of organisations, lending.go borrows tokens from other places, servers.go executes statements on servers,
-// failover.go examines primaries, promote.go promotes replicas, observe.go writes logs and metrics, ports.go declares the
-// interfaces of the platform.
+// Files of the package: reader.go reads the store, decoder.go decodes its rows, gossip.go exchanges state with other
+// instances, services.go answers their calls, rates.go limits the rates of organisations, lending.go borrows tokens from
+// other places, servers.go executes statements on servers, failover.go examines primaries, promote.go promotes replicas,
+// observe.go writes logs and metrics, ports.go declares the interfaces of the platform.
 package entry
 
 import (
@@ -39,6 +39,7 @@
 	"tanagercross/internal/instance/metric"
 	"tanagercross/internal/organisation/allotment"
 	"tanagercross/internal/request/dispatch"
+	"tanagercross/internal/service/recovery"
 	"tanagercross/internal/session/callersession"
 )
 
@@ -101,6 +102,9 @@
 // that names the time to retry.
 const rateTokenTimeout = 140 * time.Millisecond
 
+// loopRestartDelay is the pause before a loop of the instance that panicked starts again.
+const loopRestartDelay = time.Second
+
 // startupTimeout is how long a new caller waits for the initial state of an instance that has just started. Callers give up
 // after 2 s.
 const startupTimeout = 1200 * time.Millisecond
@@ -125,7 +129,7 @@
 	}
 	n.observer = newObserver(n, o.Log, o.Metrics)
 	self := view.Presence{Name: o.Settings.Name, Address: o.Settings.PeersAddress, Place: o.Settings.Place, Power: o.Settings.Power}
-	n.table = view.NewTable(self, o.Settings.Regions, o.Decoder, n.observer)
+	n.table = view.NewTable(self, o.Settings.Regions, rowDecoder{o.Decoder, n.observer}, n.observer)
 	n.rates = newRates(n)
 	n.pools = newPools(n)
 	n.readIndexes = newReadIndexes(n)
@@ -144,12 +148,23 @@
 	for _, loop := range []func(context.Context){
 		n.readMembers, n.readConfiguration, n.readServers, n.gossip.run, n.pools.run, n.readIndexes.run, n.failover.run,
 	} {
-		n.spawn(func() { loop(ctx) })
+		n.spawn(func() { n.keepRunning(ctx, loop) })
 	}
 	n.log.Info("started", "instance", self.Name, "place", self.Place, "peers", self.Address)
 	return n, nil
 }
 
+// keepRunning runs a loop until the context ends, and starts it again after a panic.
+func (n *Node) keepRunning(ctx context.Context, loop func(context.Context)) {
+	once := func() {
+		defer recovery.Catch(n.observer.panicked("loop"))
+		loop(ctx)
+	}
+	for once(); ctx.Err() == nil && clock.Sleep(ctx, loopRestartDelay); {
+		once()
+	}
+}
+
 // spawn runs a function in the background. Stop waits for its end.
 func (n *Node) spawn(f func()) {
 	n.loops.Add(1)
--- a/internal/instance/entry/entry_test.go
+++ b/internal/instance/entry/entry_test.go
@@ -15,6 +15,7 @@
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/fleet/catalog"
 	"tanagercross/internal/fleet/roster"
+	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/clock"
 	"tanagercross/internal/instance/entry"
 	"tanagercross/internal/instance/metric"
@@ -31,6 +32,7 @@
 	cluster *cluster.Cluster
 	nodes   []*entry.Node
 	regions roster.Regions
+	decoder view.Decoder // that of the cluster if nil
 	ids     atomic.Int64
 }
 
@@ -95,9 +97,13 @@
 	if err := listener.Close(); err != nil {
 		f.t.Fatal(err)
 	}
+	decoder := f.decoder
+	if decoder == nil {
+		decoder = f.cluster
+	}
 	n, err := entry.Start(entry.Options{
 		Settings: entry.Settings{Name: name, Place: place, Regions: f.regions, PeersAddress: address, PromotionLease: time.Second},
-		Store:    store, Promoter: f.cluster, Decoder: f.cluster, Dialer: f.cluster.Dialer(name),
+		Store:    store, Promoter: f.cluster, Decoder: decoder, Dialer: f.cluster.Dialer(name),
 		Metrics: metric.New(), Log: slog.New(slog.NewJSONHandler(logWriter(), nil)).With("node", name),
 	})
 	if err != nil {
--- a/internal/instance/entry/failover.go
+++ b/internal/instance/entry/failover.go
@@ -16,6 +16,7 @@
 	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/clock"
+	"tanagercross/internal/service/recovery"
 )
 
 const (
@@ -100,6 +101,7 @@
 // sendReport sends a report to the failover coordinator of the group, or to one of the next two instances if it cannot be
 // reached. If the receiver answers that another server leads, the view is updated.
 func (g *failover) sendReport(x relay.PrimaryChange) {
+	defer recovery.Catch(g.n.observer.panicked("report"))
 	attempts := 0
 	for m := range g.coordinators(x.Group) {
 		if attempts++; attempts > maxCoordinators {
@@ -152,13 +154,16 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
 		defer cancel()
+		defer func() {
+			g.mu.Lock()
+			delete(g.inProgress, x.Group)
+			g.mu.Unlock()
+		}()
+		defer recovery.Catch(g.n.observer.panicked("change of primary"))
 		err := g.examine(ctx, x)
 		if err != nil {
 			g.n.log.Warn("change of primary failed", "group", x.Group, "primary", x.Primary, "error", err.Error())
 		}
-		g.mu.Lock()
-		delete(g.inProgress, x.Group)
-		g.mu.Unlock()
 	}()
 	return true, view.Leader{}
 }
@@ -311,12 +316,15 @@
 		return out
 	}
 	go func() {
+		result := probeResult{}
+		defer func() { out <- result }()
+		defer recovery.Catch(g.n.observer.panicked("probe"))
 		p, err := g.n.client.Probe(ctx, other.Address, server)
 		if err != nil {
 			g.n.table.Suspect(g.n.boot(), other.Name) // the next examination uses another instance
 			g.n.observer.peerUnreachable(other.Name, err)
 		}
-		out <- probeResult{Probe: p, answered: err == nil}
+		result = probeResult{Probe: p, answered: err == nil}
 	}()
 	return out
 }
--- a/internal/instance/entry/observe.go
+++ b/internal/instance/entry/observe.go
@@ -10,6 +10,7 @@
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/metric"
 	"tanagercross/internal/request/dispatch"
+	"tanagercross/internal/service/recovery"
 )
 
 // slowStatement is the duration above which a successful statement is logged.
@@ -154,6 +155,17 @@
 	o.metrics.Count(metric.StatementRetried, metric.Label{Name: "reason", Value: reason})
 }
 
+// Panicked implements dispatch.Observer and callersession.Observer.
+func (o *observer) Panicked(part string, p recovery.Panic) {
+	o.metrics.Count(metric.Panics)
+	o.log.Error("panic", "part", part, "value", p.Value, "stack", p.Stack)
+}
+
+// panicked returns the handler of panics in a part of the instance.
+func (o *observer) panicked(part string) func(recovery.Panic) {
+	return func(p recovery.Panic) { o.Panicked(part, p) }
+}
+
 // Refused implements callersession.Observer.
 func (o *observer) Refused(database, organisation, id string, code statement.Code, reason string) {
 	o.metrics.Count(metric.StatementRefused, metric.Label{Name: "code", Value: string(code)})
--- a/internal/instance/entry/rates.go
+++ b/internal/instance/entry/rates.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math"
 	"sync"
@@ -10,6 +11,7 @@
 	"tanagercross/internal/fleet/relay"
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/organisation/allotment"
+	"tanagercross/internal/service/recovery"
 	"tanagercross/internal/session/outcome"
 )
 
@@ -285,9 +287,16 @@
 // toTime converts a reading of the boot clock to a time, for functions that take one.
 func toTime(d time.Duration) time.Time { return time.Unix(0, 0).Add(d) }
 
+// errPanicked is the error of a request for tokens that ended by a panic.
+var errPanicked = errors.New("entry: rate tokens: panic")
+
 // Take implements allotment.Taker: it requests tokens from the coordinator of the place. If the call fails, the
 // coordinator is suspected. If no instance of the place answers calls, the grant says that this is not the home.
-func (r *rates) Take(ctx context.Context, organisation string, wanted, _ int) (allotment.Grant, error) {
+func (r *rates) Take(ctx context.Context, organisation string, wanted, _ int) (grant allotment.Grant, err error) {
+	defer recovery.Catch(func(p recovery.Panic) {
+		r.n.observer.Panicked("rate tokens", p)
+		err = errPanicked
+	})
 	if r.n.gossip.isCoordinator() {
 		return r.grantOrBorrow(ctx, organisation, wanted), nil
 	}
--- a/internal/instance/entry/reader_test.go
+++ b/internal/instance/entry/reader_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"tanagercross/internal/database/statement"
+	"tanagercross/internal/fleet/catalog"
 	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/entry"
@@ -140,3 +141,25 @@
 		t.Errorf("%d calls in 4 s of outage with 12 instances, %d with 2; want at most three times as many", many, few)
 	}
 }
+
+// panickingDecoder panics at the row of one server.
+type panickingDecoder struct{ view.Decoder }
+
+func (d panickingDecoder) Server(id string, value []byte) (catalog.Server, error) {
+	if id == "meals-litoral" {
+		panic("faulty row")
+	}
+	return d.Decoder.Server(id, value)
+}
+
+// Guards against one row of the store that ends all processes of the fleet.
+func TestPanicInDecoderIgnoresRow(t *testing.T) {
+	f := newFleet(t)
+	f.decoder = panickingDecoder{f.cluster}
+	n := f.start("i1", "agreste")
+	f.eventually("ready", n.Ready)
+	f.eventually("the other servers", func() bool { return len(n.Table().Servers().All()) == 2 })
+	if a := f.session(0, "bookings").write("plates", "1"); !a.OK() {
+		t.Errorf("write: %+v", a)
+	}
+}
--- a/internal/instance/entry/servers.go
+++ b/internal/instance/entry/servers.go
@@ -12,6 +12,7 @@
 	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/clock"
+	"tanagercross/internal/service/recovery"
 )
 
 const (
@@ -342,14 +343,20 @@
 	done := make(chan struct{})
 	g.fetchDone, g.lastFetch = done, now
 	go func() {
+		defer func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			g.fetchDone = nil
+			close(done)
+		}()
+		defer recovery.Catch(p.n.observer.panicked("read index"))
 		found, ok := p.fetchFromHolder(group)
+		if !ok {
+			return
+		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		if ok {
-			g.history = g.history.With(found)
-		}
-		g.fetchDone = nil
-		close(done)
+		g.history = g.history.With(found)
 	}()
 	return done
 }
--- /dev/null
+++ b/internal/instance/entry/services.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"context"
+	"errors"
+
+	"tanagercross/internal/database/readindex"
+	"tanagercross/internal/database/statement"
+	"tanagercross/internal/fleet/relay"
+	"tanagercross/internal/fleet/view"
+	"tanagercross/internal/organisation/allotment"
+	"tanagercross/internal/service/recovery"
+)
+
+// services handles the calls of other instances.
+type services struct{ n *Node }
+
+// Execute implements relay.Services.
+func (s *services) Execute(ctx context.Context, server string, c statement.Call) (a statement.Answer) {
+	defer recovery.Catch(func(p recovery.Panic) {
+		s.n.observer.Panicked("relayed statement", p)
+		a = statement.NoAnswer("internal error")
+	})
+	return s.n.pools.execute(ctx, server, c)
+}
+
+// Gossip implements relay.Services.
+func (s *services) Gossip(_ context.Context, x relay.Gossip) view.State {
+	n := s.n
+	now := n.boot()
+	n.table.MergePresence(x.Sender)
+	n.table.ClearSuspicion(now, x.Sender.Name)
+	if x.Sender.Place == n.settings.Place {
+		n.rates.reported(x.Sender.Name, x.Rates, now)
+		n.rates.checkEarlierDemand(x.State.Demands)
+	}
+	n.table.Merge(now, x.State)
+	return n.table.Delta(now, x.State, x.Sender.Place)
+}
+
+// TakeTokens implements relay.Services.
+func (s *services) TakeTokens(ctx context.Context, t relay.TokenRequest) allotment.Grant {
+	if t.Lend {
+		g, _ := s.n.rates.grantLocal(t.Organisation, t.Wanted)
+		return g
+	}
+	s.n.table.ClearSuspicion(s.n.boot(), t.From)
+	return s.n.rates.grantOrBorrow(ctx, t.Organisation, t.Wanted)
+}
+
+// ReadIndex implements relay.Services.
+func (s *services) ReadIndex(ctx context.Context, server string) (readindex.Index, bool) {
+	return s.n.pools.leaderPosition(ctx, server)
+}
+
+// Probe implements relay.Services.
+func (s *services) Probe(ctx context.Context, server string) relay.Probe {
+	return s.n.failover.probe(ctx, server)
+}
+
+// ChangePrimary implements relay.Services.
+func (s *services) ChangePrimary(ctx context.Context, x relay.PrimaryChange) (bool, view.Leader) {
+	return s.n.failover.startChange(ctx, x)
+}
+
+// maybeHandled reports whether a call that failed may have been handled by the other instance.
+func maybeHandled(err error) bool {
+	var e *relay.Error
+	return !errors.As(err, &e) || e.Sent
+}
+
+// connectionRefused reports whether a call failed because the other instance's process does not run.
+func connectionRefused(err error) bool {
+	var e *relay.Error
+	return errors.As(err, &e) && e.Refused
+}
+
+// firstOrganisation returns the name of a configured organisation, or "-" if there is none. Connections that serve no
+// caller, such as those for status reports, are opened in its name.
+func (n *Node) firstOrganisation() string {
+	if o, ok := n.table.Configuration().FirstOrganisation(); ok {
+		return o.Name
+	}
+	return "-"
+}
--- a/internal/instance/metric/entry.go
+++ b/internal/instance/metric/entry.go
@@ -13,6 +13,7 @@
 	ReadsServed      CounterName = "tanagercross_reads_served_total"      // by scope
 	TokensBorrowed   CounterName = "tanagercross_tokens_borrowed_total"   // from other places
 	LeaderChanges    CounterName = "tanagercross_leader_changes_total"
+	Panics           CounterName = "tanagercross_panics_total"
 	DependencyErrors CounterName = "tanagercross_dependency_errors_total" // by dependency
 )
 
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/clock"
+	"tanagercross/internal/service/recovery"
 )
 
 // Limits of attempts.
@@ -58,6 +59,8 @@
 	LeaderUnreachable(l view.Leader)
 	// Retried is called before each further attempt with the reason for it.
 	Retried(reason string)
+	// Panicked is called after a panic in an attempt, with the part in which it happened.
+	Panicked(part string, p recovery.Panic)
 }
 
 // Options holds the clock and the observer of a dispatcher.
@@ -268,7 +271,10 @@
 // rollback rolls a transaction back without waiting for the answer.
 func (d *Dispatcher) rollback(instance roster.Member, server string, c statement.Call, id uint64) {
 	c.Step, c.Body, c.Transaction, c.Preparation, c.Timeout = statement.End, statement.Rollback{}, id, nil, openTimeout
-	go d.executor.Execute(context.Background(), instance, server, c)
+	go func() {
+		defer recovery.Catch(func(p recovery.Panic) { d.options.Observer.Panicked("rollback", p) })
+		d.executor.Execute(context.Background(), instance, server, c)
+	}()
 }
 
 // Continue runs a further statement of a transaction, including the commit. It is never retried.
--- a/internal/request/dispatch/read.go
+++ b/internal/request/dispatch/read.go
@@ -8,6 +8,7 @@
 	"tanagercross/internal/fleet/catalog"
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/clock"
+	"tanagercross/internal/service/recovery"
 )
 
 // chooseServer returns the next server for a read. If replica is set, that is the best server that was not tried yet;
@@ -61,8 +62,10 @@
 	r.running++
 	r.started++
 	go func() {
-		a, _ := r.d.attempt(r.ctx, s, c)
-		r.results <- attemptResult{answer: a, leader: view.Leader{Group: s.Group, Server: s.ID, Term: l.Term}}
+		result := attemptResult{answer: statement.NoAnswer("internal error"), leader: view.Leader{Group: s.Group, Server: s.ID, Term: l.Term}}
+		defer func() { r.results <- result }()
+		defer recovery.Catch(func(p recovery.Panic) { r.d.options.Observer.Panicked("read", p) })
+		result.answer, _ = r.d.attempt(r.ctx, s, c)
 	}()
 	return true
 }
--- a/internal/session/callersession/callersession.go
+++ b/internal/session/callersession/callersession.go
@@ -24,6 +24,7 @@
 	"tanagercross/internal/fleet/catalog"
 	"tanagercross/internal/organisation/key"
 	"tanagercross/internal/request/dispatch"
+	"tanagercross/internal/service/recovery"
 	"tanagercross/internal/session/outcome"
 )
 
@@ -52,6 +53,8 @@
 type Observer interface {
 	Refused(database, organisation, id string, code statement.Code, reason string)
 	Answered(database, organisation string, q statement.Query, a statement.Answer, took time.Duration)
+	// Panicked is called after a panic in the handling of a query, with the part in which it happened.
+	Panicked(part string, p recovery.Panic)
 }
 
 // Environment holds what all sessions of an instance share.
@@ -142,12 +145,24 @@
 // Handle answers one query of the caller.
 func (s *Session) Handle(ctx context.Context, q statement.Query) statement.Answer {
 	started := time.Now()
-	a := s.handle(ctx, q)
+	a := s.handleSafely(ctx, q)
 	s.state = a.State
 	s.env.Observer.Answered(s.database, s.organisation, q, a, time.Since(started))
 	return a
 }
 
+// handleSafely is handle for a query whose handling may panic. The statement may have run, so that its outcome is unknown,
+// and so is the state of the session, which is closed.
+func (s *Session) handleSafely(ctx context.Context, q statement.Query) (a statement.Answer) {
+	defer recovery.Catch(func(p recovery.Panic) {
+		s.env.Observer.Panicked("statement "+q.ID, p)
+		s.shouldClose = true
+		a = statement.NoAnswer("internal error")
+		a.State = s.state
+	})
+	return s.handle(ctx, q)
+}
+
 // handle answers a query. Outside of a transaction, statements other than those that change the session are dispatched.
 func (s *Session) handle(ctx context.Context, q statement.Query) statement.Answer {
 	if s.state != statement.Idle {
--- a/internal/session/callersession/callersession_test.go
+++ b/internal/session/callersession/callersession_test.go
@@ -12,6 +12,7 @@
 	"tanagercross/internal/fleet/catalog"
 	"tanagercross/internal/organisation/key"
 	"tanagercross/internal/request/dispatch"
+	"tanagercross/internal/service/recovery"
 	"tanagercross/internal/session/callersession"
 	"tanagercross/internal/session/outcome"
 )
@@ -51,9 +52,18 @@
 	configuration catalog.Configuration
 	refusal       outcome.Reason
 	stopping      bool
+	faulty        bool // Take panics
+	panics        int
 }
 
-func (w *world) Take(context.Context, string) outcome.Reason { return w.refusal }
+func (w *world) Take(context.Context, string) outcome.Reason {
+	if w.faulty {
+		panic("faulty limiter")
+	}
+	return w.refusal
+}
+
+func (w *world) Panicked(string, recovery.Panic) { w.panics++ }
 
 func (w *world) Refused(_, _, _ string, _ statement.Code, _ string) {}
 
@@ -93,6 +103,16 @@
 	return c.Handle(context.Background(), statement.Query{ID: "q", Body: b})
 }
 
+// Guards against a panic in the handling of one statement that ends the process, or is answered as if the statement had
+// not run.
+func TestPanicEndsSession(t *testing.T) {
+	w, c := start(t, "k1")
+	w.faulty = true
+	if a := do(c, statement.Write{}); a.Code != statement.Unknown || w.panics != 1 || !c.ShouldClose() {
+		t.Errorf("answer %+v, %d panics recorded, session to be closed: %t; want an unknown outcome, one, true", a, w.panics, c.ShouldClose())
+	}
+}
+
 // Guards against the answer "not run" to a statement that may have run, and against an unknown outcome where no effect
 // can have been kept.
 func TestAnswerMatchesDelivery(t *testing.T) {
