--- a/internal/database/serverpool/serverpool_test.go
+++ b/internal/database/serverpool/serverpool_test.go
@@ -212,7 +212,7 @@
 func TestSilenceIsNoticedWhileWaiting(t *testing.T) {
 	c, pool := start(t, primary, serverpool.Options{})
 	pool.Execute(context.Background(), read("s1", 1))
-	c.Darken(primary)
+	c.Silence(primary)
 	go pool.Execute(context.Background(), read("s1", 2).WithTimeout(500*time.Millisecond))
 	waitFor(t, func() bool { return pool.SilentFor() > 50*time.Millisecond })
 }
--- a/internal/fleet/document/document.go
+++ b/internal/fleet/document/document.go
@@ -154,13 +154,13 @@
 
 // NewerThan returns the documents that are newer than in a list of versions, in name order.
 func (s *Set) NewerThan(versions []Version) []Document {
-	told := map[string]uint64{}
+	held := map[string]uint64{}
 	for _, v := range versions {
-		told[v.Name] = v.Version
+		held[v.Name] = v.Version
 	}
 	var newer []Document
 	for _, d := range s.documents {
-		if d.Version > told[d.Name] {
+		if d.Version > held[d.Name] {
 			newer = append(newer, d)
 		}
 	}
--- a/internal/fleet/exchange/merge.go
+++ b/internal/fleet/exchange/merge.go
@@ -11,8 +11,8 @@
 // Request returns the message for a peer, with the documents that the peer is known to lack.
 func (s *State) Request(peer string, now time.Time) Message {
 	m := s.message()
-	if told, ok := s.told[peer]; ok {
-		m.Documents = s.documents.NewerThan(told)
+	if known, ok := s.peerVersions[peer]; ok {
+		m.Documents = s.documents.NewerThan(known)
 	}
 	s.bucket = (s.bucket + 1) % buckets
 	m.Bucket = s.bucket
@@ -39,7 +39,7 @@
 // Answer merges a request and returns the answer to it.
 func (s *State) Answer(request Message, now time.Time) Message {
 	s.merge(request, now)
-	s.told[request.From] = request.Versions
+	s.peerVersions[request.From] = request.Versions
 	m := s.message()
 	m.Documents = s.documents.NewerThan(request.Versions)
 	m.Members = s.memberStates(s.members.missing(request.MemberDigest, request.Bucket, request.MemberBucketDigest, now))
@@ -56,7 +56,7 @@
 // documents, which the next request to it carries.
 func (s *State) Answered(sent time.Time, peer string, answer Message, now time.Time) bool {
 	s.merge(answer, now)
-	s.told[peer] = answer.Versions
+	s.peerVersions[peer] = answer.Versions
 	// The ages stand for documents: they count only once all documents that the peer held are merged.
 	if s.documents.Covers(answer.Versions) {
 		s.ages.Merge(sent, s.unpackAges(answer))
--- a/internal/fleet/exchange/state.go
+++ b/internal/fleet/exchange/state.go
@@ -44,28 +44,28 @@
 
 // State is the exchange state of one instance.
 type State struct {
-	params    Params
-	documents document.Set
-	ages      *freshness.Vector
-	roster    roster.Roster
-	members   table[MemberState]
-	groups    table[GroupState]
-	random    *rand.Rand
-	round     []string
-	told      map[string][]document.Version // versions that peers were last known to hold
-	bucket    int                           // last bucket asked about
-	poll      poll
-	view      view
-	listed    func(group string) bool // nil before the first group list
-	heard     map[string]bool         // groups that were merged since the last HeardGroups
+	params       Params
+	documents    document.Set
+	ages         *freshness.Vector
+	roster       roster.Roster
+	members      table[MemberState]
+	groups       table[GroupState]
+	random       *rand.Rand
+	round        []string
+	peerVersions map[string][]document.Version // versions that peers were last known to hold
+	bucket       int                           // last bucket asked about
+	poll         poll
+	view         view
+	listed       func(group string) bool // nil before the first group list
+	merged       map[string]bool         // groups that were merged since the last MergedGroups
 }
 
 // New returns the state of an instance that starts at a moment.
 func New(p Params, start time.Time) *State {
 	s := &State{
 		params: p, ages: freshness.New(p.Self, start),
-		random: rand.New(rand.NewPCG(p.Seed, p.Incarnation)), told: map[string][]document.Version{},
-		heard: map[string]bool{},
+		random: rand.New(rand.NewPCG(p.Seed, p.Incarnation)), peerVersions: map[string][]document.Version{},
+		merged: map[string]bool{},
 	}
 	s.setOwn(MemberState{Member: p.Self, Incarnation: p.Incarnation, Sequence: 1}, start)
 	return s
@@ -108,7 +108,7 @@
 	return v
 }
 
-// Roster returns the roster held, with the leaving flags that the members have told.
+// Roster returns the roster held, with the leaving flags that the members announced.
 func (s *State) Roster() roster.Roster { return s.current().roster }
 
 // RosterChange returns a number that grows when Roster returns another roster than before.
@@ -140,9 +140,9 @@
 	s.ages.Retain(r)
 	listed := func(name string) bool { _, ok := r.Index(name); return ok || name == s.params.Self }
 	s.members.retain(listed)
-	for name := range s.told {
+	for name := range s.peerVersions {
 		if !listed(name) {
-			delete(s.told, name)
+			delete(s.peerVersions, name)
 		}
 	}
 	return true
@@ -198,7 +198,7 @@
 	return names
 }
 
-// MergeGroup merges what a probe, a reply or a peer told about a group.
+// MergeGroup merges what a probe, a reply or a peer reported about a group.
 func (s *State) MergeGroup(g GroupState, now time.Time) {
 	if s.listed != nil && !s.listed(g.Group) {
 		return
@@ -207,10 +207,10 @@
 	merged.Group = g.Group
 	merged = merged.merge(g)
 	s.groups.set(g.Group, merged, merged.hash(), now)
-	s.heard[g.Group] = true
+	s.merged[g.Group] = true
 }
 
-// RetainGroups drops the groups that the platform no longer lists, and keeps out what peers with an older list tell of
+// RetainGroups drops the groups that the platform no longer lists, and keeps out what peers with an older list report of
 // them.
 func (s *State) RetainGroups(keep func(group string) bool) {
 	s.listed = keep
@@ -223,15 +223,15 @@
 	return e.value, ok
 }
 
-// HeardGroups returns the states of the groups of which something was told since the last call.
-func (s *State) HeardGroups() []GroupState {
-	states := make([]GroupState, 0, len(s.heard))
-	for name := range s.heard {
+// MergedGroups returns the states of the groups that were merged since the last call.
+func (s *State) MergedGroups() []GroupState {
+	states := make([]GroupState, 0, len(s.merged))
+	for name := range s.merged {
 		if g, ok := s.Group(name); ok {
 			states = append(states, g)
 		}
 	}
-	clear(s.heard)
+	clear(s.merged)
 	return states
 }
 
--- a/internal/fleet/exchange/state_test.go
+++ b/internal/fleet/exchange/state_test.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// Guards against large tables that never agree: entries of which the peer has not heard must reach it within a round of
+// Guards against large tables that never agree: entries that the peer does not have must reach it within a round of
 // all buckets.
 func TestBuckets(t *testing.T) {
 	now := time.Now()
@@ -99,17 +99,17 @@
 	}
 }
 
-// Guards against positions that peers tell and that the tables of the instance never get, and against reading all groups
+// Guards against positions that peers send and that the tables of the instance never get, and against reading all groups
 // at each tick.
-func TestHeardGroups(t *testing.T) {
+func TestMergedGroups(t *testing.T) {
 	now := time.Now()
 	s := exchange.New(exchange.Params{Self: "a", Incarnation: 1}, now)
 	s.Answer(exchange.Message{From: "b", Groups: []exchange.GroupState{group(4, "p", now, 9)}}, now)
-	if got := s.HeardGroups(); len(got) != 1 || got[0].Servers[0].Position.Index != 9 || len(s.HeardGroups()) != 0 {
-		t.Errorf("heard %+v, then again", got)
+	if got := s.MergedGroups(); len(got) != 1 || got[0].Servers[0].Position.Index != 9 || len(s.MergedGroups()) != 0 {
+		t.Errorf("merged %+v, then again", got)
 	}
 	s.Answer(exchange.Message{From: "b", Groups: []exchange.GroupState{group(4, "p", now.Add(time.Second), 10)}}, now)
-	if got := s.HeardGroups(); len(got) != 1 || got[0].Servers[0].Position.Index != 10 || len(s.Groups()) != 1 {
-		t.Errorf("a newer position is not told: %+v", got)
+	if got := s.MergedGroups(); len(got) != 1 || got[0].Servers[0].Position.Index != 10 || len(s.Groups()) != 1 {
+		t.Errorf("a newer position is not reported: %+v", got)
 	}
 }
--- a/internal/fleet/exchange/versions.go
+++ b/internal/fleet/exchange/versions.go
@@ -8,6 +8,6 @@
 	if member == s.params.Self {
 		return s.documents.Versions(), true
 	}
-	versions, ok := s.told[member]
+	versions, ok := s.peerVersions[member]
 	return versions, ok
 }
--- a/internal/fleet/peer/message.go
+++ b/internal/fleet/peer/message.go
@@ -66,7 +66,7 @@
 	})
 }
 
-// milliseconds rounds up, so that an age is never told too young.
+// milliseconds rounds up, so that no age is too low.
 func milliseconds(d time.Duration) uint32 {
 	ms := (max(d, 0) + time.Millisecond - 1) / time.Millisecond
 	return uint32(min(ms, math.MaxUint32))
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -86,11 +86,11 @@
 
 // Witnesses returns the members whose entries decide freshness without the store, in name order: all members of a roster
 // of up to 255, otherwise 255 of them chosen by rendezvous hashing. The caller must not change the slice. Leaving flags
-// that are told by members are not set in it.
+// that members announce are not set in it.
 func (r Roster) Witnesses() []Member { return r.witnesses }
 
 // Quorum returns how many witnesses must hold a document before it can be in force, and how many an instance must have
-// heard of to be fresh without the store. Any two quorums of rosters that differ by one member have a common witness:
+// known the age of to be fresh without the store. Any two quorums of rosters that differ by one member have a common witness:
 // without choice a majority is enough; with 255 chosen witnesses one may be exchanged for another, which takes one more.
 func (r Roster) Quorum() int {
 	if len(r.witnesses) < len(r.members) {
--- a/internal/instance/clock/manual.go
+++ b/internal/instance/clock/manual.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Manual is a clock that moves only when told to. The zero value starts at the zero time.
+// Manual is a clock that moves only by Advance. The zero value starts at the zero time.
 type Manual struct {
 	mu   sync.Mutex
 	now  time.Time
--- a/internal/instance/daemon/control_bench_test.go
+++ b/internal/instance/daemon/control_bench_test.go
@@ -121,7 +121,7 @@
 	}
 }
 
-// BenchmarkSharedGroups is one tick of the table of groups: ten groups were told of since the last.
+// BenchmarkSharedGroups is one tick of the table of groups: ten groups were merged since the last.
 func BenchmarkSharedGroups(b *testing.B) {
 	for _, n := range []int{3, 70, 350, 1734} {
 		b.Run(fmt.Sprint("groups=", n), func(b *testing.B) {
--- a/internal/instance/daemon/executor.go
+++ b/internal/instance/daemon/executor.go
@@ -12,7 +12,7 @@
 	"tanagercross/internal/session/outcome"
 )
 
-// retryAfter is what callers are told to wait after a refusal that another attempt can cure.
+// retryAfter is how long callers are to wait after a refusal that another attempt can cure.
 const retryAfter = 200 * time.Millisecond
 
 // executor gives the caller API the entry path; it implements api.Executor.
--- a/internal/instance/daemon/lanes.go
+++ b/internal/instance/daemon/lanes.go
@@ -41,7 +41,7 @@
 func (laneLost) laneEvent()     {}
 func (laneReleased) laneEvent() {}
 
-// lanePlan is the planner with what it was last told, so that a tick without news costs little.
+// lanePlan is the planner with its last input, so that a tick without news costs little.
 type lanePlan struct {
 	planner *lane.Planner
 	groups  uint64 // version of the group list
--- a/internal/instance/daemon/table.go
+++ b/internal/instance/daemon/table.go
@@ -132,12 +132,12 @@
 	return shared
 }
 
-// readShared takes over what other instances have told since the last call, or all that they have told after a new list
+// readShared takes over what other instances have reported since the last call, or all of it after a new list
 // of groups.
 func (d *Daemon) readShared(now time.Time, all bool) {
 	var states []exchange.GroupState
 	d.fleet.read(func(s *exchange.State) {
-		if states = s.HeardGroups(); all {
+		if states = s.MergedGroups(); all {
 			states = s.Groups()
 		}
 	})
--- a/internal/instance/entry/double_failure_test.go
+++ b/internal/instance/entry/double_failure_test.go
@@ -51,7 +51,7 @@
 	f := newFleet(t, "agreste", "sertao", "litoral")
 	f.addRecordsGroup()
 	f.cluster.Crash("meals-agreste")
-	f.cluster.Darken("records-sertao")
+	f.cluster.Silence("records-sertao")
 	for _, database := range []string{"bookings", "sheets"} {
 		s := f.session(2, database)
 		f.eventually("a write to "+database, func() bool { return s.write("plates", "1").OK() })
--- a/internal/instance/entry/entry_test.go
+++ b/internal/instance/entry/entry_test.go
@@ -203,7 +203,7 @@
 func TestPrimaryIsReplaced(t *testing.T) {
 	for name, fail := range map[string]func(*cluster.Cluster){
 		"crash":  func(c *cluster.Cluster) { c.Crash("meals-agreste") },
-		"silent": func(c *cluster.Cluster) { c.Darken("meals-agreste") },
+		"silent": func(c *cluster.Cluster) { c.Silence("meals-agreste") },
 		"leave":  func(c *cluster.Cluster) { c.Drain("meals-agreste") },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/instance/entry/rates.go
+++ b/internal/instance/entry/rates.go
@@ -83,7 +83,7 @@
 }
 
 // tick updates the smoothed demand of this instance and publishes the demand of the place. It reports whether the other
-// places are to be told at once.
+// places are to be notified at once.
 func (r *rates) tick(now time.Duration) (urgent bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/instance/logging/logging.go
+++ b/internal/instance/logging/logging.go
@@ -1,6 +1,6 @@
 // Package logging writes log lines as JSON without ever blocking the code that logs.
 //
-// Lines of one message are bounded per second, and all lines by a queue. What is left out is counted and told in a line
+// Lines of one message are bounded per second, and all lines by a queue. What is left out is counted and reported in a line
 // of its own.
 //
 // # Usage
@@ -143,7 +143,7 @@
 	if second != l.second {
 		l.second = second
 		for m, n := range l.counts {
-			// What was left out is kept as a negative count and told with the next line.
+			// What was left out is kept as a negative count and reported with the next line.
 			if n > linesASecond {
 				l.counts[m] = linesASecond - n
 			} else if n >= 0 {
--- a/internal/instance/logging/logging_test.go
+++ b/internal/instance/logging/logging_test.go
@@ -43,7 +43,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !strings.Contains(w.text.String(), "log lines dropped") {
-		t.Error("the loss of lines is not told")
+		t.Error("the loss of lines is not reported")
 	}
 }
 
@@ -67,6 +67,6 @@
 	time.Sleep(1100 * time.Millisecond)
 	log.Info("frequent")
 	if !strings.Contains(out.String(), `"suppressed":440`) {
-		t.Errorf("the number of lines left out is not told: %s", out.String()[out.Len()-200:])
+		t.Errorf("the number of lines left out is not reported: %s", out.String()[out.Len()-200:])
 	}
 }
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -44,7 +44,7 @@
 	applied  int
 	paused   bool
 	down     bool          // refuses connections
-	dark     bool          // answers nothing
+	silent   bool          // answers nothing
 	lag      time.Duration // of what a replica applies
 	cut      map[string]bool
 	lose     int // answers to lose
@@ -131,11 +131,11 @@
 
 // Restart brings a server back, as a replica if another one leads.
 func (c *Cluster) Restart(id string) {
-	c.change(id, func(s *Server) { s.down, s.dark, s.paused = false, false, false })
+	c.change(id, func(s *Server) { s.down, s.silent, s.paused = false, false, false })
 }
 
-// Darken makes a server answer nothing.
-func (c *Cluster) Darken(id string) { c.change(id, func(s *Server) { s.dark = true }) }
+// Silence makes a server answer nothing.
+func (c *Cluster) Silence(id string) { c.change(id, func(s *Server) { s.silent = true }) }
 
 // Lag delays what a replica applies.
 func (c *Cluster) Lag(id string, d time.Duration) { c.change(id, func(s *Server) { s.lag = d }) }
@@ -249,7 +249,7 @@
 		return
 	}
 	p := c.primary(s.Group)
-	if p == nil || p.down || p.dark || s.paused || p.term < s.term {
+	if p == nil || p.down || p.silent || s.paused || p.term < s.term {
 		return
 	}
 	s.term = p.term
@@ -315,7 +315,7 @@
 func (c *Cluster) listed() []string {
 	var ids []string
 	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
-		if s := c.servers[id]; !s.down && !s.dark {
+		if s := c.servers[id]; !s.down && !s.silent {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/standin/cluster/conn.go
+++ b/internal/standin/cluster/conn.go
@@ -46,12 +46,12 @@
 	c.mu.Lock()
 	s := c.servers[t.Server]
 	dead := s == nil || s.down
-	dark := !dead && (s.dark || s.cut[d.instance])
+	silent := !dead && (s.silent || s.cut[d.instance])
 	c.mu.Unlock()
 	if dead {
 		return nil, driver.Position{}, &statement.DialError{Refused: true, Err: errors.New("connection refused")}
 	}
-	if dark {
+	if silent {
 		<-ctx.Done()
 		return nil, driver.Position{}, &statement.DialError{Err: ctx.Err()}
 	}
@@ -105,12 +105,12 @@
 // reach fails if the server does not answer.
 func (k *conn) reach(deadline time.Time) error {
 	k.cluster.mu.Lock()
-	broken, dark := k.broken || k.server.down, k.server.dark || k.server.cut[k.instance]
+	broken, silent := k.broken || k.server.down, k.server.silent || k.server.cut[k.instance]
 	k.cluster.mu.Unlock()
 	if broken {
 		return errBroken
 	}
-	if dark {
+	if silent {
 		time.Sleep(time.Until(deadline))
 		return errBroken
 	}
--- a/internal/standin/cluster/replication.go
+++ b/internal/standin/cluster/replication.go
@@ -11,9 +11,9 @@
 	}
 }
 
-// receive lets a server take part in replication unless it is down, dark or paused.
+// receive lets a server take part in replication unless it is down, silent or paused.
 func (c *Cluster) receive(s *Server) {
-	if !s.down && !s.dark && !s.paused {
+	if !s.down && !s.silent && !s.paused {
 		c.catchUp(s)
 	}
 }
--- a/internal/standin/wire/proxy.go
+++ b/internal/standin/wire/proxy.go
@@ -72,7 +72,7 @@
 	return nil
 }
 
-// Set changes the fault. Refuse resets the open connections; the other faults also harm connections that are open.
+// Set changes the fault. Refuse resets the open connections; the other faults also affect connections that are open.
 func (p *Proxy) Set(f Fault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -197,7 +197,7 @@
 func (c *caller) ask(s *session, i *instance, id, text string) (reply, bool) {
 	started := time.Now()
 	r, err := s.query(id, text)
-	if took := time.Since(started); took > statementTimeout+answerMargin && !i.harmedSince(started.Add(-settled)) {
+	if took := time.Since(started); took > statementTimeout+answerMargin && !i.disturbedSince(started.Add(-settled)) {
 		c.trial.fault("%s got no answer from %s to %s within %v: %v", c.name, i.name, id, took, err)
 	}
 	return r, err == nil
--- a/test/soak/fault_test.go
+++ b/test/soak/fault_test.go
@@ -62,7 +62,7 @@
 	if err := i.start(); err != nil {
 		x.fault("%s does not start: %v", i.name, err)
 	}
-	i.harm()
+	i.disturb()
 }
 
 func terminate(x *trial, r *rand.Rand) (string, func()) {
@@ -105,14 +105,14 @@
 
 func harmCallers(x *trial, r *rand.Rand) (string, func()) {
 	i := x.anyInstance(r)
-	i.harm()
+	i.disturb()
 	if r.IntN(2) == 0 {
 		i.callers.Reset()
 		return "reset of the callers of " + i.name, func() {}
 	}
 	f := anyFault(r)
 	i.callers.Set(f)
-	return fmt.Sprintf("fault %d between callers and %s", f, i.name), func() { i.callers.Set(wire.Pass); i.callers.Reset(); i.harm() }
+	return fmt.Sprintf("fault %d between callers and %s", f, i.name), func() { i.callers.Set(wire.Pass); i.callers.Reset(); i.disturb() }
 }
 
 func harmPeers(x *trial, r *rand.Rand) (string, func()) {
@@ -130,7 +130,7 @@
 
 func darkenServer(x *trial, r *rand.Rand) (string, func()) {
 	id := x.anyServer(r)
-	x.cluster.Darken(id)
+	x.cluster.Silence(id)
 	return id + " answers nothing", func() { x.platform.Restart(id) }
 }
 
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -34,10 +34,10 @@
 	store    *wire.Proxy
 	peers    *wire.Proxy
 
-	mu      sync.Mutex
-	command *exec.Cmd
-	ended   chan struct{}
-	harmed  time.Time // last moment at which the process or its connections were disturbed
+	mu        sync.Mutex
+	command   *exec.Cmd
+	ended     chan struct{}
+	disturbed time.Time // last moment at which the process or its connections were disturbed
 }
 
 func newInstance(t *testing.T, directory, name, place string, platform *wire.Platform) *instance {
@@ -109,7 +109,7 @@
 func (i *instance) signal(s syscall.Signal) <-chan struct{} {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.harmed = time.Now()
+	i.disturbed = time.Now()
 	if i.command == nil {
 		none := make(chan struct{})
 		close(none)
@@ -119,16 +119,16 @@
 	return i.ended
 }
 
-func (i *instance) harm() {
+func (i *instance) disturb() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.harmed = time.Now()
+	i.disturbed = time.Now()
 }
 
-func (i *instance) harmedSince(moment time.Time) bool {
+func (i *instance) disturbedSince(moment time.Time) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.command == nil || i.harmed.After(moment)
+	return i.command == nil || i.disturbed.After(moment)
 }
 
 func (i *instance) awaitReady() error {
