Wait for the member list from the moment the configuration is known

Cause: an instance without a member list continued alone 1.5 s after its start. When all instances restart during an outage of the store, each of them then takes itself for the coordinator and holder of everything.

Change: the wait of 1.5 s counts from the first configuration. Until then the instance is no coordinator and not ready. Members and servers are read at once after the configuration, not at the next retry.

--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -131,6 +131,7 @@
 	mu                sync.RWMutex
 	configuration     catalog.Configuration
 	configurationRows Rows
+	configuredAt      time.Duration // moment of the first configuration
 	servers           catalog.Servers
 	serverRows        Rows
 	outageUntil       time.Duration
@@ -201,6 +202,13 @@
 	return t.configurationRows.ReadAt, t.serverRows.ReadAt, t.memberRows.ReadAt
 }
 
+// FirstReads returns the moments of the first configuration and of the first member list; 0 before them.
+func (t *Table) FirstReads() (configuration, members time.Duration) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.configuredAt, t.membersFirstRead
+}
+
 // Changed returns a channel that is closed at the next change of configuration, servers or leaders.
 func (t *Table) Changed() <-chan struct{} {
 	t.mu.RLock()
@@ -227,6 +235,9 @@
 		}
 		before := t.configuration
 		t.configuration, t.configurationRows.Rows = c, r.Rows
+		if t.configuredAt == 0 {
+			t.configuredAt = r.ReadAt
+		}
 		t.observer.ConfigurationChanged(before, c, r.ReadAt)
 		t.notifyChange()
 	}
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -185,11 +185,17 @@
 	return callersession.Start(n.environment, id, database, key)
 }
 
-// hasInitialState reports whether the instance has the configuration and the member list. It no longer waits for the list
-// after joinTimeout. Without the list, the instance would open connections to all servers itself.
+// hasInitialState reports whether the instance has the configuration, and the member list or no hope of it.
 func (n *Node) hasInitialState() bool {
-	_, _, members := n.table.ReadTimes()
-	return n.table.Configuration().Version > 0 && (members > 0 || n.boot()-n.gossip.started > joinTimeout)
+	return n.table.Configuration().Version > 0 && !n.awaitsMembers(n.boot())
+}
+
+// awaitsMembers reports whether the instance still waits for its first member list, which it does until it has had the
+// configuration for joinTimeout. Without the list it would take itself for the only one and connect to all servers. When
+// the store returns after an outage in which all instances restarted, each of them would do so.
+func (n *Node) awaitsMembers(now time.Duration) bool {
+	configuration, members := n.table.FirstReads()
+	return members == 0 && (configuration == 0 || now-configuration < joinTimeout)
 }
 
 // configurationFresh reports whether the configuration is recent enough to admit callers.
--- a/internal/instance/entry/gossip.go
+++ b/internal/instance/entry/gossip.go
@@ -71,11 +71,14 @@
 	return e.coordinatingSince
 }
 
-// joined reports whether another instance of the place has answered, or joinTimeout has passed since the start.
+// joined reports whether another instance of the place has answered, or the instance continues alone, because none did
+// within joinTimeout.
 func (e *gossip) joined() bool {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.contacted || e.n.boot()-e.started > joinTimeout
+	contacted := e.contacted
+	e.mu.Unlock()
+	now := e.n.boot()
+	return contacted || now-e.started > joinTimeout && !e.n.awaitsMembers(now)
 }
 
 // run calls tick periodically until the context ends.
@@ -97,8 +100,7 @@
 // rank higher every recheckInterval. The coordinator calls overdue members and the coordinators of other places.
 func (e *gossip) tick() {
 	n, now := e.n, e.n.boot()
-	_, _, members := n.table.ReadTimes()
-	if members == 0 && now-e.started < joinTimeout {
+	if n.awaitsMembers(now) {
 		return // no other instance is known yet
 	}
 	urgent := n.rates.tick(now)
--- a/internal/instance/entry/reader.go
+++ b/internal/instance/entry/reader.go
@@ -145,10 +145,10 @@
 	}
 }
 
-// awaitConfiguration waits until a restarting instance has its configuration, at most joinTimeout, so that only the read of
-// the configuration is repeated while the store does not answer.
+// awaitConfiguration waits until a restarting instance has its configuration, at most startupRepeatWindow, so that only the
+// read of the configuration is repeated while the store does not answer, and the other reads follow at once.
 func (n *Node) awaitConfiguration(ctx context.Context) {
-	for end := n.boot() + joinTimeout; n.boot() < end && clock.Sleep(ctx, startupPollInterval); {
+	for end := n.boot() + startupRepeatWindow; n.boot() < end && clock.Sleep(ctx, startupPollInterval); {
 		if read, _, _ := n.table.ReadTimes(); read > 0 {
 			return
 		}
--- a/internal/instance/entry/reader_test.go
+++ b/internal/instance/entry/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -142,6 +143,33 @@
 	}
 }
 
+// Guards against instances that each take themselves for the only one, and connect to all servers, when the store returns
+// after an outage in which all of them restarted.
+func TestStoreReturnsAfterRestartOfAll(t *testing.T) {
+	f := newFleet(t, "agreste", "agreste", "agreste")
+	for _, n := range f.nodes {
+		n.Stop()
+	}
+	f.nodes = nil
+	f.cluster.SetStoreDown(true)
+	for n := range 3 {
+		f.start(fmt.Sprintf("i%d", n+1), "agreste")
+	}
+	time.Sleep(2500 * time.Millisecond)
+	for n, node := range f.nodes {
+		if node.IsCoordinator() || node.Ready() {
+			t.Errorf("instance %d without a member list: coordinator %t, ready %t; want neither", n, node.IsCoordinator(), node.Ready())
+		}
+	}
+	f.cluster.SetStoreDown(false)
+	for n, node := range f.nodes {
+		f.eventuallyWithin(1500*time.Millisecond, "ready", node.Ready)
+		if members := node.Table().Roster().Len(); members != 3 {
+			t.Errorf("instance %d is ready and knows %d members, want 3", n, members)
+		}
+	}
+}
+
 // panickingDecoder panics at the row of one server.
 type panickingDecoder struct{ view.Decoder }
 
