Test the restart of an instance that the store turns away

Looked for: a key that was withdrawn while an instance was down is in use again after its restart. The instance gets configuration and members from the others at its listed address; it refuses the withdrawn key and admits the new one.

--- a/internal/instance/entry/entry_test.go
+++ b/internal/instance/entry/entry_test.go
@@ -97,6 +97,12 @@
 	if err := listener.Close(); err != nil {
 		f.t.Fatal(err)
 	}
+	return f.startOn(address, name, place, store)
+}
+
+// startOn starts an instance that listens for the others on an address.
+func (f *fleet) startOn(address, name, place string, store entry.Store) *entry.Node {
+	f.t.Helper()
 	decoder := f.decoder
 	if decoder == nil {
 		decoder = f.cluster
--- a/internal/instance/entry/reader_test.go
+++ b/internal/instance/entry/reader_test.go
@@ -170,6 +170,25 @@
 	}
 }
 
+// Guards against a restarted instance that never serves because the store turns it away, although the others have what it
+// needs, and against one that admits a key that was withdrawn while it was down.
+func TestRestartWhileStoreTurnsAway(t *testing.T) {
+	f := newFleet(t, "agreste", "agreste", "agreste")
+	stopped := f.nodes[2]
+	address := stopped.Table().Self().Address
+	stopped.Stop()
+	f.cluster.TurnAway("i3", true)
+	f.cluster.Configure(configuration(2, 100_000, "another key"))
+	n := f.startOn(address, "i3", "agreste", f.cluster.Store("i3"))
+	f.eventually("ready", n.Ready)
+	if c, refusal := n.Session("bookings", keyText); c != nil || refusal.Code != statement.Unauthorized {
+		t.Errorf("session with a withdrawn key: %v, %+v; want unauthorized", c, refusal)
+	}
+	if c, refusal := n.Session("bookings", "another key"); c == nil {
+		t.Errorf("session with the new key: %+v, want one", refusal)
+	}
+}
+
 // panickingDecoder panics at the row of one server.
 type panickingDecoder struct{ view.Decoder }
 
