--- a/internal/instance/entry/gossip.go
+++ b/internal/instance/entry/gossip.go
@@ -229,6 +229,13 @@
 	return true
 }
 
+// regionHasOtherPlaces reports whether another place of the region has instances.
+func (e *gossip) regionHasOtherPlaces() bool {
+	return slices.ContainsFunc(e.n.table.Places(), func(place string) bool {
+		return place != e.n.settings.Place && e.n.settings.Regions.Same(place, e.n.settings.Place)
+	})
+}
+
 // placeAnswers reports whether an instance of another place answered a call or called lately.
 func (e *gossip) placeAnswers(now time.Duration, place string) bool {
 	return slices.ContainsFunc(e.n.table.Coordinators(place), func(m roster.Member) bool {
--- a/internal/instance/entry/reader.go
+++ b/internal/instance/entry/reader.go
@@ -33,8 +33,11 @@
 	// all instances of a place read at once.
 	staleConfiguration = 2800 * time.Millisecond
 	staleServers       = 3500 * time.Millisecond
-	staleRankDelay     = 250 * time.Millisecond
-	takeoverTime       = 5 * time.Second
+	// regionDelay is added to both where one place reads for another: a copy is then older by an exchange between the two
+	// coordinators. The configuration of the reader itself is up to two polls old.
+	regionDelay    = 700 * time.Millisecond
+	staleRankDelay = 250 * time.Millisecond
+	takeoverTime   = 5 * time.Second
 	// memberExpiry is how long an instance must not have been seen before its row is removed from the store.
 	memberExpiry = 12 * time.Second
 )
@@ -56,6 +59,9 @@
 	if asOf == 0 && !n.settings.FirstStart {
 		return true // callers are waiting for a restarting instance
 	}
+	if n.gossip.regionHasOtherPlaces() {
+		limit += regionDelay
+	}
 	stale := now-max(asOf, n.gossip.started) > limit+time.Duration(rank)*staleRankDelay
 	if stale && n.gossip.isCoordinator() {
 		n.readsUntil.Store(int64(now + takeoverTime))
