--- a/internal/instance/entry/entry_test.go
+++ b/internal/instance/entry/entry_test.go
@@ -120,6 +120,21 @@
 	return n
 }
 
+// restartAllWithoutStore stops all instances, takes the store down and starts them again under their names.
+func (f *fleet) restartAllWithoutStore() {
+	f.t.Helper()
+	stopped := f.nodes
+	f.nodes = nil
+	for _, n := range stopped {
+		n.Stop()
+	}
+	f.cluster.SetStoreDown(true)
+	for _, n := range stopped {
+		self := n.Table().Self()
+		f.start(self.Name, self.Place)
+	}
+}
+
 // eventually waits up to 6 s for a condition.
 func (f *fleet) eventually(what string, ok func() bool) {
 	f.t.Helper()
--- a/internal/instance/entry/rates.go
+++ b/internal/instance/entry/rates.go
@@ -293,7 +293,7 @@
 
 // Take implements allotment.Taker: it requests tokens from the coordinator of the place. If the call fails, the
 // coordinator is suspected. If no instance of the place answers calls, the grant says that this is not the home.
-func (r *rates) Take(ctx context.Context, organisation string, wanted, _ int) (grant allotment.Grant, err error) {
+func (r *rates) Take(ctx context.Context, organisation string, wanted, _ int) (_ allotment.Grant, err error) {
 	defer recovery.Catch(func(p recovery.Panic) {
 		r.n.observer.Panicked("rate tokens", p)
 		err = errPanicked
--- a/internal/instance/entry/rates_test.go
+++ b/internal/instance/entry/rates_test.go
@@ -135,14 +135,7 @@
 	const rate, reads = 60.0, 42
 	f := newFleet(t, "agreste", "agreste", "agreste")
 	f.cluster.Configure(configuration(2, rate, keyText))
-	for _, n := range f.nodes {
-		n.Stop()
-	}
-	f.nodes = nil
-	f.cluster.SetStoreDown(true)
-	for n := range 3 {
-		f.start(fmt.Sprintf("i%d", n+1), "agreste")
-	}
+	f.restartAllWithoutStore()
 	time.Sleep(time.Second)
 	f.cluster.SetStoreDown(false)
 	for _, n := range f.nodes {
--- a/internal/instance/entry/reader.go
+++ b/internal/instance/entry/reader.go
@@ -29,8 +29,8 @@
 	// maxReadRetryDelay bounds the delay that doubles with each failed read of an instance that is not a coordinator.
 	maxReadRetryDelay = 3200 * time.Millisecond
 	// staleConfiguration and staleServers are the ages past which an instance reads them although another one reads for it.
-	// Servers are read every 2 s and take two exchanges. staleRankDelay is added for each instance that ranks higher, so that not
-	// all instances of a place read at once.
+	// Servers are read every 2 s and take two exchanges. staleRankDelay is added for each instance that ranks higher, so
+	// that not all instances of a place read at once.
 	staleConfiguration = 2800 * time.Millisecond
 	staleServers       = 3500 * time.Millisecond
 	// regionDelay is added to both where one place reads for another: a copy is then older by an exchange between the two
@@ -43,8 +43,8 @@
 )
 
 // shouldRead reports whether this instance is to read a document from the store. asOf is the moment at which its copy was
-// last known to be current, 0 if it has none, and limit its age past which it is stale. A coordinator whose copy is stale reads for takeoverTime, because the one that
-// reads for the region may be cut off from the store.
+// last known to be current, 0 if it has none, and limit its age past which it is stale. A coordinator whose copy is stale
+// reads for takeoverTime, because the one that reads for the region may be cut off from the store.
 func (n *Node) shouldRead(asOf, limit time.Duration) bool {
 	now := n.boot()
 	if n.gossip.readsForRegion(now) || now < time.Duration(n.readsUntil.Load()) {
--- a/internal/instance/entry/reader_test.go
+++ b/internal/instance/entry/reader_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -147,14 +146,7 @@
 // after an outage in which all of them restarted.
 func TestStoreReturnsAfterRestartOfAll(t *testing.T) {
 	f := newFleet(t, "agreste", "agreste", "agreste")
-	for _, n := range f.nodes {
-		n.Stop()
-	}
-	f.nodes = nil
-	f.cluster.SetStoreDown(true)
-	for n := range 3 {
-		f.start(fmt.Sprintf("i%d", n+1), "agreste")
-	}
+	f.restartAllWithoutStore()
 	time.Sleep(2500 * time.Millisecond)
 	for n, node := range f.nodes {
 		if node.IsCoordinator() || node.Ready() {
