Fence a leaving primary that does not confirm its demotion

Cause: the demotion was only sent after a status report, which a server without a free slot refuses with BUSY. The change went on without a demotion and without a pause of the replicas, and counted reports that the primary had outdated. Change: DEMOTE is sent without a status and repeated; unless it is confirmed, replicas are paused, and only those that hold the pause count as reports. The demoted primary is a candidate if no replica has its whole log. Without synchronous replicas, the change waits up to 3.5 s for a confirmation. The term held is a field of its own in reports. Why it works: a primary that is a replica, or whose synchronous replicas receive nothing, acknowledges nothing. Related paths: a pause that a server with a newer term ignores counted as a pause (mended here: WithPause); a demotion without an answer (same path, tested); the failure of a primary pauses already; a replica that restarts after its pause receives again until the promotion (open, needs two faults within a second).

--- a/internal/database/promotion/promotion.go
+++ b/internal/database/promotion/promotion.go
@@ -5,7 +5,7 @@
 //
 //	switch promotion.Decide(evidence) {
 //	case promotion.Replace:
-//		if promotion.EnoughReports(reports, replicas, syncReplicas, demoted) {
+//		if promotion.EnoughReports(reports, replicas, syncReplicas, demotion) {
 //			next, ok := promotion.ChoosePrimary(reports, place)
 //		}
 //	case promotion.Demote: // order the primary to become a replica, then choose from the reports
@@ -82,9 +82,24 @@
 	Server  string // id
 	Place   string
 	Leaving bool // the server is about to stop
+	Paused  bool // the server receives nothing until it is resumed or promoted
 	statement.Report
 }
 
+// WithPause returns the report with Paused set if the server holds the term of the pause or a newer one. A server that
+// knows a newer term than that of the pause ignores the pause.
+func (r Report) WithPause(term uint64) Report {
+	r.Paused = r.Role == driver.Replica && r.HeldTerm >= term
+	return r
+}
+
+// Demotion is the result of the command that makes a leaving primary a replica. The zero value means that the primary has
+// not confirmed it and may still acknowledge commits.
+type Demotion struct {
+	Confirmed bool
+	End       driver.Position // of the log; nothing after it was acknowledged
+}
+
 // RequiredReports returns how many of a group's replicas must report before one of them is chosen. With s synchronous
 // replicas every acknowledged commit is on at least s replicas, so at most s-1 replicas may be missing. Without
 // synchronous replicas one report suffices, because no number of reports can exclude a loss.
@@ -97,12 +112,28 @@
 
 // EnoughReports reports whether a primary may be chosen from the reports: RequiredReports of them are present, or one
 // replica has received the whole log of the demoted primary. The number of replicas includes those of the group that are
-// missing from the store. The demoted position is zero if the old primary was not demoted.
-func EnoughReports(reports []Report, replicas, syncReplicas int, demoted driver.Position) bool {
-	if best, ok := ChoosePrimary(reports, ""); ok && demoted.Term > 0 && best.Received.Compare(demoted) >= 0 {
+// missing from the store. Unless the old primary confirmed its demotion, it may be running and acknowledge commits that a
+// synchronous replica receives after its report, so that only the reports of paused replicas count.
+func EnoughReports(reports []Report, replicas, syncReplicas int, d Demotion) bool {
+	if best, ok := ChoosePrimary(reports, ""); ok && d.Confirmed && best.Received.Compare(d.End) >= 0 {
 		return true
 	}
-	return len(reports) >= RequiredReports(replicas, syncReplicas)
+	counted := len(reports)
+	if syncReplicas > 0 && !d.Confirmed {
+		counted = countPaused(reports)
+	}
+	return counted >= RequiredReports(replicas, syncReplicas)
+}
+
+// countPaused returns the number of reports of paused replicas.
+func countPaused(reports []Report) int {
+	n := 0
+	for _, r := range reports {
+		if r.Paused {
+			n++
+		}
+	}
+	return n
 }
 
 // ChoosePrimary returns the server with the newest received log position. Among equal ones it prefers servers that are
--- a/internal/database/promotion/promotion_test.go
+++ b/internal/database/promotion/promotion_test.go
@@ -1,6 +1,7 @@
 package promotion_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -74,30 +75,57 @@
 	}
 }
 
-// Guards against a choice from too few reports while a missing replica may have a longer log, and against waiting for
+// Guards against a choice from too few reports while a missing replica, or one that still receives commits of the primary,
+// may have a longer log, and against waiting for
 // missing replicas although a replica has received the whole log of the demoted primary.
 func TestSufficientReports(t *testing.T) {
 	two := []promotion.Report{report("a", "x", 3, 7), report("b", "y", 3, 9)}
+	paused := slices.Clone(two)
+	for i := range paused {
+		paused[i].Paused = true
+	}
+	demoted := func(index uint64) promotion.Demotion {
+		return promotion.Demotion{Confirmed: true, End: driver.Position{Term: 3, Index: index}}
+	}
 	for name, c := range map[string]struct {
 		reports        []promotion.Report
 		replicas, sync int
-		demoted        driver.Position
+		demotion       promotion.Demotion
 		want           bool
 	}{
-		"asynchronous":   {two[:1], 2, 0, driver.Position{}, true},
-		"all report":     {two, 2, 1, driver.Position{}, true},
-		"one is missing": {two, 3, 1, driver.Position{}, false},
-		"has the whole log of the demoted primary": {two, 3, 1, driver.Position{Term: 3, Index: 9}, true},
-		"lacks one entry of the demoted primary":   {two, 3, 1, driver.Position{Term: 3, Index: 10}, false},
-		"no reports, asynchronous":                 {nil, 2, 0, driver.Position{}, false},
-		"no reports, primary demoted":              {nil, 2, 0, driver.Position{Term: 3, Index: 9}, false},
+		"asynchronous":                             {two[:1], 2, 0, promotion.Demotion{}, true},
+		"all report, paused":                       {paused, 2, 1, promotion.Demotion{}, true},
+		"all report, not paused":                   {two, 2, 1, promotion.Demotion{}, false},
+		"all report, one is not paused":            {[]promotion.Report{paused[0], two[1]}, 2, 1, promotion.Demotion{}, false},
+		"all report, primary demoted":              {two, 2, 1, demoted(10), true},
+		"one is missing":                           {paused, 3, 1, promotion.Demotion{}, false},
+		"has the whole log of the demoted primary": {two, 3, 1, demoted(9), true},
+		"lacks one entry of the demoted primary":   {two, 3, 1, demoted(10), false},
+		"no reports, asynchronous":                 {nil, 2, 0, promotion.Demotion{}, false},
+		"no reports, primary demoted":              {nil, 2, 0, demoted(9), false},
 	} {
-		if got := promotion.EnoughReports(c.reports, c.replicas, c.sync, c.demoted); got != c.want {
+		if got := promotion.EnoughReports(c.reports, c.replicas, c.sync, c.demotion); got != c.want {
 			t.Errorf("%s: %t, want %t", name, got, c.want)
 		}
 	}
 }
 
+// Guards against counting a replica as paused that ignored the pause, because it knows a newer term, and a server that
+// leads.
+func TestPauseThatIsIgnored(t *testing.T) {
+	r := report("a", "x", 3, 7)
+	held := r
+	held.HeldTerm = 4
+	leads := held
+	leads.Role = driver.Primary
+	if r.WithPause(4).Paused || leads.WithPause(4).Paused {
+		t.Error("counted as paused")
+	}
+	if !held.WithPause(4).Paused {
+		t.Error("not counted as paused")
+	}
+}
+
 // Guards against the choice of a server that is about to stop although another one has received as much.
 func TestChooseServerThatIsNotLeaving(t *testing.T) {
 	leaving := report("a", "x", 3, 9)
--- a/internal/database/statement/command.go
+++ b/internal/database/statement/command.go
@@ -59,6 +59,7 @@
 	Role     driver.Role
 	Term     uint64          // newest term that the server knows
 	Received driver.Position // newest log position that the server holds
+	HeldTerm uint64          // term of the PauseReplication in effect, 0 if the server receives the log
 }
 
 // Conn is a connection to one server for one organisation. It is used by one goroutine at a time.
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -12,10 +12,10 @@
 //	node.Stop()
 //
 // Files of the package: reader.go reads the store, decoder.go decodes its rows, gossip.go exchanges state with other
-// instances, services.go answers their calls, rates.go limits the rates of organisations, lending.go borrows tokens from
-// other places, servers.go executes statements on servers, positions.go keeps positions of leaders, failover.go examines
-// primaries, promote.go promotes replicas, observe.go writes logs and metrics, ports.go declares the interfaces of the
-// platform.
+// instances, services.go answers their calls, rates.go limits the rates of organisations, lending.go borrows tokens
+// from other places, servers.go executes statements on servers, positions.go keeps positions of leaders, failover.go
+// examines primaries, promote.go promotes replicas, replicas.go sends them commands, observe.go writes logs and
+// metrics, ports.go declares the interfaces of the platform.
 package entry
 
 import (
--- a/internal/instance/entry/failover.go
+++ b/internal/instance/entry/failover.go
@@ -44,6 +44,12 @@
 	minRefreshInterval = 400 * time.Millisecond // between two requested reads of the servers
 	// demoteDelay lets running statements end before a leaving primary is demoted.
 	demoteDelay = 300 * time.Millisecond
+	// A demotion that is not confirmed is repeated demoteAttempts times. Without synchronous replicas nothing else keeps the
+	// primary from acknowledging commits, so that the change is tried again for demotePatience, half of the time for which
+	// a leaving server serves.
+	demoteAttempts      = 3
+	demoteRetryInterval = 60 * time.Millisecond
+	demotePatience      = 3500 * time.Millisecond
 )
 
 // failover detects failing and leaving primaries and replaces them. Instances that see a group's primary fail report it to
@@ -58,6 +64,7 @@
 	lastReport       map[string]time.Duration
 	leaderlessSince  map[string]time.Duration
 	leavingSince     map[string]time.Duration // since when the primary of a group is leaving
+	undemotedSince   map[string]time.Duration // first demotion that a server did not confirm, by server
 	unansweredOrders map[string]order         // orders without an answer, which may still take effect, by group
 	lastRefresh      time.Duration            // last requested read of the servers
 	refreshRequested bool
@@ -66,7 +73,7 @@
 func newFailover(n *Node) *failover {
 	return &failover{
 		n: n, inProgress: map[string]bool{}, servingAt: map[string]time.Duration{}, lastReport: map[string]time.Duration{}, leaderlessSince: map[string]time.Duration{},
-		leavingSince: map[string]time.Duration{}, unansweredOrders: map[string]order{},
+		leavingSince: map[string]time.Duration{}, undemotedSince: map[string]time.Duration{}, unansweredOrders: map[string]order{},
 	}
 }
 
--- a/internal/instance/entry/promote.go
+++ b/internal/instance/entry/promote.go
@@ -17,7 +17,8 @@
 )
 
 // changePrimary makes another server the primary of a group. planned means that the old primary still serves and is
-// demoted first. The promotion lease is acquired before anything else, so that no other instance promotes a server
+// demoted first, so that it acknowledges no commit that the new primary lacks. If it does not confirm the demotion, the
+// pause of synchronous replicas has the same effect. The promotion lease is acquired before anything else, so that no other instance promotes a server
 // meanwhile; if another instance holds it, the change is forwarded to that one. With synchronous replicas, the change
 // fails unless so many replicas report that one of them must have every acknowledged commit.
 func (g *failover) changePrimary(ctx context.Context, group string, old catalog.Server, planned bool) error {
@@ -45,19 +46,27 @@
 	if len(candidates) == 0 {
 		return eris.Errorf("no other server of %s", group)
 	}
-	var logEnd driver.Position
+	var demotion promotion.Demotion
 	if planned {
-		logEnd = g.demote(ctx, group, old)
+		demotion = g.demote(ctx, group, old)
+		if !demotion.Confirmed && syncReplicas == 0 && g.undemotedFor(old.ID) < demotePatience {
+			return eris.Errorf("%s is not demoted and may acknowledge commits that no replica has", old.ID)
+		}
+	}
+	reports := g.collectReports(ctx, group, candidates, demotion)
+	if demotion.Confirmed && syncReplicas > 0 {
+		// The old primary is asked too: it leads again if the replicas lack commits that it acknowledged.
+		reports = append(reports, g.queryServers(ctx, []catalog.Server{old}, statement.Status{})...)
 	}
-	reports := g.collectReports(ctx, group, candidates, logEnd, planned)
 	if leader, ok := promotion.FindNewPrimary(reports, old.ID); ok {
 		g.announceLeader(group, leader)
 		return nil
 	}
 	missing := g.n.table.MissingReplicas(group)
-	if !promotion.EnoughReports(reports, len(candidates)+missing, syncReplicas, logEnd) {
+	if !promotion.EnoughReports(reports, len(candidates)+missing, syncReplicas, demotion) {
 		g.resumeReplicas(candidates, reports, "")
-		return eris.Errorf("%d of %d replicas report, %d are missing: an acknowledged commit may be lost", len(reports), len(candidates), missing)
+		return eris.Errorf("%d of %d replicas report, %d are missing, demoted %t: an acknowledged commit may be lost", len(reports),
+			len(candidates), missing, demotion.Confirmed)
 	}
 	return g.promote(ctx, group, old, claim, candidates, reports)
 }
@@ -93,87 +102,6 @@
 	return eris.Errorf("the duty is held by %s, which is not reached", claim.Holder)
 }
 
-// candidates returns the servers that may be promoted: those that are not leaving, if there are any. With synchronous
-// replicas, leaving ones are included, because one of them may be the only server with the last commits.
-func (g *failover) candidates(group, old string, synchronous bool) []catalog.Server {
-	var staying, leaving []catalog.Server
-	for _, s := range g.n.table.Servers().InGroup(group) {
-		switch {
-		case s.ID == old:
-		case s.Leaving:
-			leaving = append(leaving, s)
-		default:
-			staying = append(staying, s)
-		}
-	}
-	if synchronous || len(staying) == 0 {
-		return append(staying, leaving...)
-	}
-	return staying
-}
-
-// demote makes a leaving primary a replica and returns the end of its log. If the demotion fails, it returns the last
-// reported position, or none if the server does not report.
-func (g *failover) demote(ctx context.Context, group string, old catalog.Server) driver.Position {
-	l, _ := g.n.table.Leader(group)
-	r, err := g.sendCommand(ctx, old, reportTimeout, statement.Status{})
-	if err != nil {
-		g.n.log.Warn("leaving primary does not report", "group", group, "primary", old.ID, "error", err.Error())
-		return driver.Position{}
-	}
-	demoted, err := g.sendCommand(ctx, old, reportTimeout, statement.Demote{Term: max(r.Term, l.Term) + 1})
-	if err != nil {
-		g.n.log.Warn("leaving primary not demoted", "group", group, "primary", old.ID, "error", err.Error())
-		return r.Received
-	}
-	return demoted.Received
-}
-
-// collectReports requests the candidates' reports of what they have received. Replicas of a failed primary are paused, so
-// that they receive nothing after their report. After a planned demotion, it waits up to catchUpTimeout until the best
-// replica has the whole log of the demoted primary.
-func (g *failover) collectReports(ctx context.Context, group string, candidates []catalog.Server, logEnd driver.Position, planned bool) []promotion.Report {
-	reports := g.queryServers(ctx, candidates, statement.Status{})
-	if planned {
-		for end := g.n.boot() + catchUpTimeout; g.n.boot() < end; {
-			if best, ok := promotion.ChoosePrimary(reports, ""); ok && best.Received.Compare(logEnd) >= 0 {
-				return reports
-			}
-			clock.Sleep(ctx, catchUpPollInterval)
-			reports = g.queryServers(ctx, candidates, statement.Status{})
-		}
-		return reports
-	}
-	if _, ok := promotion.FindNewPrimary(reports, ""); ok || len(reports) == 0 {
-		return reports
-	}
-	l, _ := g.n.table.Leader(group)
-	return g.queryServers(ctx, candidates, statement.PauseReplication{Term: promotion.NextTerm(reports, l.Term)})
-}
-
-// queryServers sends a command to all servers at once and returns the reports of those that answer within reportTimeout.
-func (g *failover) queryServers(ctx context.Context, servers []catalog.Server, c statement.Command) []promotion.Report {
-	results := make(chan *promotion.Report, len(servers))
-	for _, s := range servers {
-		go func() {
-			r, err := g.sendCommand(ctx, s, reportTimeout, c)
-			if err != nil {
-				g.n.log.Warn("server does not report", "group", s.Group, "server", s.ID, "error", err.Error())
-				results <- nil
-				return
-			}
-			results <- &promotion.Report{Server: s.ID, Place: s.Place, Leaving: s.Leaving, Report: r}
-		}()
-	}
-	var reports []promotion.Report
-	for range servers {
-		if r := <-results; r != nil {
-			reports = append(reports, *r)
-		}
-	}
-	return reports
-}
-
 // order is an order to the platform to promote a server, with the fencing token of the promotion lease.
 type order struct {
 	server string
@@ -254,27 +182,3 @@
 	g.n.gossip.notifyCoordinators()
 	g.n.gossip.notifyPlace()
 }
-
-// resumeReplicas lets the paused replicas, except the new leader, receive again. Failures are only logged.
-func (g *failover) resumeReplicas(candidates []catalog.Server, reports []promotion.Report, leader string) {
-	for _, s := range candidates {
-		if s.ID == leader || !hasReport(reports, s.ID) {
-			continue
-		}
-		go func() {
-			if _, err := g.sendCommand(context.Background(), s, reportTimeout, statement.ResumeReplication{}); err != nil {
-				g.n.log.Warn("replica not resumed", "group", s.Group, "server", s.ID, "error", err.Error())
-			}
-		}()
-	}
-}
-
-// hasReport reports whether a server is among the reports.
-func hasReport(reports []promotion.Report, server string) bool {
-	for _, r := range reports {
-		if r.Server == server {
-			return true
-		}
-	}
-	return false
-}
--- /dev/null
+++ b/internal/instance/entry/replicas.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/promotion"
+	"tanagercross/internal/database/statement"
+	"tanagercross/internal/fleet/catalog"
+	"tanagercross/internal/instance/clock"
+)
+
+// candidates returns the servers that may be promoted: those that are not leaving, if there are any. With synchronous
+// replicas, leaving ones are included, because one of them may be the only server with the last commits.
+func (g *failover) candidates(group, old string, synchronous bool) []catalog.Server {
+	var staying, leaving []catalog.Server
+	for _, s := range g.n.table.Servers().InGroup(group) {
+		switch {
+		case s.ID == old:
+		case s.Leaving:
+			leaving = append(leaving, s)
+		default:
+			staying = append(staying, s)
+		}
+	}
+	if synchronous || len(staying) == 0 {
+		return append(staying, leaving...)
+	}
+	return staying
+}
+
+// demote makes a leaving primary a replica. It needs no report of the primary before: the status of a busy one is refused,
+// while it goes on acknowledging commits. A primary that knows a newer term than the view tells it in its answer.
+func (g *failover) demote(ctx context.Context, group string, old catalog.Server) promotion.Demotion {
+	l, _ := g.n.table.Leader(group)
+	term := l.Term + 1
+	for range demoteAttempts {
+		r, err := g.sendCommand(ctx, old, reportTimeout, statement.Demote{Term: term})
+		if err == nil && r.Role != driver.Primary {
+			g.n.log.Info("leaving primary demoted", "group", group, "primary", old.ID, "term", term, "end", r.Received.String())
+			return promotion.Demotion{Confirmed: true, End: r.Received}
+		}
+		g.n.log.Warn("leaving primary not demoted", "group", group, "primary", old.ID, "term", term, "its_term", r.Term,
+			"error", errorText(err))
+		term = max(term, r.Term+1)
+		clock.Sleep(ctx, demoteRetryInterval)
+	}
+	return promotion.Demotion{}
+}
+
+// undemotedFor returns for how long a server has not confirmed its demotion, counted from the first call.
+func (g *failover) undemotedFor(server string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.n.boot()
+	if g.undemotedSince[server] == 0 {
+		g.undemotedSince[server] = now
+	}
+	return now - g.undemotedSince[server]
+}
+
+// collectReports requests the candidates' reports of what they have received. Replicas of a primary that has not confirmed
+// its demotion are paused, so that they receive nothing after their report.
+func (g *failover) collectReports(ctx context.Context, group string, candidates []catalog.Server, d promotion.Demotion) []promotion.Report {
+	if d.Confirmed {
+		return g.awaitLogEnd(ctx, candidates, d.End)
+	}
+	reports := g.queryServers(ctx, candidates, statement.Status{})
+	if _, ok := promotion.FindNewPrimary(reports, ""); ok {
+		return reports
+	}
+	l, _ := g.n.table.Leader(group)
+	return g.pauseReplicas(ctx, candidates, promotion.NextTerm(reports, l.Term))
+}
+
+// awaitLogEnd returns the candidates' reports as soon as one of them has the whole log of the demoted primary, and after
+// catchUpTimeout in any case.
+func (g *failover) awaitLogEnd(ctx context.Context, candidates []catalog.Server, logEnd driver.Position) []promotion.Report {
+	reports := g.queryServers(ctx, candidates, statement.Status{})
+	for end := g.n.boot() + catchUpTimeout; g.n.boot() < end; {
+		if best, ok := promotion.ChoosePrimary(reports, ""); ok && best.Received.Compare(logEnd) >= 0 {
+			return reports
+		}
+		clock.Sleep(ctx, catchUpPollInterval)
+		reports = g.queryServers(ctx, candidates, statement.Status{})
+	}
+	return reports
+}
+
+// pauseReplicas stops the candidates from receiving the log and returns the reports that they give then. The pause takes no
+// slot of a server, so that those that were too busy for a status report answer as well.
+func (g *failover) pauseReplicas(ctx context.Context, candidates []catalog.Server, term uint64) []promotion.Report {
+	reports := g.queryServers(ctx, candidates, statement.PauseReplication{Term: term})
+	for i, r := range reports {
+		reports[i] = r.WithPause(term)
+	}
+	return reports
+}
+
+// queryServers sends a command to all servers at once and returns the reports of those that answer within reportTimeout.
+func (g *failover) queryServers(ctx context.Context, servers []catalog.Server, c statement.Command) []promotion.Report {
+	results := make(chan *promotion.Report, len(servers))
+	for _, s := range servers {
+		go func() {
+			r, err := g.sendCommand(ctx, s, reportTimeout, c)
+			if err != nil {
+				g.n.log.Warn("server does not report", "group", s.Group, "server", s.ID, "error", err.Error())
+				results <- nil
+				return
+			}
+			results <- &promotion.Report{Server: s.ID, Place: s.Place, Leaving: s.Leaving, Report: r}
+		}()
+	}
+	var reports []promotion.Report
+	for range servers {
+		if r := <-results; r != nil {
+			reports = append(reports, *r)
+		}
+	}
+	return reports
+}
+
+// resumeReplicas lets the paused replicas, except the new leader, receive again. Failures are only logged.
+func (g *failover) resumeReplicas(candidates []catalog.Server, reports []promotion.Report, leader string) {
+	for _, s := range candidates {
+		if s.ID == leader || !hasReport(reports, s.ID) {
+			continue
+		}
+		go func() {
+			if _, err := g.sendCommand(context.Background(), s, reportTimeout, statement.ResumeReplication{}); err != nil {
+				g.n.log.Warn("replica not resumed", "group", s.Group, "server", s.ID, "error", err.Error())
+			}
+		}()
+	}
+}
+
+// hasReport reports whether a server is among the reports.
+func hasReport(reports []promotion.Report, server string) bool {
+	for _, r := range reports {
+		if r.Server == server {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/instance/entry/synchronous_test.go
+++ b/internal/instance/entry/synchronous_test.go
@@ -117,3 +117,40 @@
 	// Only a read is checked: no replica is left, and a write would wait for one.
 	f.eventually("a read at another primary", func() bool { return s.read("plates").OK() })
 }
+
+// awaitChange waits until another server than the given one is the primary of the group.
+func (f *fleet) awaitChange(old string) {
+	f.t.Helper()
+	f.eventually("another primary than "+old, func() bool {
+		p := f.cluster.Primary("meals")
+		return p != "" && p != old
+	})
+}
+
+// Guards against the promotion of a replica while the leaving primary still acknowledges commits, because it was too busy to
+// report its status.
+func TestBusyLeavingPrimaryIsDemoted(t *testing.T) {
+	f := newFleet(t, "agreste", "sertao", "litoral")
+	f.requireSyncReplica()
+	f.cluster.RefuseStatus("meals-agreste")
+	f.cluster.Drain("meals-agreste")
+	f.awaitChange("meals-agreste")
+}
+
+// Guards against the promotion of a replica while a leaving primary that answers no demotion still acknowledges commits
+// through the other replica.
+func TestReplicasOfUndemotedPrimaryArePaused(t *testing.T) {
+	f := newFleet(t, "agreste", "sertao", "litoral")
+	f.requireSyncReplica()
+	f.cluster.RefuseDemotion("meals-agreste")
+	f.cluster.Drain("meals-agreste")
+	f.awaitChange("meals-agreste")
+}
+
+// Guards against a leaving primary without synchronous replicas that leads until it stops, because it answers no demotion.
+func TestUndemotedPrimaryIsReplacedBeforeItStops(t *testing.T) {
+	f := newFleet(t, "agreste", "sertao", "litoral")
+	f.cluster.RefuseDemotion("meals-agreste")
+	f.cluster.Drain("meals-agreste")
+	f.awaitChange("meals-agreste")
+}
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -43,6 +43,7 @@
 	received int // entries of the primary's log
 	applied  int
 	paused   bool
+	heldTerm uint64        // of the pause
 	down     bool          // refuses connections
 	silent   bool          // answers nothing
 	lag      time.Duration // of what a replica applies
@@ -50,6 +51,8 @@
 	lose     int // answers to lose
 	conns    map[*conn]bool
 	busy     int
+
+	refuseStatus, refuseDemotion bool // these commands are answered Busy
 }
 
 // Cluster is a set of groups with a store. It is safe for concurrent use.
@@ -131,7 +134,15 @@
 
 // Restart brings a server back, as a replica if another one leads.
 func (c *Cluster) Restart(id string) {
-	c.change(id, func(s *Server) { s.down, s.silent, s.paused = false, false, false })
+	c.change(id, func(s *Server) { s.down, s.silent, s.paused, s.heldTerm = false, false, false, 0 })
+}
+
+// RefuseStatus makes a server answer Busy to requests of its status.
+func (c *Cluster) RefuseStatus(id string) { c.change(id, func(s *Server) { s.refuseStatus = true }) }
+
+// RefuseDemotion makes a server answer Busy to a demotion.
+func (c *Cluster) RefuseDemotion(id string) {
+	c.change(id, func(s *Server) { s.refuseDemotion = true })
 }
 
 // Silence makes a server answer nothing.
@@ -291,6 +302,7 @@
 	if old == s {
 		return
 	}
+	c.checkFence(s, old)
 	term := s.term
 	if old != nil {
 		term = max(term, old.term)
@@ -301,16 +313,29 @@
 			c.rolledBack[e] = true
 		}
 	}
-	s.Role, s.term, s.paused, s.applied = driver.Primary, term+1, false, len(s.log)
+	s.Role, s.term, s.applied = driver.Primary, term+1, len(s.log)
 	for _, other := range c.servers {
 		if other.Group == s.Group {
-			other.paused = false
+			other.paused, other.heldTerm = false, 0
 		}
 	}
 	c.promotions++
 	c.bump()
 }
 
+// checkFence records a fault if a server is promoted while the old primary of a synchronous group runs, was not demoted,
+// and could have acknowledged a commit that only another replica has received.
+func (c *Cluster) checkFence(promoted, old *Server) {
+	if old == nil || old.down || !c.synchronous[promoted.Group] {
+		return
+	}
+	for _, s := range c.servers {
+		if s.Group == promoted.Group && s != promoted && s != old && !s.down && !s.paused {
+			c.fault("%s is promoted while %s leads and %s receives its commits", promoted.ID, old.ID, s.ID)
+		}
+	}
+}
+
 // rows lists the ids of all servers that have an entry.
 func (c *Cluster) listed() []string {
 	var ids []string
--- a/internal/standin/cluster/conn.go
+++ b/internal/standin/cluster/conn.go
@@ -13,6 +13,9 @@
 // errBroken is the error of a connection that does not answer.
 var errBroken = errors.New("connection broken")
 
+// errBusy is the error of a server that has no free slot for a report.
+var errBusy = errors.New("busy")
+
 // work is the time that a statement takes.
 const work = time.Millisecond
 
@@ -85,11 +88,20 @@
 	defer c.mu.Unlock()
 	c.catchUp(s)
 	switch command := command.(type) {
+	case statement.Status:
+		if s.refuseStatus {
+			return statement.Report{}, &statement.DialError{Code: statement.Busy, Err: errBusy}
+		}
 	case statement.PauseReplication:
-		s.paused = command.Term > s.term && s.Role != driver.Primary
+		if command.Term > s.term && s.Role != driver.Primary {
+			s.paused, s.heldTerm = true, command.Term
+		}
 	case statement.ResumeReplication:
-		s.paused = false
+		s.paused, s.heldTerm = false, 0
 	case statement.Demote:
+		if s.refuseDemotion {
+			return statement.Report{}, &statement.DialError{Code: statement.Busy, Err: errBusy}
+		}
 		if s.Role == driver.Primary && command.Term > s.term {
 			s.Role = driver.Replica
 			c.bump()
@@ -99,7 +111,7 @@
 	if len(s.log) > 0 {
 		end = s.log[len(s.log)-1].position
 	}
-	return statement.Report{Role: s.Role, Term: s.term, Received: end}, nil
+	return statement.Report{Role: s.Role, Term: max(s.term, s.heldTerm), Received: end, HeldTerm: s.heldTerm}, nil
 }
 
 // reach fails if the server does not answer.
--- a/internal/standin/wire/server.go
+++ b/internal/standin/wire/server.go
@@ -134,7 +134,7 @@
 		if r.Role == driver.Primary {
 			role = "primary"
 		}
-		return fmt.Sprintf("ROW %s %d %s %d 0 0 1\r\nDONE -\r\nREADY I %s\r\n", role, r.Term, positionText(r.Received), r.Term,
+		return fmt.Sprintf("ROW %s %d %s %d 0 0 1\r\nDONE -\r\nREADY I %s\r\n", role, r.Term, positionText(r.Received), r.HeldTerm,
 			positionText(r.Received)), nil
 	}
 	c, err := command(id, text)
