Confirm the primary that is kept after an unanswered promotion order

Cause: nothing invalidated an order without an answer when the old primary was kept, and the ordered replica alone stayed paused, so that the other one acknowledged commits that it lacked. Change: unanswered orders are kept by group until the platform has accepted a higher token (promotion.Orders). A primary that they threaten is ordered itself with a higher token. Synchronous replicas stay paused until that is accepted; without synchronous replicas all are resumed at once. A refused order does not resume synchronous replicas. Orders are repeated only while the lease is held; a resume is awaited before the next change. Why it works: the platform refuses an order below the highest token that it has seen, and until then the primary cannot acknowledge a commit.

--- a/internal/instance/entry/failover.go
+++ b/internal/instance/entry/failover.go
@@ -63,17 +63,19 @@
 	servingAt        map[string]time.Duration // when the primary of a group was last found to serve
 	lastReport       map[string]time.Duration
 	leaderlessSince  map[string]time.Duration
-	leavingSince     map[string]time.Duration // since when the primary of a group is leaving
-	undemotedSince   map[string]time.Duration // first demotion that a server did not confirm, by server
-	unansweredOrders map[string]order         // orders without an answer, which may still take effect, by group
-	lastRefresh      time.Duration            // last requested read of the servers
+	leavingSince     map[string]time.Duration    // since when the primary of a group is leaving
+	undemotedSince   map[string]time.Duration    // first demotion that a server did not confirm, by server
+	orders           map[string]promotion.Orders // without an answer, by group
+	unsettled        map[string]bool             // groups with replicas that may be paused although no change is in progress
+	lastRefresh      time.Duration               // last requested read of the servers
 	refreshRequested bool
 }
 
 func newFailover(n *Node) *failover {
 	return &failover{
 		n: n, inProgress: map[string]bool{}, servingAt: map[string]time.Duration{}, lastReport: map[string]time.Duration{}, leaderlessSince: map[string]time.Duration{},
-		leavingSince: map[string]time.Duration{}, undemotedSince: map[string]time.Duration{}, unansweredOrders: map[string]order{},
+		leavingSince: map[string]time.Duration{}, undemotedSince: map[string]time.Duration{}, orders: map[string]promotion.Orders{},
+		unsettled: map[string]bool{},
 	}
 }
 
@@ -195,7 +197,8 @@
 	g.refreshRequested = true
 }
 
-// run checks the groups whose failover coordinator this instance is, until the context ends.
+// run checks the groups whose failover coordinator this instance is, and settles those whose last change it gave up, until
+// the context ends.
 func (g *failover) run(ctx context.Context) {
 	for clock.Sleep(ctx, failoverInterval) {
 		now := g.n.boot()
@@ -206,6 +209,7 @@
 			if g.isCoordinator(now, group) {
 				g.checkGroup(now, group)
 			}
+			g.settleGroup(group)
 		}
 	}
 }
@@ -293,9 +297,12 @@
 		return g.changePrimary(ctx, x.Group, s, true)
 	case promotion.Keep:
 		g.mu.Lock()
-		defer g.mu.Unlock()
 		g.servingAt[x.Group] = g.n.boot()
-		return nil
+		g.mu.Unlock()
+		if g.isSettled(x.Group, s.ID) {
+			return nil
+		}
+		return g.confirmPrimary(ctx, x.Group, s)
 	}
 	clock.Sleep(ctx, failoverInterval)
 	return nil
--- a/internal/instance/entry/promote.go
+++ b/internal/instance/entry/promote.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -63,114 +62,99 @@
 		return nil
 	}
 	missing := g.n.table.MissingReplicas(group)
+	c := change{group: group, old: old, candidates: candidates, reports: reports, syncReplicas: syncReplicas}
 	if !promotion.EnoughReports(reports, len(candidates)+missing, syncReplicas, demotion) {
-		g.resumeReplicas(candidates, reports, "")
+		g.abandon(ctx, c)
 		return eris.Errorf("%d of %d replicas report, %d are missing, demoted %t: an acknowledged commit may be lost", len(reports),
 			len(candidates), missing, demotion.Confirmed)
 	}
-	return g.promote(ctx, group, old, claim, candidates, reports)
+	return g.promote(ctx, c, claim)
 }
 
-// claim acquires or renews the promotion lease, with a fencing token above the given one. The returned claim names another
-// holder if that one's lease has not expired.
-func (g *failover) claim(ctx context.Context, above uint64) (Claim, error) {
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	claim, err := g.n.options.Store.Claim(ctx, promotionLeaseName, g.n.settings.Name, above, g.n.settings.PromotionLease)
-	g.n.observer.dependency("store duties", err)
-	if err == nil {
-		g.n.log.Info("duty", "holder", claim.Holder, "token", claim.Token, "remaining_ms", claim.Remaining.Milliseconds())
-	}
-	return claim, err
-}
-
-// forwardToHolder requests the change from the holder of the promotion lease. If the holder cannot be reached, it waits for
-// the end of the lease, at most a second, and returns an error, so that the next check of the group tries again.
-func (g *failover) forwardToHolder(ctx context.Context, claim Claim, x relay.PrimaryChange) error {
-	end := g.n.boot() + min(claim.Remaining, time.Second)
-	if m, ok := g.n.table.Roster().Member(claim.Holder); ok {
-		call, cancel := context.WithTimeout(ctx, claim.Remaining)
-		accepted, _, err := g.n.client.ChangePrimary(call, m.Address, x)
-		cancel()
-		if err == nil {
-			g.n.log.Info("change of primary handed over", "group", x.Group, "holder", claim.Holder, "accepted", accepted)
-			clock.Sleep(ctx, time.Second)
-			return nil
-		}
-	}
-	clock.Sleep(ctx, max(0, end-g.n.boot()))
-	return eris.Errorf("the duty is held by %s, which is not reached", claim.Holder)
-}
-
-// order is an order to the platform to promote a server, with the fencing token of the promotion lease.
-type order struct {
-	server string
-	token  uint64
+// change is one change of primary: its group, the old primary, the servers that may follow it, and their reports.
+type change struct {
+	group        string
+	old          catalog.Server
+	candidates   []catalog.Server
+	reports      []promotion.Report
+	syncReplicas int
 }
 
 // promote orders the promotion of the most advanced replica and waits until it is the primary. An order without an answer
-// is repeated. Paused replicas are resumed in any case.
-func (g *failover) promote(ctx context.Context, group string, old catalog.Server, claim Claim, candidates []catalog.Server, reports []promotion.Report) error {
-	best, ok := promotion.ChoosePrimary(reports, old.Place)
+// is repeated while the promotion lease is held.
+func (g *failover) promote(ctx context.Context, c change, claim lease) error {
+	best, ok := promotion.ChoosePrimary(c.reports, c.old.Place)
 	if !ok {
-		return eris.Errorf("no replica of %s reports", group)
+		return eris.Errorf("no replica of %s reports", c.group)
 	}
-	claim, err := g.supersede(ctx, group, best.Server, claim)
+	claim, err := g.supersede(ctx, c.group, best.Server, claim)
 	if err != nil {
-		g.resumeReplicas(candidates, reports, "")
+		g.abandon(ctx, c)
 		return err
 	}
 	orderErr := ErrUncertain
 	for end := g.n.boot() + leadershipTimeout; g.n.boot() < end; clock.Sleep(ctx, leadershipPollInterval) {
 		if errors.Is(orderErr, ErrUncertain) {
-			orderErr = g.order(ctx, group, best.Server, claim)
-			g.n.log.Info("promotion ordered", "group", group, "old", old.ID, "new", best.Server, "received", best.Received.String(),
-				"reports", len(reports), "token", claim.Token, "error", errorText(orderErr))
+			if claim, err = g.renew(ctx, claim); err != nil {
+				g.abandon(ctx, c)
+				return err
+			}
+			orderErr = g.order(ctx, c.group, best.Server, claim)
+			g.n.log.Info("promotion ordered", "group", c.group, "old", c.old.ID, "new", best.Server, "received", best.Received.String(),
+				"reports", len(c.reports), "token", claim.Token, "error", errorText(orderErr))
 		}
 		if errors.Is(orderErr, ErrConflict) {
-			g.resumeReplicas(candidates, reports, "")
+			// Another holder of the lease may be changing the primary and rely on the paused replicas.
+			g.setUnsettled(c.group, true)
+			g.abandon(ctx, c)
 			return orderErr
 		}
 		s, _ := g.n.table.Servers().Server(best.Server)
 		r, err := g.sendCommand(ctx, s, probeTimeout, statement.Status{})
 		if err == nil && r.Role == driver.Primary {
-			g.announceLeader(group, promotion.Report{Server: best.Server, Report: r})
-			g.resumeReplicas(candidates, reports, best.Server)
+			g.announceLeader(c.group, promotion.Report{Server: best.Server, Report: r})
+			g.resumeReplicas(ctx, c.group, reported(c.candidates, c.reports, best.Server))
 			return nil
 		}
 	}
-	g.resumeReplicas(candidates, reports, best.Server)
-	return eris.Errorf("%s does not lead %s in time", best.Server, group)
+	g.abandon(ctx, c)
+	return eris.Errorf("%s does not lead %s in time", best.Server, c.group)
+}
+
+// abandon ends a change without a new primary. Replicas that were paused are resumed, unless the group has synchronous
+// replicas and an order for one of them may still be carried out: the old primary, if it runs, would acknowledge commits
+// that the promoted replica lacks. They stay paused until confirmPrimary or another change.
+func (g *failover) abandon(ctx context.Context, c change) {
+	if c.syncReplicas > 0 && !g.isSettled(c.group, c.old.ID) {
+		g.n.log.Warn("replicas stay paused", "group", c.group, "primary", c.old.ID)
+		return
+	}
+	g.resumeReplicas(ctx, c.group, reported(c.candidates, c.reports, ""))
 }
 
 // supersede renews the lease with a higher token if an earlier order for another server was not answered. That order may
 // still take effect and would replace the server that is promoted now; the higher token makes the platform refuse it.
-func (g *failover) supersede(ctx context.Context, group, server string, claim Claim) (Claim, error) {
-	g.mu.Lock()
-	earlier, ok := g.unansweredOrders[group]
-	g.mu.Unlock()
-	if !ok || earlier.server == server || earlier.token < claim.Token {
+func (g *failover) supersede(ctx context.Context, group, server string, claim lease) (lease, error) {
+	earlier := g.unansweredOrders(group).HighestToken(server)
+	if earlier < claim.Token {
 		return claim, nil
 	}
-	higher, err := g.claim(ctx, earlier.token)
-	if err != nil {
-		return claim, err
-	}
-	if higher.Holder != claim.Holder {
-		return claim, eris.Errorf("the duty has passed to %s", higher.Holder)
-	}
-	return higher, nil
+	return g.raiseToken(ctx, claim, earlier)
 }
 
-// order orders a promotion from the platform. It records an order without an answer for supersede.
-func (g *failover) order(ctx context.Context, group, server string, claim Claim) error {
+// order orders a promotion from the platform and records whether it was answered.
+func (g *failover) order(ctx context.Context, group, server string, claim lease) error {
 	ctx, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
 	err := g.n.options.Promoter.Promote(ctx, claim.Holder, claim.Token, group, server)
-	if errors.Is(err, ErrUncertain) {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.unansweredOrders[group] = order{server: server, token: claim.Token}
+	o := promotion.Order{Server: server, Token: claim.Token}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case err == nil:
+		g.orders[group] = g.orders[group].WithAccepted(o)
+	case errors.Is(err, ErrUncertain):
+		g.orders[group] = g.orders[group].WithUnanswered(o)
 	}
 	return err
 }
--- a/internal/instance/entry/replicas.go
+++ b/internal/instance/entry/replicas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"tanagercross/internal/database/driver"
@@ -121,26 +122,23 @@
 	return reports
 }
 
-// resumeReplicas lets the paused replicas, except the new leader, receive again. Failures are only logged.
-func (g *failover) resumeReplicas(candidates []catalog.Server, reports []promotion.Report, leader string) {
-	for _, s := range candidates {
-		if s.ID == leader || !hasReport(reports, s.ID) {
-			continue
-		}
-		go func() {
-			if _, err := g.sendCommand(context.Background(), s, reportTimeout, statement.ResumeReplication{}); err != nil {
-				g.n.log.Warn("replica not resumed", "group", s.Group, "server", s.ID, "error", err.Error())
-			}
-		}()
+// resumeReplicas lets replicas receive the log again, and waits until they have confirmed it, so that a late command does
+// not end the pause of a later change. The group stays unsettled if one does not confirm.
+func (g *failover) resumeReplicas(ctx context.Context, group string, servers []catalog.Server) {
+	resumed := g.queryServers(ctx, servers, statement.ResumeReplication{})
+	if len(resumed) < len(servers) {
+		g.n.log.Warn("replicas not resumed", "group", group, "paused", len(servers), "resumed", len(resumed))
+		g.setUnsettled(group, true)
 	}
 }
 
-// hasReport reports whether a server is among the reports.
-func hasReport(reports []promotion.Report, server string) bool {
-	for _, r := range reports {
-		if r.Server == server {
-			return true
+// reported returns the candidates that gave a report, without the given server.
+func reported(candidates []catalog.Server, reports []promotion.Report, without string) []catalog.Server {
+	var servers []catalog.Server
+	for _, s := range candidates {
+		if s.ID != without && slices.ContainsFunc(reports, func(r promotion.Report) bool { return r.Server == s.ID }) {
+			servers = append(servers, s)
 		}
 	}
-	return false
+	return servers
 }
--- /dev/null
+++ b/internal/instance/entry/settle.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/promotion"
+	"tanagercross/internal/database/statement"
+	"tanagercross/internal/fleet/catalog"
+	"tanagercross/internal/fleet/relay"
+	"tanagercross/internal/instance/clock"
+)
+
+// confirmationDelay is how long an order that the platform accepted before the confirmation may take to have effect.
+const confirmationDelay = time.Second
+
+// unansweredOrders returns the orders for a group that may still be carried out.
+func (g *failover) unansweredOrders(group string) promotion.Orders {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.orders[group]
+}
+
+// setUnsettled records whether replicas of a group may be paused without a change of primary in progress.
+func (g *failover) setUnsettled(group string, unsettled bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unsettled[group] = unsettled
+}
+
+// isSettled reports whether no earlier change threatens the primary of a group: no replica was left paused, and no order for
+// another server may still be carried out.
+func (g *failover) isSettled(group, primary string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.unsettled[group] && !g.orders[group].Threaten(primary)
+}
+
+// settleGroup has the primary of a group examined, and confirmed if it serves, while the group is not settled.
+func (g *failover) settleGroup(group string) {
+	l, known := g.n.table.Leader(group)
+	s, listed := g.n.table.Servers().Server(l.Server)
+	if known && listed && s.Role == driver.Primary && !g.isSettled(group, l.Server) {
+		g.startChange(context.Background(), relay.PrimaryChange{Group: group, Primary: l.Server})
+	}
+}
+
+// confirmPrimary makes the primary that serves stay after a change that was given up. It orders the promotion of that
+// primary with a higher token, which changes nothing and makes the platform refuse the orders before. Then it resumes the
+// replicas. They stay paused until the order is accepted, because an order for one of them may still be carried out.
+func (g *failover) confirmPrimary(ctx context.Context, group string, primary catalog.Server) error {
+	claim, err := g.claim(ctx, g.unansweredOrders(group).HighestToken(primary.ID))
+	if err != nil {
+		return err
+	}
+	if claim.Holder != g.n.settings.Name {
+		return eris.Errorf("the duty is held by %s, which may be changing the primary", claim.Holder)
+	}
+	err = g.order(ctx, group, primary.ID, claim)
+	g.n.log.Info("primary confirmed", "group", group, "primary", primary.ID, "token", claim.Token, "error", errorText(err))
+	if err != nil {
+		return err
+	}
+	clock.Sleep(ctx, confirmationDelay)
+	if claim, err = g.renew(ctx, claim); err != nil {
+		return err
+	}
+	// A primary does not act on this command. Unlike a status, its answer needs no free slot, which the primary may lack
+	// while its commits wait for the paused replicas.
+	r, err := g.sendCommand(ctx, primary, reportTimeout, statement.ResumeReplication{})
+	if err != nil {
+		return err
+	}
+	if r.Role != driver.Primary {
+		return eris.Errorf("%s no longer leads %s", primary.ID, group)
+	}
+	g.setUnsettled(group, false)
+	g.resumeReplicas(ctx, group, g.replicas(group, primary.ID))
+	return nil
+}
+
+// replicas returns the listed servers of a group without its primary.
+func (g *failover) replicas(group, primary string) []catalog.Server {
+	var replicas []catalog.Server
+	for _, s := range g.n.table.Servers().InGroup(group) {
+		if s.ID != primary {
+			replicas = append(replicas, s)
+		}
+	}
+	return replicas
+}
--- a/internal/instance/entry/synchronous_test.go
+++ b/internal/instance/entry/synchronous_test.go
@@ -1,11 +1,9 @@
 package entry_test
 
 import (
-	"context"
 	"testing"
 	"time"
 
-	"tanagercross/internal/database/statement"
 	"tanagercross/internal/fleet/catalog"
 )
 
@@ -24,14 +22,7 @@
 	for _, n := range f.nodes {
 		f.eventually("the configuration", func() bool { return n.Table().Configuration().Version == 2 })
 	}
-	conn, _, err := f.cluster.Dialer("test").Dial(context.Background(), statement.Target{Server: "meals-sertao", Organisation: "coop"})
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	defer conn.Close()
-	if _, err := conn.Report(time.Now().Add(time.Second), statement.PauseReplication{Term: 9}); err != nil {
-		f.t.Fatal(err)
-	}
+	f.pause("meals-sertao")
 }
 
 // awaitUnlisted waits until no instance lists a server.
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -222,6 +222,20 @@
 	return c.runs[id]
 }
 
+// Paused reports whether a server does not receive the log because of a pause.
+func (c *Cluster) Paused(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.servers[id].paused
+}
+
+// Token returns the highest fencing token that a promotion of a group was accepted with.
+func (c *Cluster) Token(group string) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tokens[group]
+}
+
 // Primary returns the server that leads a group.
 func (c *Cluster) Primary(group string) string {
 	c.mu.Lock()
