Raise the fencing token at the first claim of a process

A holder of the promotion lease that is restarted under its name claims the lease with the token of the process before it. Cause: the token rises only with the name of the holder. An order of the dead process that was not answered is then carried out late, beside the order for another server, since its token equals the newest one. Change: the first claim of a process is followed by one above its token. Related paths: a new holder under another name gets a higher token (unchanged, TestClaim); renewals inside a process keep it.

--- a/internal/instance/entry/failover.go
+++ b/internal/instance/entry/failover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"iter"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"tanagercross/internal/database/driver"
@@ -69,6 +70,7 @@
 	unsettled        map[string]bool             // groups with replicas that may be paused although no change is in progress
 	lastRefresh      time.Duration               // last requested read of the servers
 	refreshRequested bool
+	hasClaimed       atomic.Bool // this process has claimed the promotion lease
 }
 
 func newFailover(n *Node) *failover {
--- a/internal/instance/entry/promotion_lease.go
+++ b/internal/instance/entry/promotion_lease.go
@@ -17,11 +17,19 @@
 }
 
 // claim acquires or renews the promotion lease, with a fencing token above the given one. The returned claim names another
-// holder if that one's lease has not expired.
+// holder if that one's lease has not expired. The first claim of a process raises the token, because an instance that ran
+// under the same name may have left an order without an answer.
 func (g *failover) claim(ctx context.Context, above uint64) (lease, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	return g.claimOnce(ctx, above)
+	claim, err := g.claimOnce(ctx, above)
+	if err != nil || claim.Holder != g.n.settings.Name || g.hasClaimed.Load() {
+		return claim, err
+	}
+	if claim, err = g.claimOnce(ctx, claim.Token); err == nil && claim.Holder == g.n.settings.Name {
+		g.hasClaimed.Store(true)
+	}
+	return claim, err
 }
 
 // claimOnce makes one claim.
--- a/internal/instance/entry/settle_test.go
+++ b/internal/instance/entry/settle_test.go
@@ -21,6 +21,23 @@
 	}
 }
 
+// restartAll stops all instances and starts them again under their names.
+func (f *fleet) restartAll() {
+	f.t.Helper()
+	stopped := f.nodes
+	f.nodes = nil
+	for _, n := range stopped {
+		n.Stop()
+	}
+	for _, n := range stopped {
+		self := n.Table().Self()
+		f.start(self.Name, self.Place)
+	}
+	for _, n := range f.nodes {
+		f.eventually("ready", n.Ready)
+	}
+}
+
 // Guards against the loss of acknowledged commits by an order without an answer that is carried out after its change was
 // given up, because the primary had returned.
 func TestLateOrderDoesNotReplaceReturnedPrimary(t *testing.T) {
@@ -44,3 +61,19 @@
 	}
 	s.awaitReadOne()
 }
+
+// Guards against a restarted holder of the promotion lease that promotes with the token of the process before it: an order
+// of that process which was not answered would then be carried out too.
+func TestRestartedHolderUsesHigherToken(t *testing.T) {
+	f := newFleet(t, "agreste")
+	f.cluster.Crash("meals-agreste")
+	f.awaitChange("meals-agreste")
+	used := f.cluster.Token("meals")
+	f.restartAll()
+	second := f.cluster.Primary("meals")
+	f.cluster.Crash(second)
+	f.awaitChange(second)
+	if token := f.cluster.Token("meals"); token <= used {
+		t.Errorf("token %d after the restart, want more than %d", token, used)
+	}
+}
