Resume replicas that a coordinator left paused when it died

A coordinator that dies between the pause of the replicas and the end of its change leaves them paused. With a synchronous replica the group takes no writes if its primary returns; without one their reads go to the primary for good. Cause: only the process that paused replicas resumed them. Change: an instance that becomes the coordinator of a group requests the status of its replicas until all have answered. If one is paused while a primary serves, the primary is confirmed with a higher token and the replicas are resumed.

--- a/internal/instance/entry/failover.go
+++ b/internal/instance/entry/failover.go
@@ -68,6 +68,8 @@
 	undemotedSince   map[string]time.Duration    // first demotion that a server did not confirm, by server
 	orders           map[string]promotion.Orders // without an answer, by group
 	unsettled        map[string]bool             // groups with replicas that may be paused although no change is in progress
+	coordinated      map[string]bool             // groups whose coordinator this instance is
+	inspectionDue    map[string]time.Duration    // when replicas of a group are inspected, until all have answered
 	lastRefresh      time.Duration               // last requested read of the servers
 	refreshRequested bool
 	hasClaimed       atomic.Bool // this process has claimed the promotion lease
@@ -77,7 +79,7 @@
 	return &failover{
 		n: n, inProgress: map[string]bool{}, servingAt: map[string]time.Duration{}, lastReport: map[string]time.Duration{}, leaderlessSince: map[string]time.Duration{},
 		leavingSince: map[string]time.Duration{}, undemotedSince: map[string]time.Duration{}, orders: map[string]promotion.Orders{},
-		unsettled: map[string]bool{},
+		unsettled: map[string]bool{}, coordinated: map[string]bool{}, inspectionDue: map[string]time.Duration{},
 	}
 }
 
@@ -208,9 +210,11 @@
 			continue
 		}
 		for _, group := range g.n.table.Configuration().Groups() {
-			if g.isCoordinator(now, group) {
+			coordinator := g.isCoordinator(now, group)
+			if coordinator {
 				g.checkGroup(now, group)
 			}
+			g.inspectGroup(now, group, coordinator)
 			g.settleGroup(group)
 		}
 	}
--- a/internal/instance/entry/settle.go
+++ b/internal/instance/entry/settle.go
@@ -12,10 +12,15 @@
 	"tanagercross/internal/fleet/catalog"
 	"tanagercross/internal/fleet/relay"
 	"tanagercross/internal/instance/clock"
+	"tanagercross/internal/service/recovery"
 )
 
-// confirmationDelay is how long an order that the platform accepted before the confirmation may take to have effect.
-const confirmationDelay = time.Second
+const (
+	// confirmationDelay is how long an order that the platform accepted before the confirmation may take to have effect.
+	confirmationDelay = time.Second
+	// inspectionInterval is the minimum time between two inspections of the replicas of a group.
+	inspectionInterval = 2 * time.Second
+)
 
 // unansweredOrders returns the orders for a group that may still be carried out.
 func (g *failover) unansweredOrders(group string) promotion.Orders {
@@ -92,3 +97,47 @@
 	}
 	return replicas
 }
+
+// inspectGroup looks for replicas that an earlier coordinator of the group left paused, when this instance has become the
+// coordinator. It is repeated until all replicas have answered.
+func (g *failover) inspectGroup(now time.Duration, group string, coordinator bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	due, waiting := g.inspectionDue[group]
+	switch {
+	case !coordinator:
+		delete(g.inspectionDue, group)
+		g.coordinated[group] = false
+		return
+	case !g.coordinated[group]:
+		g.coordinated[group] = true
+		g.inspectionDue[group] = now + inspectionInterval
+		return
+	case !waiting || now < due || g.inProgress[group]:
+		return
+	}
+	g.inspectionDue[group] = now + inspectionInterval
+	go g.inspectReplicas(group)
+}
+
+// inspectReplicas marks a group as unsettled if one of its replicas is paused.
+func (g *failover) inspectReplicas(group string) {
+	defer recovery.Catch(g.n.observer.panicked("inspection of replicas"))
+	l, known := g.n.table.Leader(group)
+	replicas := g.replicas(group, l.Server)
+	if !known || len(replicas) == 0 {
+		return
+	}
+	reports := g.queryServers(context.Background(), replicas, statement.Status{})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, r := range reports {
+		if r.HeldTerm > 0 && !g.inProgress[group] {
+			g.n.log.Warn("replica found paused", "group", group, "server", r.Server, "term", r.HeldTerm)
+			g.unsettled[group] = true
+		}
+	}
+	if len(reports) == len(replicas) {
+		delete(g.inspectionDue, group)
+	}
+}
--- a/internal/instance/entry/settle_test.go
+++ b/internal/instance/entry/settle_test.go
@@ -62,6 +62,14 @@
 	s.awaitReadOne()
 }
 
+// Guards against a replica that receives nothing for good, because the instance that paused it died.
+func TestPausedReplicaIsResumedByNextCoordinator(t *testing.T) {
+	f := newFleet(t, "agreste", "sertao", "litoral")
+	f.pause("meals-sertao")
+	f.restartAll()
+	f.eventuallyWithin(10*time.Second, "meals-sertao resumed", func() bool { return !f.cluster.Paused("meals-sertao") })
+}
+
 // Guards against a restarted holder of the promotion lease that promotes with the token of the process before it: an order
 // of that process which was not answered would then be carried out too.
 func TestRestartedHolderUsesHigherToken(t *testing.T) {
