Answer every accepted statement before a planned stop ends the process

Cause: a drain accepted statements until 1.3 s before its end whatever their timeout, and ended with statements in progress. With the fixed 1.3 s put back TestStatementsBeforeTheEnd fails; without the close of connections in use TestCloseGivesUpRunningStatements fails. Why it works: what is accepted reaches its timeout in time, or is answered at the end with what is known of it. TestNoOperationIsAcceptedBeforeTheEnd calls StopWithin(0, 0) in place of RefuseStatements; its checks are the same. Related paths: statements relayed by other instances (accepted until the exit before; refused in time now, tested); transactions (same check, tested); hedged reads (did not end with their caller; do now); session starts (same check); SIGTERM during a start (the signal is taken before any listener; read only); the product's own interface refuses writes from the start of its drain and reports cut requests by its exit code (read only, not changed).

--- a/internal/database/serverpool/serverpool.go
+++ b/internal/database/serverpool/serverpool.go
@@ -274,13 +274,16 @@
 	}
 }
 
-// Close closes the idle connections at once and the others when they are released. Queued statements are refused.
+// Close closes the connections. Queued statements are refused, and those that a server has not answered are given up.
 func (p *Pool) Close() {
 	p.scheduler.Stop(outcome.ServerLeaving)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
 	p.closeIdle()
+	for pc := range p.inFlight {
+		pc.conn.Close()
+	}
 	for _, w := range p.waiters {
 		close(w)
 	}
--- a/internal/database/serverpool/serverpool_test.go
+++ b/internal/database/serverpool/serverpool_test.go
@@ -77,6 +77,24 @@
 	}
 }
 
+// Guards against a stop that leaves a statement without an answer until its timeout, because the server is still at work.
+func TestCloseGivesUpRunningStatements(t *testing.T) {
+	c, pool := start(t, primary, serverpool.Options{})
+	c.LoseAnswers(primary, 1)
+	answer := make(chan statement.Answer)
+	go func() { answer <- pool.Execute(context.Background(), write("s1", 1)) }()
+	waitFor(t, func() bool { return c.Runs("s1/1") == 1 })
+	pool.Close()
+	select {
+	case a := <-answer:
+		if a.Delivery != statement.Unanswered {
+			t.Errorf("%+v, want unanswered, because the write has run", a)
+		}
+	case <-time.After(500 * time.Millisecond):
+		t.Error("no answer within 500 ms of the close")
+	}
+}
+
 // Guards against stale reads with scope Leader: a server that is no longer the primary still answers single reads.
 func TestLeaderReadFailsAtReplacedPrimary(t *testing.T) {
 	c, pool := start(t, primary, serverpool.Options{})
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -94,7 +94,7 @@
 	sessions       atomic.Uint64
 	readsUntil     atomic.Int64 // reading of boot until which this instance reads the store itself
 	endingSessions atomic.Bool
-	refusing       atomic.Bool
+	shutdown       atomic.Pointer[shutdown] // nil unless the process is about to end
 	stopLoops      context.CancelFunc
 	loops          sync.WaitGroup
 }
@@ -140,7 +140,7 @@
 	n.limiter = allotment.NewLimiter(n.rates, n.rates.totalSettings, allotment.Options{RateWait: rateTokenTimeout, HomeWait: 2 * rateTokenTimeout})
 	n.environment = callersession.Environment{
 		Configuration: n.table.Configuration, ConfigurationFresh: n.configurationFresh, Dispatcher: n.dispatcher, Limiter: admission{n.rates},
-		Observer: n.observer, Draining: n.endingSessions.Load, Stopping: n.refusing.Load,
+		Observer: n.observer, Draining: n.endingSessions.Load, Stopping: n.endsWithin,
 	}
 	n.server = relay.NewServer(relay.NewHandler(&services{n}, n.boot))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -230,10 +230,31 @@
 // EndSessions makes each session end as soon as no operation or transaction of it is open.
 func (n *Node) EndSessions() { n.endingSessions.Store(true) }
 
-// RefuseStatements makes the instance refuse new statements, because the process ends before they could finish.
-func (n *Node) RefuseStatements() {
-	n.endingSessions.Store(true)
-	n.refusing.Store(true)
+// shutdown is a planned stop, in readings of the instance's clock.
+type shutdown struct {
+	acceptUntil time.Duration // statements are accepted whatever their timeout
+	end         time.Duration // statements that are still running are given up
+}
+
+// answerMargin is the time that a statement may take beyond its timeout: the wait for a rate token and the way of its
+// answer to the caller.
+const answerMargin = 300 * time.Millisecond
+
+// StopWithin announces that the process ends within a time. Statements are accepted whatever their timeout for acceptAll,
+// and after that only if they reach their timeout before the end. Others are refused at once.
+func (n *Node) StopWithin(acceptAll, remaining time.Duration) {
+	now := n.boot()
+	n.shutdown.Store(&shutdown{acceptUntil: now + acceptAll, end: now + remaining})
+}
+
+// endsWithin reports whether the process may end before a statement with the given timeout is answered.
+func (n *Node) endsWithin(timeout time.Duration) bool {
+	s := n.shutdown.Load()
+	if s == nil {
+		return false
+	}
+	now := n.boot()
+	return now >= s.acceptUntil && now+timeout+answerMargin > s.end
 }
 
 // OpenTransactions returns the number of open transactions and unfinished statements on the servers that this instance
--- a/internal/instance/entry/services.go
+++ b/internal/instance/entry/services.go
@@ -21,9 +21,21 @@
 		s.n.observer.Panicked("relayed statement", p)
 		a = statement.NoAnswer("internal error")
 	})
+	if c.Timeout > 0 && s.n.endsWithin(c.Timeout) {
+		return refuseAtStop(c)
+	}
 	return s.n.pools.execute(ctx, server, c)
 }
 
+// refuseAtStop refuses a statement that could not be answered before the process ends. The sender then tries another
+// instance, unless the statement continues a transaction that is open here.
+func refuseAtStop(c statement.Call) statement.Answer {
+	if c.Step == statement.Next || c.Step == statement.End {
+		return statement.Refused(statement.Aborted, "the instance stops")
+	}
+	return statement.Refused(statement.WrongServer, "the instance stops")
+}
+
 // Gossip implements relay.Services.
 func (s *services) Gossip(_ context.Context, x relay.Gossip) view.State {
 	n := s.n
--- a/internal/instance/entry/transaction_test.go
+++ b/internal/instance/entry/transaction_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"tanagercross/internal/database/statement"
+	"tanagercross/internal/fleet/catalog"
+	"tanagercross/internal/organisation/key"
 )
 
 // Guards against a transaction whose statements run on different connections or that is aborted, and against a rollback
@@ -59,7 +62,7 @@
 	if a := open.write("plates", "1"); !a.OK() {
 		t.Fatalf("write: %+v", a)
 	}
-	f.nodes[0].RefuseStatements()
+	f.nodes[0].StopWithin(0, 0)
 	if a := idle.read("plates"); a.Code != statement.Busy || a.Delivery != statement.NotSent || !idle.callerSession.ShouldClose() {
 		t.Errorf("read: %+v, session over: %t; want busy, not sent and over", a, idle.callerSession.ShouldClose())
 	}
@@ -70,3 +73,46 @@
 		t.Errorf("session %v, %+v; want busy", c, refusal)
 	}
 }
+
+// Guards against a statement that is accepted shortly before the process ends although its timeout reaches beyond the end,
+// and against the refusal of statements that end in time, or that arrive while the load balancer still sends connections.
+func TestStatementsBeforeTheEnd(t *testing.T) {
+	const timeout = 5 * time.Second // of the database
+	for name, c := range map[string]struct {
+		acceptAll, remaining time.Duration
+		accepted             bool
+	}{
+		"ends in time":                       {0, timeout + time.Second, true},
+		"timeout reaches beyond the end":     {0, timeout - time.Second, false},
+		"load balancer may send connections": {timeout, timeout - time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, "agreste")
+			patient := catalog.Database{Name: "patient", Group: "meals", Timeout: timeout, LatencyGoal: time.Second}
+			f.cluster.Configure(catalog.NewConfiguration(2, []catalog.Database{patient}, []catalog.Group{{Name: "meals", ConnectionLimit: 40}},
+				[]catalog.Organisation{{Name: "coop", Rate: 100, Burst: 100, Keys: []key.Hash{key.HashOf(keyText)}}}))
+			f.eventually("the configuration", func() bool { return f.nodes[0].Table().Configuration().Version == 2 })
+			s := f.session(0, "patient")
+			f.nodes[0].StopWithin(c.acceptAll, c.remaining)
+			a := s.write("plates", "1")
+			if a.OK() != c.accepted || !a.OK() && (a.Code != statement.Busy || a.Delivery != statement.NotSent) {
+				t.Errorf("write: %+v, want accepted %t, otherwise busy and not sent", a, c.accepted)
+			}
+		})
+	}
+}
+
+// Guards against statements of other instances that an instance accepts shortly before its process ends.
+func TestRelayedStatementsBeforeTheEnd(t *testing.T) {
+	f := newFleet(t, "agreste", "agreste")
+	s := f.session(1, "bookings")
+	if a := s.write("plates", "1"); !a.OK() {
+		t.Fatalf("write: %+v", a)
+	}
+	f.nodes[0].StopWithin(0, 0)
+	for _, database := range []string{"bookings", "tally", "plates"} {
+		if a := f.session(1, database).read("plates"); !a.OK() {
+			t.Errorf("read of %s: %+v", database, a)
+		}
+	}
+}
--- a/internal/request/dispatch/read.go
+++ b/internal/request/dispatch/read.go
@@ -104,6 +104,8 @@
 			}
 		case <-running.Done():
 			return statement.NoAnswer("no server answered in time")
+		case <-ctx.Done():
+			return statement.NoAnswer("given up")
 		}
 	}
 }
--- a/internal/session/callersession/callersession.go
+++ b/internal/session/callersession/callersession.go
@@ -66,7 +66,8 @@
 	Limiter            Limiter
 	Observer           Observer
 	Draining           func() bool // the instance shuts down; sessions close when they have no open transaction
-	Stopping           func() bool // the process ends before another statement could finish
+	// Stopping reports whether the process may end before a statement with the given timeout is answered.
+	Stopping func(timeout time.Duration) bool
 }
 
 // Session is the session of one caller. It is used by one goroutine at a time.
@@ -111,9 +112,6 @@
 // authorize checks the database and the key against the configuration in force and sets the session's organisation. It
 // refuses if the instance stops or its configuration is too old.
 func (s *Session) authorize() (catalog.Database, statement.Answer) {
-	if s.env.Stopping() {
-		return catalog.Database{}, statement.Refused(statement.Busy, "the instance stops; retry at once")
-	}
 	if !s.env.ConfigurationFresh() {
 		return catalog.Database{}, statement.Refused(statement.Busy, "the configuration is too old; retry after 500 ms")
 	}
@@ -122,6 +120,10 @@
 	if !ok {
 		return db, statement.Refused(statement.NoDatabase, "no such database")
 	}
+	if s.env.Stopping(dispatch.Timeout(db)) {
+		s.shouldClose = true
+		return db, statement.Refused(statement.Busy, "the instance stops; retry at once")
+	}
 	o, known := catalog.Organisation{}, false
 	if s.hasKey {
 		o, known = configuration.OrganisationByKey(s.key)
@@ -200,7 +202,7 @@
 func (s *Session) admitOperation(ctx context.Context, q statement.Query) (catalog.Database, statement.Answer) {
 	db, refusal := s.authorize()
 	if refusal.Code != "" {
-		s.shouldClose = refusal.Code == statement.Unauthorized || refusal.Code == statement.NoDatabase || s.env.Stopping()
+		s.shouldClose = s.shouldClose || refusal.Code == statement.Unauthorized || refusal.Code == statement.NoDatabase
 		return db, s.refuse(q, refusal.Code, refusal.Text)
 	}
 	if s.organisation == publicOrganisation {
--- a/internal/session/callersession/callersession_test.go
+++ b/internal/session/callersession/callersession_test.go
@@ -79,7 +79,7 @@
 	c, refusal := callersession.Start(callersession.Environment{
 		Configuration: func() catalog.Configuration { return w.configuration }, ConfigurationFresh: func() bool { return true },
 		Dispatcher: &w.servers, Limiter: w, Observer: w, Draining: func() bool { return false },
-		Stopping: func() bool { return w.stopping },
+		Stopping: func(time.Duration) bool { return w.stopping },
 	}, "s1", "tally", "k1")
 	if c == nil {
 		t.Fatalf("refused: %+v", refusal)
--- a/internal/session/callersession/transaction.go
+++ b/internal/session/callersession/transaction.go
@@ -6,6 +6,7 @@
 
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/fleet/catalog"
+	"tanagercross/internal/request/dispatch"
 )
 
 // handleInTransaction answers a query while a transaction is open or has failed. A failed transaction accepts only its
@@ -63,7 +64,7 @@
 // checkTransaction refuses a statement whose transaction cannot go on: the instance stops, the pause was too long, there
 // are too many statements, or the key was withdrawn. The answer has no code if the statement may run.
 func (s *Session) checkTransaction(q statement.Query) statement.Answer {
-	if s.env.Stopping() {
+	if s.env.Stopping(dispatch.Timeout(s.transactionDatabase)) {
 		return s.refuse(q, statement.Aborted, "the instance stops")
 	}
 	configuration := s.env.Configuration()
--- a/internal/standin/cluster/conn.go
+++ b/internal/standin/cluster/conn.go
@@ -114,6 +114,19 @@
 	return statement.Report{Role: s.Role, Term: max(s.term, s.heldTerm), Received: end, HeldTerm: s.heldTerm}, nil
 }
 
+// awaitClose waits until the connection is closed, at most until the deadline.
+func (k *conn) awaitClose(deadline time.Time) {
+	for time.Now().Before(deadline) {
+		k.cluster.mu.Lock()
+		broken := k.broken
+		k.cluster.mu.Unlock()
+		if broken {
+			return
+		}
+		time.Sleep(work)
+	}
+}
+
 // reach fails if the server does not answer.
 func (k *conn) reach(deadline time.Time) error {
 	k.cluster.mu.Lock()
@@ -123,7 +136,7 @@
 		return errBroken
 	}
 	if silent {
-		time.Sleep(time.Until(deadline))
+		k.awaitClose(deadline)
 		return errBroken
 	}
 	return nil
@@ -141,7 +154,7 @@
 		}
 		a, lost := k.run(command)
 		if lost {
-			time.Sleep(time.Until(deadline))
+			k.awaitClose(deadline)
 			return answers, errBroken
 		}
 		answers = append(answers, a)
