Keep the part of a rate that belongs to instances behind a partition

Cause: a refused connection was taken for a stopped process, whose part of the rate the others may use; a cut with resets refuses connections on both sides. Besides, a higher demand counted after 0.9 s without any acknowledgement, and a new coordinator counted instances as live that it had seen before the cut. TestPartOfRefusingInstanceIsNotUsed fails before (380 admitted, at most 200). Change: only instances that said that they leave are left out; a higher demand counts when all other places acknowledged it, by an answer or by the call that follows one; a coordinator counts instances that it has seen since it became one. Why it works: each side uses its instances' part of shares that add up to 1, whatever the other side knows. TestRefusedConnection keeps its check of Sent; the field Refused, which only the fault used, is gone. TestSharesWhileAllPlacesBecomeBusy keeps its bounds. Related paths: silent cuts (counted by last sight already); lent tokens (come out of the lender's bucket); tokens saved over a restart (counted by the instances that are seen); deaths and removals (the part stays unused until the instance is back).

--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -17,11 +17,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -56,7 +54,6 @@
 type Error struct {
 	Operation string
 	Sent      bool // the receiver may have handled the call
-	Refused   bool // the connection was refused: nothing listens at the address
 	Err       error
 }
 
@@ -183,7 +180,7 @@
 	ctx, connection := trace.Connect(ctx)
 	response, err := m(ctx, connect.NewRequest(in))
 	if err != nil {
-		return nil, &Error{Operation: operation, Sent: connection.Obtained(), Refused: errors.Is(err, syscall.ECONNREFUSED), Err: eris.Wrap(err, "call")}
+		return nil, &Error{Operation: operation, Sent: connection.Obtained(), Err: eris.Wrap(err, "call")}
 	}
 	return response.Msg, nil
 }
--- a/internal/fleet/view/presence.go
+++ b/internal/fleet/view/presence.go
@@ -26,9 +26,6 @@
 		return
 	}
 	t.presences[p.Name] = p
-	if now := p.LastSeen; now > current.LastSeen {
-		delete(t.stopped, p.Name)
-	}
 	// An instance that is not in the member list yet, or has another address there, has just joined or restarted.
 	m, listed := t.members.Member(p.Name)
 	if p.Address != "" && (!listed || m.Address != p.Address) {
@@ -45,12 +42,11 @@
 	t.suspectedUntil[name] = now + suspicionTimeout
 }
 
-// ClearSuspicion records that an instance called or answered a call: it is neither suspected nor stopped.
+// ClearSuspicion records that an instance called or answered a call: it is no longer suspected.
 func (t *Table) ClearSuspicion(now time.Duration, name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.suspectedUntil, name)
-	delete(t.stopped, name)
 	if p, ok := t.presences[name]; ok {
 		p.LastSeen = max(p.LastSeen, now)
 		t.presences[name] = p
@@ -64,28 +60,22 @@
 	return t.presences[name].LastSeen
 }
 
-// MarkStopped records that the process of an instance does not run, because its machine refuses connections. CountAlive
-// leaves it out until it is seen again.
-func (t *Table) MarkStopped(name string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.stopped[name] = true
-}
-
-// CountAlive returns how many instances of the own place are alive, this one included, and how many there are. Instances
-// that are leaving or known to be stopped are in neither number.
-func (t *Table) CountAlive(now time.Duration) (live, all int) {
+// CountAlive returns how many instances of the own place are alive and were seen since a moment, this one included, and how
+// many there are. Instances that said that they leave are in neither number. One that refuses connections is still counted
+// among all: a network partition may refuse them on behalf of a machine that serves callers.
+func (t *Table) CountAlive(now, since time.Duration) (live, all int) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	for _, m := range t.members.Members() {
 		if m.Place != t.self.Place {
 			continue
 		}
-		if p := t.presences[m.Name]; m.Name != t.self.Name && (p.Leaving || t.stopped[m.Name]) {
+		p := t.presences[m.Name]
+		if m.Name != t.self.Name && p.Leaving {
 			continue // it admits no operations, so that the others may use its part of the rate
 		}
 		all++
-		if m.Name == t.self.Name || now-t.presences[m.Name].LastSeen < AliveTimeout {
+		if m.Name == t.self.Name || p.LastSeen >= since && now-p.LastSeen < AliveTimeout {
 			live++
 		}
 	}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -144,8 +144,7 @@
 	presences         map[string]Presence  // other instances, by name
 	demands           map[string]Demand    // by place
 	suspectedUntil    map[string]time.Duration
-	stopped           map[string]bool // instances whose process does not run
-	changed           chan struct{}   // closed and replaced at each change of configuration, servers or leaders
+	changed           chan struct{} // closed and replaced at each change of configuration, servers or leaders
 }
 
 // NewTable returns a table that contains only the instance itself.
@@ -153,7 +152,7 @@
 	t := &Table{
 		self: self, regions: r, decoder: d, observer: o, leaders: map[string]Leader{},
 		missingServers: map[string]missingServer{}, rejected: map[string]rejection{}, presences: map[string]Presence{}, demands: map[string]Demand{},
-		suspectedUntil: map[string]time.Duration{}, stopped: map[string]bool{}, changed: make(chan struct{}),
+		suspectedUntil: map[string]time.Duration{}, changed: make(chan struct{}),
 	}
 	t.members = roster.New(0, []roster.Member{{Name: self.Name, Address: self.Address, Place: self.Place, Power: self.Power}})
 	return t
--- a/internal/instance/entry/gossip.go
+++ b/internal/instance/entry/gossip.go
@@ -286,9 +286,6 @@
 	now = n.boot()
 	if err != nil {
 		n.table.Suspect(now, m.Name)
-		if connectionRefused(err) {
-			n.table.MarkStopped(m.Name)
-		}
 		n.observer.peerUnreachable(m.Name, err)
 		return
 	}
--- a/internal/instance/entry/rates.go
+++ b/internal/instance/entry/rates.go
@@ -50,6 +50,7 @@
 	savedGranted      map[string]float64       // accumulated tokens already put into the bucket, by organisation
 	placeDemand       allotment.PlaceDemand    // of the own place
 	publishedAt       time.Duration            // when placeDemand was last published
+	answeredWith      map[string]time.Duration // moment of the publication in the last answer to a coordinator of another place, by its name
 	shortOf           map[string]bool          // organisations with too few tokens since the last tick
 	lenderPausedUntil map[lender]time.Duration // until when places that could not lend enough are skipped
 }
@@ -61,7 +62,7 @@
 }
 
 func newRates(n *Node) *rates {
-	return &rates{n: n, counts: map[string]float64{}, demand: map[string]float64{}, memberDemands: map[string]memberDemand{}, shortOf: map[string]bool{}, lenderPausedUntil: map[lender]time.Duration{}}
+	return &rates{n: n, counts: map[string]float64{}, demand: map[string]float64{}, memberDemands: map[string]memberDemand{}, shortOf: map[string]bool{}, answeredWith: map[string]time.Duration{}, lenderPausedUntil: map[lender]time.Duration{}}
 }
 
 // admit takes a token for an operation of an organisation and counts the operation as demand. It returns the reason of a
@@ -125,7 +126,7 @@
 	if age < remoteInterval && !urgent {
 		return false
 	}
-	r.placeDemand, r.publishedAt = r.placeDemand.WithPublished(now, remoteInterval, total), now
+	r.placeDemand, r.publishedAt = r.placeDemand.WithPublished(now, total), now
 	r.n.table.SetDemand(view.Demand{Place: r.n.settings.Place, Rates: total, UpdatedAt: now})
 	return urgent
 }
@@ -172,6 +173,19 @@
 	r.placeDemand = r.placeDemand.WithAcknowledged(place, at, r.n.settings.Place, places)
 }
 
+// calledBy records a call of the coordinator of another place. It is answered with the published demand of this place. The
+// next call shows that the answer before it has arrived, because a coordinator makes one call after the other.
+func (r *rates) calledBy(other view.Presence) {
+	places := r.n.table.Places()
+	published := r.n.table.Demands()[r.n.settings.Place].UpdatedAt
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at, answered := r.answeredWith[other.Name]; answered {
+		r.placeDemand = r.placeDemand.WithAcknowledged(other.Place, at, r.n.settings.Place, places)
+	}
+	r.answeredWith[other.Name] = published
+}
+
 // becomeCoordinator prepares a new coordinator: it starts from the demand that the coordinator before it published last,
 // until the instances of the place have reported theirs. If no demand of the place is known, all its instances may have
 // restarted, and the place has accumulated tokens.
@@ -184,6 +198,7 @@
 		r.savedTime = min(assumedDowntime+now-r.n.gossip.started, maxSavedTime)
 	}
 	r.placeDemand, r.publishedAt = allotment.StartPlaceDemand(earlier.Rates), now
+	clear(r.answeredWith)
 }
 
 // localDemand returns the demand at this instance, by organisation.
@@ -240,7 +255,9 @@
 		return a, false
 	}
 	a = allowance{organisation: organisation, rate: o.Rate, burst: o.Burst}
-	a.live, a.all = r.n.table.CountAlive(now)
+	// An instance that has just become the coordinator does not know whether those that it has not seen since then are on
+	// its side of a network partition.
+	a.live, a.all = r.n.table.CountAlive(now, r.n.gossip.coordinatorSince())
 	a.part = r.placeShare(organisation) * float64(a.live) / float64(max(1, a.all))
 	a.Settings = allotment.Settings{Rate: o.Rate * a.part, Burst: max(o.Burst*a.part, allotment.MinBurst)}
 	return a, true
--- a/internal/instance/entry/rates_test.go
+++ b/internal/instance/entry/rates_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 	"time"
 
 	"tanagercross/internal/database/statement"
+	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/clock"
 	"tanagercross/internal/instance/entry"
@@ -47,6 +49,37 @@
 	}
 }
 
+// Guards against an organisation that exceeds its rate during a network partition that refuses connections: an instance that
+// is not reached may serve callers, so that its part of the rate stays reserved.
+func TestPartOfRefusingInstanceIsNotUsed(t *testing.T) {
+	const rate, window = 100.0, 3
+	f := newFleet(t, "agreste")
+	refusing, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	member := roster.Member{Name: "i9", Address: refusing.Addr().String(), Place: "agreste"}
+	if err := refusing.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.cluster.Store("i9").Announce(t.Context(), member); err != nil {
+		t.Fatal(err)
+	}
+	f.cluster.Configure(configuration(2, rate, keyText))
+	f.eventuallyWithin(12*time.Second, "i9 in the member list", func() bool { _, ok := f.nodes[0].Table().Roster().Member("i9"); return ok })
+	f.eventually("a call to i9", func() bool { return f.nodes[0].Table().Suspected(clock.Boot(), "i9") })
+	admitted := 0
+	s := f.session(0, "plates")
+	for end := time.Now().Add(window * time.Second); time.Now().Before(end); {
+		if s.read("plates").OK() {
+			admitted++
+		}
+	}
+	if limit := int(rate*window+rate) / 2; admitted > limit+limit/10 {
+		t.Errorf("%d admitted in %d s, want at most %d, half of the rate", admitted, window, limit)
+	}
+}
+
 // Guards against callers of one place who are refused below the rate of their organisation while the shares of other
 // places are unused, and against borrowed tokens that are granted by both places.
 func TestPlacesLendTokens(t *testing.T) {
--- a/internal/instance/entry/services.go
+++ b/internal/instance/entry/services.go
@@ -45,6 +45,8 @@
 	if x.Sender.Place == n.settings.Place {
 		n.rates.reported(x.Sender.Name, x.Rates, now)
 		n.rates.checkEarlierDemand(x.State.Demands)
+	} else if x.Steward {
+		n.rates.calledBy(x.Sender)
 	}
 	n.table.Merge(now, x.State)
 	return n.table.Delta(now, x.State, x.Sender.Place)
@@ -81,12 +83,6 @@
 	return !errors.As(err, &e) || e.Sent
 }
 
-// connectionRefused reports whether a call failed because the other instance's process does not run.
-func connectionRefused(err error) bool {
-	var e *relay.Error
-	return errors.As(err, &e) && e.Refused
-}
-
 // firstOrganisation returns the name of a configured organisation, or "-" if there is none. Connections that serve no
 // caller, such as those for status reports, are opened in its name.
 func (n *Node) firstOrganisation() string {
--- a/internal/organisation/allotment/share.go
+++ b/internal/organisation/allotment/share.go
@@ -21,6 +21,8 @@
 	// earlyGain is how many more tokens a place must get until the regular time for a publication before that time. Each
 	// publication is sent to all places, and traffic between regions is paid for.
 	earlyGain = 6
+	// maxPending bounds the publications that are kept while a place is not reached.
+	maxPending = 8
 )
 
 // PlaceShare returns a place's part of an organisation's rate: evenShare of the rate is divided evenly between the places,
@@ -41,9 +43,9 @@
 }
 
 // PlaceDemand is the demand of a place: as it was published to the other places, and as the place may count it in its own
-// share. A lower demand counts at once. A higher one counts when every other place has acknowledged it, or when it has
-// been published for a whole interval, so that the others have lowered their shares before. The zero value is the demand
-// of a place that has published nothing.
+// share. A lower demand counts at once. A higher one counts when every other place has acknowledged it, so that the others
+// have lowered their shares before. While a place is not reached, it may be serving callers with its old share, and no
+// higher demand counts. The zero value is the demand of a place that has published nothing.
 type PlaceDemand struct {
 	inForce map[string]float64 // operations per second, by organisation
 	pending []publication      // oldest first
@@ -68,16 +70,18 @@
 	return counted
 }
 
-// WithPublished returns the demand after rates were published. Those published for an interval come into force.
-func (d PlaceDemand) WithPublished(now, interval time.Duration, rates map[string]float64) PlaceDemand {
-	for n, p := range slices.Backward(d.pending) {
-		if now-p.at >= interval {
-			d = d.withInForce(n)
-			break
-		}
-	}
+// WithPublished returns the demand after rates were published. Of more than maxPending publications that wait for an
+// acknowledgement, the oldest one lowers the demand in force and is forgotten.
+func (d PlaceDemand) WithPublished(now time.Duration, rates map[string]float64) PlaceDemand {
 	d.pending = append(slices.Clip(d.pending), publication{at: now, rates: rates})
-	return d
+	if len(d.pending) <= maxPending {
+		return d
+	}
+	lowered := map[string]float64{}
+	for organisation, rate := range d.inForce {
+		lowered[organisation] = min(rate, d.pending[0].rates[organisation])
+	}
+	return PlaceDemand{inForce: lowered, pending: d.pending[1:]}
 }
 
 // withInForce returns the demand with a pending publication in force and the earlier ones dropped.
