End a transaction whose key was given to another organisation

Cause: the check of a transaction only asked whether some organisation holds the key. Change: the holder of the key is determined in one place and compared with the organisation of the transaction, which is rolled back and answered ABORTED if they differ. Why it works: every statement that is sent to a server is checked against the configuration in force just before. Related paths, read: single operations look the holder up each time; connections in pools, tokens and fair turns are kept by organisation; session values and prepared names belong to the caller's session and stay. A withdrawn key on a public database inside a transaction (shown by the test, mended here); a public caller whose key gets a holder (the same). The product's own interface compares the organisation of the key with that of the transaction and of the session token already.

--- a/internal/session/callersession/callersession.go
+++ b/internal/session/callersession/callersession.go
@@ -124,21 +124,25 @@
 		s.shouldClose = true
 		return db, statement.Refused(statement.Busy, "the instance stops; retry at once")
 	}
-	o, known := catalog.Organisation{}, false
-	if s.hasKey {
-		o, known = configuration.OrganisationByKey(s.key)
-	}
-	switch {
-	case known:
-		s.organisation = o.Name
-	case db.Public:
-		s.organisation = publicOrganisation
-	default:
+	holder, ok := s.keyHolder(configuration, db)
+	if !ok {
 		return db, statement.Refused(statement.Unauthorized, "unknown key")
 	}
+	s.organisation = holder
 	return db, statement.Answer{}
 }
 
+// keyHolder returns the organisation that holds the caller's key in a configuration, or publicOrganisation if none does and
+// the database is public.
+func (s *Session) keyHolder(configuration catalog.Configuration, db catalog.Database) (string, bool) {
+	if s.hasKey {
+		if o, known := configuration.OrganisationByKey(s.key); known {
+			return o.Name, true
+		}
+	}
+	return publicOrganisation, db.Public
+}
+
 // ShouldClose reports whether the connection is to be closed.
 func (s *Session) ShouldClose() bool {
 	return s.shouldClose || s.state == statement.Idle && s.env.Draining()
--- a/internal/session/callersession/callersession_test.go
+++ b/internal/session/callersession/callersession_test.go
@@ -103,6 +103,37 @@
 	return c.Handle(context.Background(), statement.Query{ID: "q", Body: b})
 }
 
+// Guards against statements of an open transaction that run, or are committed, for an organisation that no longer holds the
+// caller's key.
+func TestTransactionEndsWhenKeyMoves(t *testing.T) {
+	held := func(organisations ...catalog.Organisation) catalog.Configuration {
+		return catalog.NewConfiguration(2, []catalog.Database{{Name: "tally", Group: "meals", Public: true}}, nil, organisations)
+	}
+	k1 := []key.Hash{key.HashOf("k1")}
+	for name, c := range map[string]struct{ before, after catalog.Configuration }{
+		"to another organisation":       {held(catalog.Organisation{Name: "coop", Keys: k1}), held(catalog.Organisation{Name: "parish", Keys: k1})},
+		"away, on a public database":    {held(catalog.Organisation{Name: "coop", Keys: k1}), held()},
+		"to its first, on a public one": {held(), held(catalog.Organisation{Name: "coop", Keys: k1})},
+		"with its renamed organisation": {held(catalog.Organisation{Name: "coop", Keys: k1}), held(catalog.Organisation{Name: "coop-2", Keys: k1})},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, s := start(t, "k1")
+			w.configuration = c.before
+			do(s, statement.Begin{})
+			if a := do(s, statement.Write{Arguments: "plates 1"}); !a.OK() {
+				t.Fatalf("write: %+v", a)
+			}
+			w.configuration = c.after
+			if a := do(s, statement.Write{Arguments: "plates 2"}); a.Code != statement.Aborted || a.State != statement.FailedTransaction {
+				t.Errorf("write after the key moved: %+v, want aborted", a)
+			}
+			if a := do(s, statement.Commit{}); a.Code != statement.Aborted || len(w.servers.calls) != 1 || w.servers.rolledBack != 1 {
+				t.Errorf("commit: %+v, %d calls, %d rolled back; want aborted, one call, rolled back", a, len(w.servers.calls), w.servers.rolledBack)
+			}
+		})
+	}
+}
+
 // Guards against a panic in the handling of one statement that ends the process, or is answered as if the statement had
 // not run.
 func TestPanicEndsSession(t *testing.T) {
--- a/internal/session/callersession/transaction.go
+++ b/internal/session/callersession/transaction.go
@@ -62,7 +62,8 @@
 }
 
 // checkTransaction refuses a statement whose transaction cannot go on: the instance stops, the pause was too long, there
-// are too many statements, or the key was withdrawn. The answer has no code if the statement may run.
+// are too many statements, or the key was withdrawn or given to another organisation than the one for which the transaction
+// was opened. The answer has no code if the statement may run.
 func (s *Session) checkTransaction(q statement.Query) statement.Answer {
 	if s.env.Stopping(dispatch.Timeout(s.transactionDatabase)) {
 		return s.refuse(q, statement.Aborted, "the instance stops")
@@ -74,13 +75,14 @@
 	if s.statementCount >= maxTransactionStatements {
 		return s.refuse(q, statement.Aborted, "the transaction has too many statements")
 	}
-	if s.organisation == publicOrganisation {
-		return statement.Answer{}
-	}
-	if _, ok := configuration.OrganisationByKey(s.key); !ok && !s.transactionDatabase.Public {
+	holder, ok := s.keyHolder(configuration, s.transactionDatabase)
+	if !ok {
 		s.shouldClose = true
 		return s.refuse(q, statement.Unauthorized, "unknown key")
 	}
+	if holder != s.organisation {
+		return s.refuse(q, statement.Aborted, "the key was given to another organisation")
+	}
 	return statement.Answer{}
 }
 
