Name the new files of package entry, and say when an answer counts as received

Cause: read as a newcomer: the package comment lacked two files, one comment was not wrapped, another gave half of a reason. Change: comments only.

--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -14,8 +14,9 @@
 // Files of the package: reader.go reads the store, decoder.go decodes its rows, gossip.go exchanges state with other
 // instances, services.go answers their calls, rates.go limits the rates of organisations, lending.go borrows tokens
 // from other places, servers.go executes statements on servers, positions.go keeps positions of leaders, failover.go
-// examines primaries, promote.go promotes replicas, replicas.go sends them commands, observe.go writes logs and
-// metrics, ports.go declares the interfaces of the platform.
+// examines primaries, promote.go promotes replicas, replicas.go sends commands to them, promotion_lease.go claims the
+// lease for that, settle.go ends what changes that were given up have left, observe.go writes logs and metrics,
+// ports.go declares the interfaces of the platform.
 package entry
 
 import (
--- a/internal/instance/entry/promote.go
+++ b/internal/instance/entry/promote.go
@@ -17,9 +17,10 @@
 
 // changePrimary makes another server the primary of a group. planned means that the old primary still serves and is
 // demoted first, so that it acknowledges no commit that the new primary lacks. If it does not confirm the demotion, the
-// pause of synchronous replicas has the same effect. The promotion lease is acquired before anything else, so that no other instance promotes a server
-// meanwhile; if another instance holds it, the change is forwarded to that one. With synchronous replicas, the change
-// fails unless so many replicas report that one of them must have every acknowledged commit.
+// pause of synchronous replicas has the same effect. The promotion lease is acquired before anything else, so that no
+// other instance promotes a server meanwhile; if another instance holds it, the change is forwarded to that one. With
+// synchronous replicas, the change fails unless so many replicas report that one of them must have every acknowledged
+// commit.
 func (g *failover) changePrimary(ctx context.Context, group string, old catalog.Server, planned bool) error {
 	claim, err := g.claim(ctx, 0)
 	if err != nil {
--- a/internal/instance/entry/rates.go
+++ b/internal/instance/entry/rates.go
@@ -174,7 +174,8 @@
 }
 
 // calledBy records a call of the coordinator of another place. It is answered with the published demand of this place. The
-// next call shows that the answer before it has arrived, because a coordinator makes one call after the other.
+// next call shows that the answer before it has arrived: regular calls follow one another, and one after a failure has the
+// demand in its own answer.
 func (r *rates) calledBy(other view.Presence) {
 	places := r.n.table.Places()
 	published := r.n.table.Demands()[r.n.settings.Place].UpdatedAt
