--- a/internal/instance/entry/entry_test.go
+++ b/internal/instance/entry/entry_test.go
@@ -75,10 +75,16 @@
 	for n, place := range places {
 		f.start(fmt.Sprintf("i%d", n+1), place)
 	}
+	f.awaitReady()
+	return f
+}
+
+// awaitReady waits until all instances are ready.
+func (f *fleet) awaitReady() {
+	f.t.Helper()
 	for _, n := range f.nodes {
 		f.eventually("ready", n.Ready)
 	}
-	return f
 }
 
 func (f *fleet) start(name, place string) *entry.Node {
@@ -122,13 +128,19 @@
 
 // restartAllWithoutStore stops all instances, takes the store down and starts them again under their names.
 func (f *fleet) restartAllWithoutStore() {
+	f.t.Helper()
+	f.restartAll(func() { f.cluster.SetStoreDown(true) })
+}
+
+// restartAll stops all instances, calls a function and starts the instances again under their names.
+func (f *fleet) restartAll(whileStopped func()) {
 	f.t.Helper()
 	stopped := f.nodes
 	f.nodes = nil
 	for _, n := range stopped {
 		n.Stop()
 	}
-	f.cluster.SetStoreDown(true)
+	whileStopped()
 	for _, n := range stopped {
 		self := n.Table().Self()
 		f.start(self.Name, self.Place)
--- a/internal/instance/entry/settle_test.go
+++ b/internal/instance/entry/settle_test.go
@@ -21,23 +21,6 @@
 	}
 }
 
-// restartAll stops all instances and starts them again under their names.
-func (f *fleet) restartAll() {
-	f.t.Helper()
-	stopped := f.nodes
-	f.nodes = nil
-	for _, n := range stopped {
-		n.Stop()
-	}
-	for _, n := range stopped {
-		self := n.Table().Self()
-		f.start(self.Name, self.Place)
-	}
-	for _, n := range f.nodes {
-		f.eventually("ready", n.Ready)
-	}
-}
-
 // Guards against the loss of acknowledged commits by an order without an answer that is carried out after its change was
 // given up, because the primary had returned.
 func TestLateOrderDoesNotReplaceReturnedPrimary(t *testing.T) {
@@ -66,7 +49,7 @@
 func TestPausedReplicaIsResumedByNextCoordinator(t *testing.T) {
 	f := newFleet(t, "agreste", "sertao", "litoral")
 	f.pause("meals-sertao")
-	f.restartAll()
+	f.restartAll(func() {})
 	f.eventuallyWithin(10*time.Second, "meals-sertao resumed", func() bool { return !f.cluster.Paused("meals-sertao") })
 }
 
@@ -77,7 +60,8 @@
 	f.cluster.Crash("meals-agreste")
 	f.awaitChange("meals-agreste")
 	used := f.cluster.Token("meals")
-	f.restartAll()
+	f.restartAll(func() {})
+	f.awaitReady()
 	second := f.cluster.Primary("meals")
 	f.cluster.Crash(second)
 	f.awaitChange(second)
