--- a/internal/instance/entry/settle.go
+++ b/internal/instance/entry/settle.go
@@ -47,8 +47,10 @@
 // settleGroup has the primary of a group examined, and confirmed if it serves, while the group is not settled.
 func (g *failover) settleGroup(group string) {
 	l, known := g.n.table.Leader(group)
-	s, listed := g.n.table.Servers().Server(l.Server)
-	if known && listed && s.Role == driver.Primary && !g.isSettled(group, l.Server) {
+	if !known || g.isSettled(group, l.Server) {
+		return
+	}
+	if s, listed := g.n.table.Servers().Server(l.Server); listed && s.Role == driver.Primary {
 		g.startChange(context.Background(), relay.PrimaryChange{Group: group, Primary: l.Server})
 	}
 }
--- a/internal/instance/entry/synchronous_test.go
+++ b/internal/instance/entry/synchronous_test.go
@@ -118,14 +118,20 @@
 	})
 }
 
+// release lets a primary leave and waits until another server is the primary of the group.
+func (f *fleet) release(primary string) {
+	f.t.Helper()
+	f.cluster.Drain(primary)
+	f.awaitChange(primary)
+}
+
 // Guards against the promotion of a replica while the leaving primary still acknowledges commits, because it was too busy to
 // report its status.
 func TestBusyLeavingPrimaryIsDemoted(t *testing.T) {
 	f := newFleet(t, "agreste", "sertao", "litoral")
 	f.requireSyncReplica()
 	f.cluster.RefuseStatus("meals-agreste")
-	f.cluster.Drain("meals-agreste")
-	f.awaitChange("meals-agreste")
+	f.release("meals-agreste")
 }
 
 // Guards against the promotion of a replica while a leaving primary that answers no demotion still acknowledges commits
@@ -134,14 +140,12 @@
 	f := newFleet(t, "agreste", "sertao", "litoral")
 	f.requireSyncReplica()
 	f.cluster.RefuseDemotion("meals-agreste")
-	f.cluster.Drain("meals-agreste")
-	f.awaitChange("meals-agreste")
+	f.release("meals-agreste")
 }
 
 // Guards against a leaving primary without synchronous replicas that leads until it stops, because it answers no demotion.
 func TestUndemotedPrimaryIsReplacedBeforeItStops(t *testing.T) {
 	f := newFleet(t, "agreste", "sertao", "litoral")
 	f.cluster.RefuseDemotion("meals-agreste")
-	f.cluster.Drain("meals-agreste")
-	f.awaitChange("meals-agreste")
+	f.release("meals-agreste")
 }
