--- a/internal/instance/metric/entry.go
+++ b/internal/instance/metric/entry.go
@@ -12,6 +12,7 @@
 	StatementRetried CounterName = "tanagercross_statement_retried_total" // by reason
 	ReadsServed      CounterName = "tanagercross_reads_served_total"      // by scope
 	TokensBorrowed   CounterName = "tanagercross_tokens_borrowed_total"   // from other places
+	AnswersUnmatched CounterName = "tanagercross_answers_unmatched_total" // by reason
 	LeaderChanges    CounterName = "tanagercross_leader_changes_total"
 	Panics           CounterName = "tanagercross_panics_total"
 	DependencyErrors CounterName = "tanagercross_dependency_errors_total" // by dependency
