Frame the stand-in's lines by CR LF exactly, record statements, and repeat answers

The stand-in of the servers and the caller of the soak ended a line at LF and trimmed CR, as the adapter does, so that neither could see a field that was cut there. The servers gave one signature to all statements and never sent an answer twice, so that an answer of another statement looked like the right one.

- A line ends at CR LF only, the last field extends to the end of the line, and nothing is trimmed.
- Each statement that ran gets a signature of its own.
Records keeps what arrived at each server, the values, shape and transaction of its connection, and the rows and signature of the answer.
- SetAnswers repeats whole answers later or directly, READY after START and answers to own commands included, cuts answers, and refuses a share of BEGIN, SET, READ and WRITE with BUSY without running them.
Delays and shares are seeded.
- The caller's session of the soak is in the wire package, its processes in internal/standin/process.
The list of known red tests is read by internal/tool/knownred, from the first field of each entry.

--- a/internal/standin/cluster/conn.go
+++ b/internal/standin/cluster/conn.go
@@ -191,6 +191,12 @@
 		}
 		lost = lost || len(s.log) > before && c.synchronous[s.Group] && !c.received(s)
 	}
+	k.finish(&a)
+	return a, lost
+}
+
+// finish adds the state and the position to an answer. An error fails an open transaction.
+func (k *conn) finish(a *statement.Answer) {
 	if a.Code != "" && k.open {
 		k.failed = true
 	}
@@ -200,8 +206,22 @@
 	case k.open:
 		a.State = statement.InTransaction
 	}
-	a.Position = s.position()
-	return a, lost
+	a.Position = k.server.position()
+}
+
+// Refuser is a connection that can refuse a statement in place of running it.
+type Refuser interface {
+	// Refuse answers a statement with a code without running it. An open transaction fails.
+	Refuse(code statement.Code) statement.Answer
+}
+
+// Refuse implements Refuser.
+func (k *conn) Refuse(code statement.Code) statement.Answer {
+	k.cluster.mu.Lock()
+	defer k.cluster.mu.Unlock()
+	a := refused(code)
+	k.finish(&a)
+	return a
 }
 
 func refused(code statement.Code) statement.Answer {
--- a/internal/standin/wire/server.go
+++ b/internal/standin/wire/server.go
@@ -1,10 +1,8 @@
 package wire
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -15,6 +13,7 @@
 
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/statement"
+	"tanagercross/internal/standin/cluster"
 )
 
 // darkFor is how long a server that answers nothing keeps a connection.
@@ -82,14 +81,15 @@
 	s.keep(raw, true)
 	defer s.keep(raw, false)
 	defer func() { _ = raw.Close() }()
-	in := bufio.NewReader(raw)
-	start, err := in.ReadString('\n')
+	in := NewReader(raw)
+	out, number := s.platform.newAnswerer(raw)
+	start, err := in.Line()
 	if err != nil {
 		return
 	}
-	fields := strings.Fields(start)
+	fields := Fields(start, 4)
 	if len(fields) < 3 || fields[0] != "START" || !strings.HasPrefix(s.id, fields[1]+"-") || len(fields) > 3 && fields[3] != s.id {
-		_, _ = io.WriteString(raw, "ERROR MISROUTED another server\r\n")
+		out.send("ERROR MISROUTED another server" + lineEnd)
 		return
 	}
 	ctx, cancel := context.WithTimeout(s.platform.ctx, darkFor)
@@ -99,54 +99,85 @@
 		return
 	}
 	defer conn.Close()
-	if _, err := io.WriteString(raw, "READY I "+positionText(position)+"\r\n"); err != nil {
+	if !out.send("READY I " + positionText(position) + lineEnd) {
 		return
 	}
+	state := newConnState()
 	for {
-		line, err := in.ReadString('\n')
-		if err != nil {
+		line, err := in.Line()
+		if err != nil || line == "BYE" {
 			return
 		}
-		reply, err := s.answer(conn, strings.TrimRight(line, "\r\n"))
+		record := Record{Server: s.id, Connection: number, Organisation: fields[2]}
+		reply, err := s.answer(conn, out, state, line, &record)
+		record.Lost = err != nil
+		kept := s.platform.record(record) // before the caller can have the answer
 		if err != nil {
 			return
 		}
-		if _, err := io.WriteString(raw, reply); err != nil {
+		if !out.send(reply) {
+			s.platform.lose(kept)
 			return
 		}
 	}
 }
 
-// answer runs one query line.
-func (s *server) answer(conn statement.Conn, line string) (string, error) {
-	rest, ok := strings.CutPrefix(line, "QUERY ")
-	if !ok {
+// answer runs one query line. It fills in the record of a statement, and leaves it without an id for a report.
+func (s *server) answer(conn statement.Conn, out *answerer, state *connState, line string, record *Record) (string, error) {
+	query := Fields(line, 3)
+	if len(query) != 3 || query[0] != "QUERY" {
 		return "", eris.Errorf("not a query: %q", line)
 	}
-	id, text, _ := strings.Cut(rest, " ")
+	id, text := query[1], query[2]
 	deadline := time.Now().Add(darkFor)
 	if c, ok := reportCommand(text); ok {
 		r, err := conn.Report(deadline, c)
 		if err != nil {
 			return "", err
 		}
-		role := "replica"
-		if r.Role == driver.Primary {
-			role = "primary"
-		}
-		return fmt.Sprintf("ROW %s %d %s %d 0 0 1\r\nDONE -\r\nREADY I %s\r\n", role, r.Term, positionText(r.Received), r.HeldTerm,
-			positionText(r.Received)), nil
+		return reportText(r), nil
 	}
+	record.ID, record.Text = id, text
+	state.describe(record)
 	c, err := command(id, text)
 	if err != nil {
+		record.Code = "MALFORMED"
 		s.platform.cluster.Fault("%s got %q: %v", s.id, line, err)
-		return "ERROR MALFORMED " + err.Error() + "\r\nREADY I -\r\n", nil
+		return "ERROR MALFORMED unknown statement" + lineEnd + "READY I -" + lineEnd, nil
 	}
-	answers, err := conn.Run(deadline, c)
-	if err != nil {
-		return "", err
+	var a statement.Answer
+	if refuser, ok := conn.(cluster.Refuser); ok && out.busy(Fields(record.Statement(), 2)[0]) {
+		a = refuser.Refuse(statement.Busy)
+	} else {
+		answers, err := conn.Run(deadline, c)
+		if err != nil {
+			return "", err
+		}
+		a = answers[0]
+	}
+	if a.Signature != "" {
+		a.Signature = s.platform.sign(a.Signature)
+	}
+	state.apply(record.Statement(), a)
+	record.Rows, record.Signature, record.Code = a.Rows, a.Signature, codeWord(a.Code)
+	return answerText(a), nil
+}
+
+// sign returns a signature that no other statement gets.
+func (p *Platform) sign(server string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.signatures++
+	return fmt.Sprintf("%s.%x", server, p.signatures)
+}
+
+func reportText(r statement.Report) string {
+	role := "replica"
+	if r.Role == driver.Primary {
+		role = "primary"
 	}
-	return answerText(answers[0]), nil
+	return fmt.Sprintf("ROW %s %d %s %d 0 0 1\r\nDONE -\r\nREADY I %s\r\n", role, r.Term, positionText(r.Received), r.HeldTerm,
+		positionText(r.Received))
 }
 
 func reportCommand(text string) (statement.Command, bool) {
@@ -209,6 +240,14 @@
 	return nil, eris.Errorf("unknown statement %q", text)
 }
 
+// codeWord returns the word of a code, and nothing for success.
+func codeWord(c statement.Code) string {
+	if word, ok := codes[c]; ok || c == "" {
+		return word
+	}
+	return "FAILED"
+}
+
 func answerText(a statement.Answer) string {
 	var b strings.Builder
 	for _, r := range a.Rows {
@@ -216,11 +255,7 @@
 	}
 	switch {
 	case a.Code != "":
-		word, ok := codes[a.Code]
-		if !ok {
-			word = "FAILED"
-		}
-		b.WriteString("ERROR " + word + " " + string(a.Code) + "\r\n")
+		b.WriteString("ERROR " + codeWord(a.Code) + " " + string(a.Code) + "\r\n")
 	case a.Signature == "":
 		b.WriteString("DONE -\r\n")
 	default:
--- a/internal/standin/wire/wire.go
+++ b/internal/standin/wire/wire.go
@@ -8,6 +8,8 @@
 //	w.Configure(document)
 //	settings := "platform.address=" + w.StoreAddress()
 //	w.Server("meals-1-agreste").Set(wire.Silence)
+//	w.SetAnswers(wire.AnswerFault{Repeat: 0.05, Least: time.Millisecond, Most: 80 * time.Millisecond})
+//	for _, r := range w.Records() { ... }       // what arrived at the servers and what they answered
 //
 // It is written from the published protocol alone and shares no code with the adapter.
 package wire
@@ -40,6 +42,12 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
+
+	mu          sync.Mutex
+	answers     AnswerFault
+	records     []Record
+	connections int
+	signatures  int
 }
 
 // Start serves the store and the listed servers of a cluster on loopback.
--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -1,16 +1,15 @@
 package soak
 
 import (
-	"bufio"
-	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
+
+	"tanagercross/internal/standin/process"
+	"tanagercross/internal/standin/wire"
 )
 
 const (
@@ -72,69 +71,8 @@
 	return slices.Clone(all[:n])
 }
 
-// reply is the answer to one query.
-type reply struct {
-	rows  []string
-	code  string
-	state string
-}
-
-// session is one connection of a caller.
-type session struct {
-	conn net.Conn
-	in   *bufio.Reader
-}
-
-func (s *session) close() { _ = s.conn.Close() }
-
-var errSession = errors.New("session refused")
-
-func openSession(address, database, key string) (*session, string, error) {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		return nil, "", err
-	}
-	s := &session{conn: conn, in: bufio.NewReader(conn)}
-	_ = conn.SetDeadline(time.Now().Add(socketTimeout))
-	if _, err := fmt.Fprintf(conn, "START %s %s\r\n", database, key); err != nil {
-		s.close()
-		return nil, "", err
-	}
-	line, err := s.in.ReadString('\n')
-	if err != nil {
-		s.close()
-		return nil, "", err
-	}
-	if word, rest, _ := strings.Cut(strings.TrimSpace(line), " "); word != "READY" {
-		s.close()
-		code, _, _ := strings.Cut(rest, " ")
-		return nil, code, errSession
-	}
-	return s, "", nil
-}
-
-func (s *session) query(id, text string) (reply, error) {
-	_ = s.conn.SetDeadline(time.Now().Add(socketTimeout))
-	if _, err := fmt.Fprintf(s.conn, "QUERY %s %s\r\n", id, text); err != nil {
-		return reply{}, err
-	}
-	var r reply
-	for {
-		line, err := s.in.ReadString('\n')
-		if err != nil {
-			return reply{}, err
-		}
-		word, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
-		switch word {
-		case "ROW":
-			r.rows = append(r.rows, rest)
-		case "ERROR":
-			r.code, _, _ = strings.Cut(rest, " ")
-		case "READY":
-			r.state, _, _ = strings.Cut(rest, " ")
-			return r, nil
-		}
-	}
+func openSession(address, database, key string) (*wire.Session, string, error) {
+	return wire.OpenSession(address, database, key, socketTimeout)
 }
 
 // caller runs operations in sessions of one database until the trial ends them.
@@ -152,13 +90,13 @@
 func (c *caller) run() {
 	for !c.trial.ended() {
 		i := c.trial.instances[c.random.IntN(len(c.trial.instances))]
-		s, _, err := openSession(i.callers.Address(), c.host(), c.key)
+		s, _, err := openSession(i.Callers.Address(), c.host(), c.key)
 		if err != nil {
 			time.Sleep(5 * thinkTime)
 			continue
 		}
 		c.own = nil
-		if r, err := s.query(c.id(), "SET owner "+c.name); err == nil && r.code == "" {
+		if r, err := s.Query(c.id(), "SET owner "+c.name); err == nil && r.Code == "" {
 			for range 5 + c.random.IntN(40) {
 				if c.trial.ended() || !c.operate(s, i) {
 					break
@@ -166,7 +104,7 @@
 				time.Sleep(time.Duration(c.random.Int64N(int64(2 * thinkTime))))
 			}
 		}
-		s.close()
+		s.Close()
 	}
 }
 
@@ -183,7 +121,7 @@
 	return c.name + "/" + strconv.FormatUint(c.next, 10)
 }
 
-func (c *caller) operate(s *session, i *instance) bool {
+func (c *caller) operate(s *wire.Session, i *process.Instance) bool {
 	switch n := c.random.IntN(10); {
 	case n < 3:
 		return c.write(s, i)
@@ -194,11 +132,11 @@
 }
 
 // ask sends a query and checks that it is answered in time.
-func (c *caller) ask(s *session, i *instance, id, text string) (reply, bool) {
+func (c *caller) ask(s *wire.Session, i *process.Instance, id, text string) (wire.Reply, bool) {
 	started := time.Now()
-	r, err := s.query(id, text)
-	if took := time.Since(started); took > statementTimeout+answerMargin && !i.disturbedSince(started.Add(-settled)) {
-		c.trial.fault("%s got no answer from %s to %s within %v: %v", c.name, i.name, id, took, err)
+	r, err := s.Query(id, text)
+	if took := time.Since(started); took > statementTimeout+answerMargin && !i.DisturbedSince(started.Add(-settled)) {
+		c.trial.fault("%s got no answer from %s to %s within %v: %v", c.name, i.Name, id, took, err)
 	}
 	return r, err == nil
 }
@@ -219,15 +157,15 @@
 	c.own = append(c.own, acknowledged{value: value, at: time.Now()})
 }
 
-func (c *caller) write(s *session, i *instance) bool {
+func (c *caller) write(s *wire.Session, i *process.Instance) bool {
 	id := c.id()
 	value := c.next
 	r, ok := c.ask(s, i, id, fmt.Sprintf("WRITE %s %d", c.name, value))
-	if ok && r.code == "" {
+	if ok && r.Code == "" {
 		c.done(value)
 		return true
 	}
-	c.notDone(ok, r.code, id, value)
+	c.notDone(ok, r.Code, id, value)
 	return ok
 }
 
@@ -240,9 +178,9 @@
 	c.trial.register.lose(c.name, value)
 }
 
-func (c *caller) transaction(s *session, i *instance) bool {
-	if r, ok := c.ask(s, i, c.id(), "BEGIN"); !ok || r.code != "" {
-		return ok && r.state == "I"
+func (c *caller) transaction(s *wire.Session, i *process.Instance) bool {
+	if r, ok := c.ask(s, i, c.id(), "BEGIN"); !ok || r.Code != "" {
+		return ok && r.State == "I"
 	}
 	id := c.id()
 	value := c.next
@@ -251,23 +189,23 @@
 		return false
 	}
 	end := "COMMIT"
-	if r.code != "" || c.random.IntN(4) == 0 {
+	if r.Code != "" || c.random.IntN(4) == 0 {
 		end = "ROLLBACK"
 	}
 	last, ok := c.ask(s, i, c.id(), end)
 	switch {
 	case end == "ROLLBACK":
 		c.refused("ABORTED", id) // holds without an answer too: nobody asked for the commit
-	case ok && last.code == "":
+	case ok && last.Code == "":
 		c.done(value)
 	default:
-		c.notDone(ok, last.code, id, value)
+		c.notDone(ok, last.Code, id, value)
 	}
-	return ok && last.state == "I"
+	return ok && last.State == "I"
 }
 
 // read reads an item and checks that it holds what the database promises.
-func (c *caller) read(s *session, i *instance) bool {
+func (c *caller) read(s *wire.Session, i *process.Instance) bool {
 	item := c.name
 	if c.random.IntN(3) == 0 {
 		others := c.trial.callersOf(c.group)
@@ -278,14 +216,14 @@
 	if !ok {
 		return false
 	}
-	if r.code != "" {
+	if r.Code != "" {
 		return true
 	}
 	var value uint64
-	if len(r.rows) == 1 && r.rows[0] != "" {
+	if len(r.Rows) == 1 && r.Rows[0] != "" {
 		var err error
-		if value, err = strconv.ParseUint(r.rows[0], 10, 64); err != nil {
-			c.trial.fault("%s read %q from %s", c.name, r.rows[0], item)
+		if value, err = strconv.ParseUint(r.Rows[0], 10, 64); err != nil {
+			c.trial.fault("%s read %q from %s", c.name, r.Rows[0], item)
 		}
 	}
 	var want []acknowledged
--- a/test/soak/fault_test.go
+++ b/test/soak/fault_test.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"tanagercross/internal/standin/process"
 	"tanagercross/internal/standin/wire"
 )
 
@@ -48,7 +49,9 @@
 	running.Wait()
 }
 
-func (x *trial) anyInstance(r *rand.Rand) *instance { return x.instances[r.IntN(len(x.instances))] }
+func (x *trial) anyInstance(r *rand.Rand) *process.Instance {
+	return x.instances[r.IntN(len(x.instances))]
+}
 
 // anyServer returns a primary half of the time.
 func (x *trial) anyServer(r *rand.Rand) string {
@@ -58,21 +61,21 @@
 	return groups[r.IntN(len(groups))] + "-" + places[r.IntN(len(places))]
 }
 
-func (x *trial) restart(i *instance) {
-	if err := i.start(); err != nil {
-		x.fault("%s does not start: %v", i.name, err)
+func (x *trial) restart(i *process.Instance) {
+	if err := i.Start(); err != nil {
+		x.fault("%s does not start: %v", i.Name, err)
 	}
-	i.disturb()
+	i.Disturb()
 }
 
 func terminate(x *trial, r *rand.Rand) (string, func()) {
 	i := x.anyInstance(r)
-	ended := i.signal(syscall.SIGTERM)
-	return "SIGTERM to " + i.name, func() {
+	ended := i.Signal(syscall.SIGTERM)
+	return "SIGTERM to " + i.Name, func() {
 		select {
 		case <-ended:
-		case <-time.After(gracePeriod + mostLength): // another fault may have stopped the process
-			<-i.signal(syscall.SIGKILL)
+		case <-time.After(process.GracePeriod + mostLength): // another fault may have stopped the process
+			<-i.Signal(syscall.SIGKILL)
 		}
 		x.restart(i)
 	}
@@ -80,46 +83,46 @@
 
 func killInstance(x *trial, r *rand.Rand) (string, func()) {
 	i := x.anyInstance(r)
-	<-i.signal(syscall.SIGKILL)
-	return "SIGKILL to " + i.name, func() { x.restart(i) }
+	<-i.Signal(syscall.SIGKILL)
+	return "SIGKILL to " + i.Name, func() { x.restart(i) }
 }
 
 func pauseInstance(x *trial, r *rand.Rand) (string, func()) {
 	i := x.anyInstance(r)
-	i.signal(syscall.SIGSTOP)
-	return "SIGSTOP to " + i.name, func() { i.signal(syscall.SIGCONT) }
+	i.Signal(syscall.SIGSTOP)
+	return "SIGSTOP to " + i.Name, func() { i.Signal(syscall.SIGCONT) }
 }
 
 func reload(x *trial, r *rand.Rand) (string, func()) {
 	i := x.anyInstance(r)
-	i.signal(syscall.SIGHUP)
-	return "SIGHUP to " + i.name, func() {}
+	i.Signal(syscall.SIGHUP)
+	return "SIGHUP to " + i.Name, func() {}
 }
 
 func cutStore(x *trial, r *rand.Rand) (string, func()) {
 	i := x.anyInstance(r)
 	f := anyFault(r)
-	i.store.Set(f)
-	return fmt.Sprintf("fault %d between %s and the store", f, i.name), func() { i.store.Set(wire.Pass) }
+	i.Store.Set(f)
+	return fmt.Sprintf("fault %d between %s and the store", f, i.Name), func() { i.Store.Set(wire.Pass) }
 }
 
 func harmCallers(x *trial, r *rand.Rand) (string, func()) {
 	i := x.anyInstance(r)
-	i.disturb()
+	i.Disturb()
 	if r.IntN(2) == 0 {
-		i.callers.Reset()
-		return "reset of the callers of " + i.name, func() {}
+		i.Callers.Reset()
+		return "reset of the callers of " + i.Name, func() {}
 	}
 	f := anyFault(r)
-	i.callers.Set(f)
-	return fmt.Sprintf("fault %d between callers and %s", f, i.name), func() { i.callers.Set(wire.Pass); i.callers.Reset(); i.disturb() }
+	i.Callers.Set(f)
+	return fmt.Sprintf("fault %d between callers and %s", f, i.Name), func() { i.Callers.Set(wire.Pass); i.Callers.Reset(); i.Disturb() }
 }
 
 func harmPeers(x *trial, r *rand.Rand) (string, func()) {
 	i := x.anyInstance(r)
 	f := anyFault(r)
-	i.peers.Set(f)
-	return fmt.Sprintf("fault %d between the other instances and %s", f, i.name), func() { i.peers.Set(wire.Pass); i.peers.Reset() }
+	i.Peers.Set(f)
+	return fmt.Sprintf("fault %d between the other instances and %s", f, i.Name), func() { i.Peers.Set(wire.Pass); i.Peers.Reset() }
 }
 
 func crashServer(x *trial, r *rand.Rand) (string, func()) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -8,13 +8,9 @@
 
 import (
 	"bufio"
-	"errors"
 	"flag"
 	"fmt"
-	"io/fs"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
@@ -22,7 +18,9 @@
 	"testing"
 	"time"
 
+	"tanagercross/internal/standin/process"
 	"tanagercross/internal/tool/deployment"
+	"tanagercross/internal/tool/knownred"
 )
 
 var (
@@ -55,9 +53,8 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
-	program = filepath.Join(directory, "tanagercrossd")
-	if out, err := exec.Command("go", "build", "-o", program, "tanagercross/cmd/tanagercrossd").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+	if program, err = process.Build(directory); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return m.Run()
@@ -89,20 +86,19 @@
 // knownRed returns the seeds that KNOWN-RED.txt lists. They run only when they are asked for.
 func knownRed(t *testing.T) []uint64 {
 	t.Helper()
-	text, err := os.ReadFile(filepath.Join("..", "..", "KNOWN-RED.txt"))
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil
-	}
+	names, err := knownred.Names()
 	if err != nil {
 		t.Fatal(err)
 	}
 	var all []uint64
-	for _, match := range regexp.MustCompile(`TestSoak/(\d+)`).FindAllStringSubmatch(string(text), -1) {
-		seed, err := strconv.ParseUint(match[1], 10, 64)
-		if err != nil {
-			t.Fatal(err)
+	for _, name := range names {
+		for _, match := range regexp.MustCompile(`TestSoak/(\d+)`).FindAllStringSubmatch(name, -1) {
+			seed, err := strconv.ParseUint(match[1], 10, 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			all = append(all, seed)
 		}
-		all = append(all, seed)
 	}
 	t.Logf("passed over because of KNOWN-RED.txt: %v", all)
 	return all
--- a/test/soak/trial_test.go
+++ b/test/soak/trial_test.go
@@ -12,11 +12,13 @@
 
 	"tanagercross/internal/instance/clock"
 	"tanagercross/internal/standin/cluster"
+	"tanagercross/internal/standin/process"
 	"tanagercross/internal/standin/wire"
 )
 
 const (
 	recoverWithin    = 12 * time.Second
+	readyPoll        = 50 * time.Millisecond
 	configureWithin  = 4 * time.Second
 	calmBefore       = 1500 * time.Millisecond
 	sessionsEach     = 2 // callers of each database and group
@@ -38,7 +40,7 @@
 	directory string
 	cluster   *cluster.Cluster
 	platform  *wire.Platform
-	instances []*instance
+	instances []*process.Instance
 	callers   []*caller
 	register  *register
 	started   time.Time
@@ -77,7 +79,12 @@
 	t.Cleanup(x.platform.Stop)
 	x.configure(true)
 	for n := range *instances {
-		x.instances = append(x.instances, newInstance(t, x.directory, fmt.Sprintf("i%d", n), places[n%2], x.platform))
+		i, err := process.New(program, x.directory, fmt.Sprintf("i%d", n), places[n%2], x.platform)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(i.Stop)
+		x.instances = append(x.instances, i)
 	}
 	for _, g := range groups {
 		for _, d := range databases {
@@ -170,18 +177,18 @@
 func (x *trial) run() {
 	defer x.report()
 	for _, i := range x.instances {
-		if err := i.start(); err != nil {
+		if err := i.Start(); err != nil {
 			x.t.Fatal(err)
 		}
 	}
 	defer func() {
 		for _, i := range x.instances {
-			i.signal(syscall.SIGCONT)
-			<-i.signal(syscall.SIGKILL)
+			i.Signal(syscall.SIGCONT)
+			<-i.Signal(syscall.SIGKILL)
 		}
 	}()
 	for _, i := range x.instances {
-		if err := i.awaitReady(); err != nil {
+		if err := i.AwaitReady(); err != nil {
 			x.fault("%v", err)
 			return
 		}
@@ -204,15 +211,15 @@
 }
 
 // recovers waits until an instance serves each database again.
-func (x *trial) recovers(i *instance, healed time.Time) {
+func (x *trial) recovers(i *process.Instance, healed time.Time) {
 	for n, c := range x.callers {
 		if n%sessionsEach != 0 {
 			continue
 		}
-		item := fmt.Sprintf("check-%s-%d", i.name, n)
+		item := fmt.Sprintf("check-%s-%d", i.Name, n)
 		for attempt := 0; !x.serves(i, c, item, attempt); attempt++ {
 			if time.Since(healed) > recoverWithin {
-				x.fault("%s does not serve %s %v after all faults ended", i.name, c.database, recoverWithin)
+				x.fault("%s does not serve %s %v after all faults ended", i.Name, c.database, recoverWithin)
 				return
 			}
 			time.Sleep(readyPoll)
@@ -220,14 +227,14 @@
 	}
 }
 
-func (x *trial) serves(i *instance, c *caller, item string, attempt int) bool {
-	s, _, err := openSession(i.callers.Address(), c.host(), c.key)
+func (x *trial) serves(i *process.Instance, c *caller, item string, attempt int) bool {
+	s, _, err := openSession(i.Callers.Address(), c.host(), c.key)
 	if err != nil {
 		return false
 	}
-	defer s.close()
+	defer s.Close()
 	for n, text := range []string{"WRITE " + item + " 1", "READ " + item} {
-		if r, err := s.query(fmt.Sprintf("%s/%d-%d", item, attempt, n), text); err != nil || r.code != "" {
+		if r, err := s.Query(fmt.Sprintf("%s/%d-%d", item, attempt, n), text); err != nil || r.Code != "" {
 			return false
 		}
 	}
@@ -239,11 +246,11 @@
 	x.configure(false)
 	time.Sleep(configureWithin)
 	for _, i := range x.instances {
-		if s, code, err := openSession(i.callers.Address(), "bookings", "k-old"); code != "NOAUTH" {
-			x.fault("%s takes a withdrawn key: session %t, code %q, %v", i.name, s != nil, code, err)
+		if s, code, err := openSession(i.Callers.Address(), "bookings", "k-old"); code != "NOAUTH" {
+			x.fault("%s takes a withdrawn key: session %t, code %q, %v", i.Name, s != nil, code, err)
 		}
-		if s, code, err := openSession(i.callers.Address(), "season", "k-coop"); code != "NODATABASE" {
-			x.fault("%s takes a removed database: session %t, code %q, %v", i.name, s != nil, code, err)
+		if s, code, err := openSession(i.Callers.Address(), "season", "k-coop"); code != "NODATABASE" {
+			x.fault("%s takes a removed database: session %t, code %q, %v", i.Name, s != nil, code, err)
 		}
 	}
 }
