--- a/internal/fleet/catalog/catalog.go
+++ b/internal/fleet/catalog/catalog.go
@@ -65,6 +65,13 @@
 	groups            map[string]Group
 	organisations     map[string]Organisation
 	organisationNames map[key.Hash]string
+	ignored           []IgnoredEntry
+}
+
+// IgnoredEntry is an entry of the operator's configuration that names nothing that can be used. The others hold.
+type IgnoredEntry struct {
+	Entry string
+	Err   error
 }
 
 // NewConfiguration returns a configuration. Of several entries with the same name or key the last one is used.
@@ -94,6 +101,15 @@
 	return c
 }
 
+// WithIgnored returns a copy that lists the entries that were left out of it.
+func (c Configuration) WithIgnored(entries []IgnoredEntry) Configuration {
+	c.ignored = slices.Clone(entries)
+	return c
+}
+
+// Ignored returns the entries that were left out of the configuration. The slice must not be changed.
+func (c Configuration) Ignored() []IgnoredEntry { return c.ignored }
+
 // WithGroup returns a copy in which a group is added or replaced.
 func (c Configuration) WithGroup(g Group) Configuration {
 	c.groups = maps.Clone(c.groups)
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -232,6 +232,9 @@
 			t.observer.RowIgnored(r.Rows[0].Key, err)
 			return
 		}
+		for _, e := range c.Ignored() {
+			t.observer.RowIgnored(r.Rows[0].Key+" "+e.Entry, e.Err)
+		}
 		before := t.configuration
 		t.configuration, t.configurationRows.Rows = c, r.Rows
 		if t.configuredAt == 0 {
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -14,15 +14,19 @@
 	"tanagercross/internal/fleet/view"
 )
 
-// decoder decodes plain values: the length of a configuration is its version, a server's value is its role, a member's
-// value is its place.
+// decoder decodes plain values: the length of a configuration is its version, and "partly" has an ignored entry; a server's
+// value is its role, a member's value is its place.
 type decoder struct{}
 
 func (decoder) Configuration(value []byte) (catalog.Configuration, error) {
 	if string(value) == "faulty" {
 		return catalog.Configuration{}, errors.New("faulty")
 	}
-	return catalog.NewConfiguration(uint64(len(value)), nil, nil, nil), nil
+	c := catalog.NewConfiguration(uint64(len(value)), nil, nil, nil)
+	if string(value) == "partly" {
+		c = c.WithIgnored([]catalog.IgnoredEntry{{Entry: "organisation", Err: errors.New("odd name")}})
+	}
+	return c, nil
 }
 
 func (decoder) Server(id string, value []byte) (catalog.Server, error) {
@@ -73,6 +77,15 @@
 	}
 }
 
+// Guards against an entry of the configuration that is left out without notice, or that costs the other entries.
+func TestIgnoredEntriesAreReported(t *testing.T) {
+	b, o := table()
+	b.SetConfiguration(rows(7, time.Second, "config=partly"))
+	if v := b.Configuration().Version; v != 6 || !slices.Equal(o.ignored, []string{"config organisation"}) {
+		t.Errorf("version %d, reported %q; want 6 and the entry", v, o.ignored)
+	}
+}
+
 // Guards against the loss of live servers whose rows expired during an outage of the store.
 func TestServersWithoutRowsAfterStoreOutage(t *testing.T) {
 	b, _ := table()
