Relay texts of callers and servers as bytes

A statement, session value, prepared shape, row or error text that is not valid UTF-8 passed while its server belonged to the caller's own instance, and failed as soon as it was relayed: `marshal message: string field contains invalid UTF-8`.

Cause: the protobuf fields were strings, which refuse such text. Those that carry bytes of callers or servers are bytes now: id, arguments, names and values of session values, name and shape of a preparation, rows, signature, text. Strings and bytes have the same encoding on the wire, so instances of both versions understand each other; against an old one only texts that it refused before still fail. Server, organisation, session and code stay strings: they come from JSON documents, which hold UTF-8 only, or from the instances.

Before the fix failed: TestBytesPassUnchanged, for a read, a write and an execution, with that error.

Related paths: the connect handler also accepts JSON, in which these fields are base64 now; no client of the product uses it. Gossip carries values of rows as bytes already, and keys of rows, which come from JSON.

--- a/internal/fleet/relay/message.go
+++ b/internal/fleet/relay/message.go
@@ -56,16 +56,16 @@
 	r := &relayv1.ExecuteRequest{
 		Server: server, Organisation: c.Organisation, Session: c.Session, Transaction: c.Transaction,
 		Step: uint32(c.Step), Scope: uint32(c.Scope), ReadOnly: c.ReadOnly, After: encodePosition(c.After),
-		MaximumAgeMilliseconds: uint32(c.MaximumAge.Milliseconds()), Id: c.ID,
+		MaximumAgeMilliseconds: uint32(c.MaximumAge.Milliseconds()), Id: []byte(c.ID),
 		TimeoutMilliseconds: uint32(c.Timeout.Milliseconds()),
 	}
 	switch b := c.Body.(type) {
 	case statement.Read:
-		r.Kind, r.Arguments = kindRead, b.Arguments
+		r.Kind, r.Arguments = kindRead, []byte(b.Arguments)
 	case statement.Write:
-		r.Kind, r.Arguments = kindWrite, b.Arguments
+		r.Kind, r.Arguments = kindWrite, []byte(b.Arguments)
 	case statement.Execute:
-		r.Kind, r.Arguments = kindExecute, b.Arguments
+		r.Kind, r.Arguments = kindExecute, []byte(b.Arguments)
 	case statement.Commit:
 		r.Kind = kindCommit
 	case statement.Rollback:
@@ -74,10 +74,10 @@
 		return nil, eris.Errorf("statement %T is not forwarded", c.Body)
 	}
 	for _, v := range c.Values {
-		r.Values = append(r.Values, &relayv1.Value{Name: v.Name, Value: v.Value})
+		r.Values = append(r.Values, &relayv1.Value{Name: []byte(v.Name), Value: []byte(v.Value)})
 	}
 	if p := c.Preparation; p != nil {
-		r.Preparation = &relayv1.Preparation{Name: p.Name, Writes: p.Writes, Shape: p.Shape}
+		r.Preparation = &relayv1.Preparation{Name: []byte(p.Name), Writes: p.Writes, Shape: []byte(p.Shape)}
 	}
 	return r, nil
 }
@@ -87,28 +87,28 @@
 	c := statement.Call{
 		Organisation: r.Organisation, Session: r.Session, Transaction: r.Transaction, Step: statement.Step(r.Step),
 		Scope: statement.Scope(r.Scope), ReadOnly: r.ReadOnly, After: decodePosition(r.After),
-		MaximumAge: time.Duration(r.MaximumAgeMilliseconds) * time.Millisecond, ID: r.Id,
+		MaximumAge: time.Duration(r.MaximumAgeMilliseconds) * time.Millisecond, ID: string(r.Id),
 		Timeout: time.Duration(r.TimeoutMilliseconds) * time.Millisecond,
 	}
 	if c.Step > statement.End || c.Scope > statement.Replica {
 		return c, eris.Errorf("step %d or scope %d", r.Step, r.Scope)
 	}
 	if p := r.Preparation; p != nil {
-		c.Preparation = &statement.Preparation{Name: p.Name, Writes: p.Writes, Shape: p.Shape}
+		c.Preparation = &statement.Preparation{Name: string(p.Name), Writes: p.Writes, Shape: string(p.Shape)}
 	}
 	for _, v := range r.Values {
-		c.Values = append(c.Values, statement.Value{Name: v.Name, Value: v.Value})
+		c.Values = append(c.Values, statement.Value{Name: string(v.Name), Value: string(v.Value)})
 	}
 	switch r.Kind {
 	case kindRead:
-		c.Body = statement.Read{Arguments: r.Arguments}
+		c.Body = statement.Read{Arguments: string(r.Arguments)}
 	case kindWrite:
-		c.Body = statement.Write{Arguments: r.Arguments}
+		c.Body = statement.Write{Arguments: string(r.Arguments)}
 	case kindExecute:
 		if c.Preparation == nil {
 			return c, eris.New("execute without a preparation")
 		}
-		c.Body = statement.Execute{Name: c.Preparation.Name, Arguments: r.Arguments}
+		c.Body = statement.Execute{Name: c.Preparation.Name, Arguments: string(r.Arguments)}
 	case kindCommit:
 		c.Body = statement.Commit{}
 	case kindRollback:
@@ -120,18 +120,24 @@
 }
 
 func encodeAnswer(a statement.Answer) *relayv1.ExecuteResponse {
-	return &relayv1.ExecuteResponse{
-		Rows: a.Rows, Signature: a.Signature, Code: string(a.Code), Text: a.Text, State: uint32(a.State),
+	r := &relayv1.ExecuteResponse{
+		Signature: []byte(a.Signature), Code: string(a.Code), Text: []byte(a.Text), State: uint32(a.State),
 		Position: encodePosition(a.Position), Transaction: a.Transaction, Fate: uint32(a.Delivery),
 	}
+	for _, row := range a.Rows {
+		r.Rows = append(r.Rows, []byte(row))
+	}
+	return r
 }
 
 // decodeAnswer returns an answer that says the statement may have run if an enum value is out of range.
 func decodeAnswer(r *relayv1.ExecuteResponse) statement.Answer {
 	a := statement.Answer{
-		Rows: r.Rows, Signature: r.Signature, Code: statement.Code(r.Code), Text: r.Text,
-		State: statement.State(r.State), Position: decodePosition(r.Position), Transaction: r.Transaction,
-		Delivery: statement.Delivery(r.Fate),
+		Signature: string(r.Signature), Code: statement.Code(r.Code), Text: string(r.Text), State: statement.State(r.State),
+		Position: decodePosition(r.Position), Transaction: r.Transaction, Delivery: statement.Delivery(r.Fate),
+	}
+	for _, row := range r.Rows {
+		a.Rows = append(a.Rows, string(row))
 	}
 	if a.Delivery > statement.Unanswered || a.State > statement.FailedTransaction {
 		return statement.NoAnswer("the answer of an instance is not understood")
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -99,6 +99,33 @@
 	}
 }
 
+// Guards against a statement or an answer that fails or changes because of its bytes only when it is relayed.
+func TestBytesPassUnchanged(t *testing.T) {
+	var every []byte
+	for n := range 256 {
+		every = append(every, byte(n))
+	}
+	text := string(every)
+	i := &fakeInstance{answer: statement.Answer{
+		Rows: []string{text, "", text[128:]}, Signature: text, Code: statement.Failed, Text: text, Delivery: statement.Answered,
+	}}
+	client, address := serve(t, i)
+	for _, body := range []statement.Statement{
+		statement.Read{Arguments: text},
+		statement.Write{Arguments: text},
+		statement.Execute{Name: text, Arguments: text},
+	} {
+		want := statement.Call{
+			Organisation: "coop", Session: "s1", ID: text, Body: body, Values: []statement.Value{{Name: text, Value: text}, {Name: "n"}},
+			Preparation: &statement.Preparation{Name: text, Writes: true, Shape: text}, Timeout: time.Second,
+		}
+		got, err := client.Execute(context.Background(), address, "meals-1", want)
+		if err != nil || !cmp.Equal(got, i.answer) || !cmp.Equal(i.call, want) {
+			t.Errorf("%T: received call %+v, returned answer %+v, error %v", body, i.call, got, err)
+		}
+	}
+}
+
 // Guards against ages that shrink in transit: state would look fresher than it is, and a read index would count from a time
 // after it was requested from the primary.
 func TestAgesDoNotShrink(t *testing.T) {
