End a comment before a statement at a CR as well

The check of statements at the product's own interface looks for the first word behind comments, and ended a line comment at LF only. PostgreSQL ends it at CR too, so `-- c<CR>SET organisation = 'b' /*<LF>SELECT 1 */` counted as a SELECT where a server runs SET. The adapter of PostgreSQL refuses statements that begin with a comment, so that the text did not reach a server through this fault alone.

A comment ends at whichever comes first. Before the fix TestAdmission admitted that statement.

Related paths: block comments nest as in PostgreSQL; white space before the word is skipped by its Unicode class, which is wider than PostgreSQL's and only lets through what the server refuses as a syntax error.

--- a/internal/request/execution/execution_test.go
+++ b/internal/request/execution/execution_test.go
@@ -113,6 +113,9 @@
 		{Caller{KeyHash: "k", RequestID: id(-6 * time.Minute)}, "g", "SELECT 1", outcome.RequestExpired},
 		{Caller{KeyHash: "k"}, "other", "SELECT 1", outcome.GroupUnknown},
 		{Caller{KeyHash: "k"}, "g", " /* a /* b */ */ -- c\n;SET organisation = 'b'", outcome.RequestInvalid},
+		// PostgreSQL ends a comment at a lone CR as well.
+		{Caller{KeyHash: "k"}, "g", "-- c\rSET organisation = 'b' /*\nSELECT 1 */", outcome.RequestInvalid},
+		{Caller{KeyHash: "k"}, "g", "-- c\r\nSET organisation = 'b'", outcome.RequestInvalid},
 		{Caller{KeyHash: "k"}, "g", "(select set_config('organisation', 'b', false))", outcome.RequestInvalid},
 		{Caller{KeyHash: "k"}, "g", "SELECT GROUP_promote(9, 'x')", outcome.RequestInvalid},
 		{Caller{KeyHash: "k"}, "g", "COMMIT", outcome.RequestInvalid},
--- a/internal/request/execution/identity.go
+++ b/internal/request/execution/identity.go
@@ -114,7 +114,7 @@
 		sql = strings.TrimLeftFunc(sql, func(r rune) bool { return unicode.IsSpace(r) || r == ';' || r == '(' })
 		switch {
 		case strings.HasPrefix(sql, "--"):
-			_, sql, _ = strings.Cut(sql, "\n")
+			sql = afterLine(sql)
 		case strings.HasPrefix(sql, "/*"):
 			sql = afterComment(sql)
 		default:
@@ -127,6 +127,15 @@
 	}
 }
 
+// afterLine returns the text from the end of the first line on. PostgreSQL ends a comment at a CR as well as at an LF.
+func afterLine(sql string) string {
+	end := strings.IndexAny(sql, "\r\n")
+	if end < 0 {
+		return ""
+	}
+	return sql[end:]
+}
+
 // afterComment returns the text after the block comment at its start, or "" if the comment has no end. Block comments
 // nest in PostgreSQL.
 func afterComment(sql string) string {
