Refuse bodies of requests that are not UTF-8

A statement with such bytes at the product's own interface ran with U+FFFD in their place, because the JSON decoder replaces them: the data that was written differed from what was sent, and two different statements became the same, also for the fingerprint of a request. The body is refused as request_invalid now, as JSON is UTF-8 by its definition.

Before the fix TestMalformedInput ran the request. An unpaired surrogate escape (`\ud800`) is still replaced.

--- a/internal/instance/api/api_test.go
+++ b/internal/instance/api/api_test.go
@@ -181,6 +181,7 @@
 		{"POST", path, `{"mode":"read"}`, []string{"x-api-key", "k"}, 400, "request_invalid", "sql"},
 		{"POST", path, `{"mode":"erase","sql":"x"}`, []string{"x-api-key", "k"}, 400, "request_invalid", "mode"},
 		{"POST", path, `{"mode":"read","sql":"x","max_agems":1}`, []string{"x-api-key", "k"}, 400, "request_invalid", "max_agems"},
+		{"POST", path, "{\"mode\":\"read\",\"sql\":\"SELECT '\xff'\"}", []string{"x-api-key", "k"}, 400, "request_invalid", "UTF-8"},
 		{"POST", path, read + read, []string{"x-api-key", "k"}, 400, "request_invalid", "one JSON value"},
 		{"POST", path, `{"mode":"write","sql":"x","primary":true}`, []string{"x-api-key", "k"}, 400, "request_invalid", "belong to reads"},
 		{"POST", path, read, []string{"x-api-key", "k", "content-type", "text/xml"}, 400, "request_invalid", "application/json"},
--- a/internal/instance/api/codec.go
+++ b/internal/instance/api/codec.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"unicode/utf8"
 
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
@@ -38,6 +39,10 @@
 		if len(bytes.TrimSpace(data)) == 0 {
 			return io.EOF
 		}
+		// The decoder would replace other bytes by U+FFFD, and different statements would become the same.
+		if !utf8.Valid(data) {
+			return goa.DecodePayloadError("the body must be UTF-8")
+		}
 		d := json.NewDecoder(bytes.NewReader(data))
 		d.DisallowUnknownFields()
 		if err := d.Decode(v); err != nil {
