Name prepared statements by a cryptographic hash of their shape

A server connection knows a prepared statement by a name made from its shape, by xxHash64, and shares it among the sessions of an organisation. Shapes of 64 bytes with the same hash are computed with a few multiplications: a session that executes one of them ran the shape that another session had prepared first. No caller has been seen to meet this.

Both kinds of names can be on a connection at the same time: the shape goes along with each call, and the server prepares it again under the other name.

Before the fix TestPreparedNamesDiffer failed for such a pair. TestSessionValuesPassUnchanged passed before: session values are kept and sent as they are, by their exact names.

--- a/internal/session/callersession/callersession.go
+++ b/internal/session/callersession/callersession.go
@@ -14,11 +14,10 @@
 
 import (
 	"context"
-	"strconv"
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/fleet/catalog"
@@ -34,6 +33,7 @@
 	maxPrepared              = 64
 	maxValueBytes            = 16 << 10 // of a value, or of the shape of a prepared statement
 	maxTransactionStatements = 1000
+	preparedHashBytes        = 16 // of SHA-256, in the name of a prepared statement
 )
 
 // Dispatcher runs statements on servers. It is implemented by dispatch.Dispatcher.
@@ -269,13 +269,15 @@
 }
 
 // preparedName returns the name under which a statement is prepared on servers. It is the same for all sessions that
-// prepare the same shape, so that they share the prepared statements of a server connection.
+// prepare the same shape, so that they share the prepared statements of a server connection. The hash is cryptographic,
+// because a caller could construct two shapes with the same short hash, and one would run in place of the other.
 func preparedName(p statement.Prepare) string {
 	kind := "r"
 	if p.Writes {
 		kind = "w"
 	}
-	return kind + strconv.FormatUint(xxhash.Sum64String(p.Shape), 36)
+	hash := sha256.Sum256([]byte(p.Shape))
+	return kind + hex.EncodeToString(hash[:preparedHashBytes])
 }
 
 // call returns the call that runs a query on a server. The answer has a code if the query names no prepared statement.
--- a/internal/session/callersession/callersession_test.go
+++ b/internal/session/callersession/callersession_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
+	"math/bits"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/fleet/catalog"
@@ -255,3 +260,63 @@
 		t.Errorf("unknown name: %+v", a)
 	}
 }
+
+// collidingShapes returns two shapes of 64 bytes with the same xxHash64. The first 8 bytes of both 32-byte blocks enter the
+// same accumulator, so that a difference in the first block can be cancelled in the second.
+func collidingShapes() (string, string) {
+	const prime1, prime2 = 11400714785074694791, 14029467366897019727
+	inverse := uint64(prime2) // of prime2 modulo 2^64, by Newton's iteration
+	for range 6 {
+		inverse *= 2 - prime2*inverse
+	}
+	start := uint64(prime1) // the seed 0 + prime1 + prime2, which overflows
+	start += prime2
+	accumulator := func(first uint64) uint64 { return bits.RotateLeft64(start+first*prime2, 31) * prime1 }
+	shape := func(first, second uint64) string {
+		b := make([]byte, 64)
+		binary.LittleEndian.PutUint64(b, first)
+		binary.LittleEndian.PutUint64(b[32:], second)
+		return string(b)
+	}
+	return shape(1, 0), shape(2, (accumulator(1)-accumulator(2))*inverse)
+}
+
+// Guards against two shapes with one name: a connection that has prepared one would run it for the sessions of the other.
+func TestPreparedNamesDiffer(t *testing.T) {
+	one, other := collidingShapes()
+	if one == other || xxhash.Sum64String(one) != xxhash.Sum64String(other) {
+		t.Fatal("the shapes do not collide")
+	}
+	names := map[string]statement.Prepare{}
+	for _, p := range []statement.Prepare{
+		{Shape: one}, {Shape: other}, {Shape: one, Writes: true}, {Shape: "q"}, {Shape: "q "}, {Shape: " q"}, {Shape: "q\n"}, {Shape: "q\r"},
+	} {
+		w, session := start(t, "k1")
+		p.Name = "p"
+		do(session, p)
+		do(session, statement.Execute{Name: "p", Arguments: "a"})
+		prepared := w.servers.calls[0].Preparation
+		if prepared.Shape != p.Shape {
+			t.Errorf("shape %q is prepared as %q", p.Shape, prepared.Shape)
+		}
+		if before, ok := names[prepared.Name]; ok {
+			t.Errorf("%q and %q are both named %s", before.Shape, p.Shape, prepared.Name)
+		}
+		names[prepared.Name] = p
+	}
+}
+
+// Guards against session values that are trimmed, joined or taken for one another because of their bytes.
+func TestSessionValuesPassUnchanged(t *testing.T) {
+	w, session := start(t, "k1")
+	want := []statement.Value{
+		{Name: "a", Value: " x "}, {Name: "a\n", Value: "x\ny\r"}, {Name: "A", Value: ""}, {Name: "\xff", Value: "\x00\xfe"}, {Name: "\ufffd", Value: "\ufffd"},
+	}
+	for _, v := range want {
+		do(session, statement.Set{Name: v.Name, Value: v.Value})
+	}
+	do(session, statement.Read{Arguments: "a"})
+	if got := w.servers.calls[0].Values; !slices.Equal(got, want) {
+		t.Errorf("values %q, want %q", got, want)
+	}
+}
