Escape labels of metrics as their text format does

Labels were quoted as Go strings, whose escapes of tabs and of characters that do not print (`\t`, `\u00a0`) the text format does not know: one server id with such a character could make the whole page of an instance unreadable. Only the backslash, the double quote and the line feed are escaped now, and all other bytes stand for themselves.

Before the fix failed: TestLabelsAreEscaped. Logs need no change: they are written by slog as JSON, which escapes line ends.

--- a/internal/instance/metric/metric.go
+++ b/internal/instance/metric/metric.go
@@ -18,7 +18,6 @@
 import (
 	"bytes"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -150,6 +149,9 @@
 	r.set.GetOrCreateCounter(series(name, labels...)).Inc()
 }
 
+// labelEscaper escapes the value of a label as the text format of metrics defines it. Other bytes stand for themselves.
+var labelEscaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
 func series(name string, labels ...Label) string {
 	if len(labels) == 0 {
 		return name
@@ -161,8 +163,9 @@
 		b.WriteByte(separator)
 		separator = ','
 		b.WriteString(l.Name)
-		b.WriteByte('=')
-		b.WriteString(strconv.Quote(l.Value))
+		b.WriteString(`="`)
+		_, _ = labelEscaper.WriteString(&b, l.Value) // a strings.Builder does not fail
+		b.WriteByte('"')
 	}
 	b.WriteByte('}')
 	return b.String()
--- a/internal/instance/metric/metric_test.go
+++ b/internal/instance/metric/metric_test.go
@@ -58,6 +58,18 @@
 	}
 }
 
+// Guards against a label whose bytes make the page unreadable: the text format knows the escapes of the backslash, the double
+// quote and the line feed only.
+func TestLabelsAreEscaped(t *testing.T) {
+	r := metric.New()
+	r.Collect(func(emit metric.Emit) {
+		emit(metric.QueueLength, 5, metric.Label{Name: "server", Value: "a\t\u00a0\u0085\"\\\nb"})
+	})
+	if text, want := scrape(r), "{server=\"a\t\u00a0\u0085\\\"\\\\\\nb\"} 5"; !strings.Contains(text, want) {
+		t.Errorf("%q lacks %q", text, want)
+	}
+}
+
 // Guards against a new reason in package outcome that has no counter from the start.
 func TestReasonsAreComplete(t *testing.T) {
 	source, err := os.ReadFile("../../session/outcome/outcome.go")
