Do not ask a replica again that stood still a moment ago

A replica that lacked a position was asked by each read that needed a newer one, three times within 70 ms, while it stood still. Each question costs a slot, and the refusal comes later than a read at the leader would. The pool remembers the position at which the replica refused and refuses reads beyond it for 30 to 500 ms, the longer the replica has stood still; any answer with a newer position ends the pause.

--- a/internal/database/serverpool/run.go
+++ b/internal/database/serverpool/run.go
@@ -383,6 +383,9 @@
 	answers, err := pc.conn.Run(deadline, commands...)
 	p.mu.Lock()
 	delete(p.inFlight, pc)
+	for _, a := range answers {
+		p.lag = p.lag.withAnswer(p.options.Boot(), a)
+	}
 	p.mu.Unlock()
 	return answers, err
 }
--- a/internal/database/serverpool/serverpool.go
+++ b/internal/database/serverpool/serverpool.go
@@ -112,6 +112,7 @@
 	health            Health
 	readIndex         readindex.Index // newest one that the server confirmed
 	lastOrganisation  string          // of the newest call
+	lag               lag
 }
 
 // Health describes the server as seen through the pool.
@@ -177,6 +178,9 @@
 	case statement.Next, statement.End:
 		return p.continueTransaction(ctx, c)
 	}
+	if refusal, behind := p.refuseBehind(c); behind {
+		return refusal
+	}
 	ticket, pc, refusal := p.acquireSlot(ctx, c)
 	if pc == nil {
 		return refusal
