Accept an answer of a server only if it cannot be a repetition

What callers saw: DONE and rows of another statement (MIXED), writes that were acknowledged and took no effect (LOST), writes that ran outside of their transaction and were committed, refusals of writes that took effect (REFUSED). No caller was told that anything failed.

Cause: an answer on a server connection names no statement, and the instance took the next answer in the stream for that of the command that waits. A copy that arrives later puts the connection out of step until it is closed; copies of answers to the instance's own commands look like the right ones. Class: correlation by order alone on a channel that may repeat.

Why this works: the new rules of package correlation accept only what a copy cannot have. - A statement's success needs a signature that is new on its connection. Since all statements before it have their answers, it belongs to the one that waits, and it proves the own commands before it by their number. Everything else that comes in its place is dropped and counted. - An own command's answer needs the transaction state to which the command leads. Before a write, and before the first write of a transaction, session values and the opening are proven by the log position of the opening, which no earlier answer on the connection had; otherwise a new connection takes the place. Reads need that too once the server has sent a stray answer. A read index from an unproven opening does not count; signed reads at the leader give one instead. - An error that came before on its connection may be a copy: the connection is closed and a write is UNKNOWN. - What is sent after the end of an answer, and READY alone, is no answer.

TestRepeatedAnswers gets the cases every_answer (all answers three times) and cut.

Related paths: relays between instances and calls to the store match replies by HTTP; status reports use a connection each.

--- a/internal/database/serverpool/connections.go
+++ b/internal/database/serverpool/connections.go
@@ -52,17 +52,24 @@
 var errClosed = errors.New("gate closed")
 
 // takeIdle removes an idle connection of the call's organisation from the idle list and returns it, or nil if there is
-// none. It prefers a connection that the session used last, whose session values are already set, and otherwise the one
-// that was released last. The caller holds p.mu.
+// none. It prefers connections that prove what the call needs to be proven, then one that the session used last, whose session
+// values are already set, and otherwise the one that was released last. The caller holds p.mu.
 func (p *Pool) takeIdle(c statement.Call) *pooledConn {
 	conns := p.idleConnections[c.Organisation]
 	if len(conns) == 0 {
 		return nil
 	}
-	best := len(conns) - 1
+	best, bestRank := 0, -1
 	for n, pc := range conns {
+		rank := 0
+		if pc.proofFor(c, p.distrustsLocked()) == proofUnneeded || pc.conn.ProvesOpening(p.readIndex.Position) {
+			rank += 2
+		}
 		if pc.lastSession == c.Session {
-			best = n
+			rank++
+		}
+		if rank >= bestRank {
+			best, bestRank = n, rank
 		}
 	}
 	pc := conns[best]
@@ -85,9 +92,21 @@
 	return oldestIdle
 }
 
-// dial opens a connection. The caller has already counted it in p.connections; a failure takes it off the count, wakes
-// the next waiter and is recorded in the health of the server.
+// dial opens a connection. The caller has already counted it in p.connections; a failure takes it off the count and wakes
+// the next waiter.
 func (p *Pool) dial(ctx context.Context, organisation string) (*pooledConn, error) {
+	pc, err := p.openConnection(ctx, organisation)
+	if err != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.connections--
+		p.wakeNextWaiter()
+	}
+	return pc, err
+}
+
+// openConnection opens a connection and records the result in the health of the server.
+func (p *Pool) openConnection(ctx context.Context, organisation string) (*pooledConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	t := p.target
@@ -100,8 +119,6 @@
 		err = &statement.DialError{Err: errClosed}
 	}
 	if err != nil {
-		p.connections--
-		p.wakeNextWaiter()
 		var d *statement.DialError
 		if errors.As(err, &d) && d.Code == statement.TooMany {
 			p.dialPausedUntil = p.options.Boot() + tooManyPause
@@ -147,12 +164,16 @@
 	p.wakeNextWaiter()
 }
 
-// release makes a connection idle, or closes it if the pool is closed or above its connection limit. The connection must
-// have no open transaction and no unread answer.
+// release makes a connection idle, or closes it if the pool is closed or above its connection limit, or if the state of the
+// connection on the server is not certain. The connection must have no open transaction.
 func (p *Pool) release(pc *pooledConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || p.connections > p.connectionLimit {
+	certain := !pc.unprovenSetup && pc.conn.Reusable()
+	if !certain {
+		p.replacements.OutOfStep++
+	}
+	if p.closed || p.connections > p.connectionLimit || !certain {
 		pc.conn.Close()
 		p.connections--
 		p.wakeNextWaiter()
--- a/internal/database/serverpool/lag.go
+++ b/internal/database/serverpool/lag.go
@@ -14,7 +14,7 @@
 )
 
 // lag is what is known of a replica that lacked a position which a read required. Asking again before the replica has moved
-// costs a slot of the server.
+// costs a slot of the server, and a connection: the same refusal twice cannot be told from its repetition.
 type lag struct {
 	known    bool
 	position driver.Position // of the replica when it refused
--- /dev/null
+++ b/internal/database/serverpool/proof_test.go
@@ -0,0 +1,145 @@
+package serverpool_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/serverpool"
+	"tanagercross/internal/database/statement"
+	"tanagercross/internal/instance/clock"
+	"tanagercross/internal/standin/cluster"
+)
+
+// doubtful makes the answers of the first connection that it opens unproven, as after a repetition.
+type doubtful struct {
+	statement.Dialer
+	opened   int
+	reusable bool
+	strays   int
+	code     statement.Code // of the answers to statements of callers on that connection
+}
+
+func (d *doubtful) Dial(ctx context.Context, t statement.Target) (statement.Conn, driver.Position, error) {
+	conn, position, err := d.Dialer.Dial(ctx, t)
+	d.opened++
+	if err != nil || d.opened > 1 {
+		return conn, position, err
+	}
+	return doubtfulConn{conn, d}, position, nil
+}
+
+type doubtfulConn struct {
+	statement.Conn
+	dialer *doubtful
+}
+
+func (c doubtfulConn) Run(deadline time.Time, commands ...statement.Command) ([]statement.Answer, error) {
+	answers, err := c.Conn.Run(deadline, commands...)
+	for n := range answers {
+		answers[n].Proven = false
+		if _, ok := commands[n].(statement.Forward); ok {
+			answers[n].Code = c.dialer.code
+		}
+	}
+	return answers, err
+}
+
+func (c doubtfulConn) Reusable() bool { return c.dialer.reusable }
+
+func (c doubtfulConn) Strays() int { return c.dialer.strays }
+
+func (c doubtfulConn) ProvesOpening(driver.Position) bool { return false }
+
+// startDoubtful returns a pool for the primary of a cluster, whose first connection proves nothing.
+func startDoubtful(t *testing.T, d *doubtful) (*cluster.Cluster, *serverpool.Pool) {
+	t.Helper()
+	c := cluster.New(clock.Boot)
+	c.AddGroup("meals", "agreste", "sertao")
+	d.Dialer = c.Dialer("i1")
+	pool := serverpool.New(statement.Target{Server: primary, Group: "meals", Address: primary}, d, serverpool.Options{Connections: 1})
+	t.Cleanup(func() {
+		pool.Close()
+		for _, f := range c.Faults() {
+			t.Error(f)
+		}
+	})
+	return c, pool
+}
+
+// Guards against a write that is sent although the commands that set its session values, or open its transaction, may have
+// failed.
+func TestWriteNeedsProvenSetup(t *testing.T) {
+	first := write("s1", 1)
+	first.Step, first.Values = statement.First, nil
+	for name, c := range map[string]statement.Call{"single": write("s1", 1), "first of a transaction": first} {
+		t.Run(name, func(t *testing.T) {
+			d := &doubtful{reusable: true}
+			_, pool := startDoubtful(t, d)
+			if a := pool.Execute(context.Background(), c); !a.OK() || d.opened != 2 {
+				t.Errorf("got %+v after %d connections, want success on the second one", a, d.opened)
+			}
+			if connections, _, _, _ := pool.Counts(); connections != 1 || pool.Replacements().Unproven != 1 {
+				t.Errorf("%d connections are counted, %+v, want 1 and 1", connections, pool.Replacements())
+			}
+		})
+	}
+}
+
+// Guards against reads with the session values of another session, or outside of their transaction, at a server that repeats
+// answers, and against a connection for each such read at a server that does not.
+func TestReadsNeedProofAtAServerThatRepeatsAnswers(t *testing.T) {
+	first := read("s1", 1)
+	first.Step, first.Values = statement.First, nil
+	for name, c := range map[string]statement.Call{"single": read("s1", 1), "first of a transaction": first} {
+		for strays, opened := range []int{1, 2} {
+			d := &doubtful{reusable: true, strays: strays}
+			_, pool := startDoubtful(t, d)
+			if a := pool.Execute(context.Background(), c); !a.OK() || d.opened != opened {
+				t.Errorf("%s, %d strays: %+v after %d connections, want success on number %d", name, strays, a, d.opened, opened)
+			}
+		}
+	}
+}
+
+// Guards against a promise that nothing was kept, given for a write whose answer may be the repetition of an earlier error.
+func TestUnprovenErrorPromisesNothing(t *testing.T) {
+	_, pool := startDoubtful(t, &doubtful{reusable: true, code: statement.Busy})
+	c := write("s1", 1)
+	c.Values = nil // no commands before the write
+	if a := pool.Execute(context.Background(), c); a.Delivery != statement.Unanswered {
+		t.Errorf("got %+v, want unanswered", a)
+	}
+}
+
+// Guards against a read index from an answer that may be older than its request.
+func TestUnprovenReadIndexDoesNotCount(t *testing.T) {
+	_, pool := startDoubtful(t, &doubtful{reusable: true})
+	if p, ok := pool.ReadIndex(context.Background(), 0, "coop"); ok {
+		t.Errorf("got the read index %+v", p)
+	}
+	// The signature of a read in a plain transaction proves the position.
+	if a := pool.Execute(context.Background(), read("s1", 1)); !a.OK() {
+		t.Fatalf("read: %+v", a)
+	}
+	if _, ok := pool.LastReadIndex(); !ok {
+		t.Error("a read at the leader gave no read index")
+	}
+}
+
+// Guards against the reuse of a connection on which an answer may still arrive.
+func TestConnectionOutOfStepIsClosed(t *testing.T) {
+	d := &doubtful{}
+	_, pool := startDoubtful(t, d)
+	for n := range 2 {
+		c := read("s1", n)
+		c.Values = nil // no commands before the read that would have to be proven
+		if a := pool.Execute(context.Background(), c); !a.OK() {
+			t.Errorf("read %d: %+v", n, a)
+		}
+	}
+	if got := pool.Replacements().OutOfStep; d.opened != 2 || got != 1 {
+		t.Errorf("%d connections were opened, %d out of step, want 2 and 1", d.opened, got)
+	}
+}
--- a/internal/database/serverpool/run.go
+++ b/internal/database/serverpool/run.go
@@ -9,43 +9,6 @@
 	"tanagercross/internal/database/statement"
 )
 
-// setupCommands returns the commands that set the session values and the prepared statement of a call on the connection,
-// and records the new state. Values that the call does not have can only be removed by a reset of the whole connection,
-// which is possible outside of a transaction only.
-func (pc *pooledConn) setupCommands(c statement.Call) []statement.Command {
-	var commands []statement.Command
-	reset := len(pc.prepared) >= maxPrepared
-	for name := range pc.values {
-		if !containsValue(c.Values, name) {
-			reset = true
-		}
-	}
-	if reset && (c.Step == statement.Single || c.Step == statement.First) {
-		commands = append(commands, statement.Reset{})
-		pc.values, pc.prepared = map[string]string{}, map[string]bool{}
-	}
-	for _, v := range c.Values {
-		if present, ok := pc.values[v.Name]; !ok || present != v.Value {
-			commands = append(commands, statement.SetValue{Value: v})
-			pc.values[v.Name] = v.Value
-		}
-	}
-	if preparation := c.Preparation; preparation != nil && !pc.prepared[preparation.Name] {
-		commands = append(commands, statement.PrepareStatement{Preparation: *preparation})
-		pc.prepared[preparation.Name] = true
-	}
-	return commands
-}
-
-func containsValue(values []statement.Value, name string) bool {
-	for _, v := range values {
-		if v.Name == name {
-			return true
-		}
-	}
-	return false
-}
-
 // deadlineWithin returns the deadline of the context, at most the limit from now.
 func deadlineWithin(ctx context.Context, limit time.Duration) time.Time {
 	deadline := time.Now().Add(limit)
@@ -58,46 +21,6 @@
 // maxStatementTime bounds a statement without an earlier deadline.
 const maxStatementTime = 10 * time.Second
 
-// prepareConnection runs the setup commands of a call and, unless open is nil, opens a transaction. It waits for all
-// answers before the caller's statement is sent: after a failed command the statement would run with other session values
-// or outside of its transaction. A refusal is returned with clean set if the connection can be used again.
-func (p *Pool) prepareConnection(ctx context.Context, pc *pooledConn, c statement.Call, open *statement.OpenTransaction) (refusal *statement.Answer, clean bool) {
-	commands := pc.setupCommands(c)
-	pc.lastSession = c.Session
-	if open != nil {
-		commands = append(commands, *open)
-	}
-	if len(commands) == 0 {
-		return nil, true
-	}
-	requestedAt := p.options.Boot()
-	answers, err := p.send(pc, deadlineWithin(ctx, controlTimeout), commands...)
-	if err != nil {
-		p.recordFailure()
-		r := statement.Refused(statement.Aborted, "connection lost before the statement was sent")
-		return &r, false
-	}
-	for n, a := range answers {
-		if a.Code == "" {
-			continue
-		}
-		r := statement.Refused(a.Code, a.Text)
-		r.Position = a.Position
-		opening := open != nil && n == len(answers)-1
-		if opening && a.Code == statement.ReadOnly {
-			p.recordNotLeading()
-		}
-		// A connection whose transaction did not open is clean, unless the server says otherwise.
-		return &r, opening && a.State == statement.Idle
-	}
-	last := answers[len(answers)-1]
-	p.recordAnswer()
-	if open != nil && !open.ReadOnly {
-		p.recordReadIndex(last.Position, requestedAt)
-	}
-	return nil, true
-}
-
 // runSingle runs a statement outside of a caller's transaction. The connection can be used again if clean is set. A read
 // that only a leader may run is enclosed in a transaction, because opening it proves that the server still leads.
 func (p *Pool) runSingle(ctx context.Context, pc *pooledConn, c statement.Call) (answer statement.Answer, clean bool) {
@@ -128,10 +51,14 @@
 	}
 	answer = answers[0]
 	p.recordAnswer()
+	if c.Writes() && !p.knowsOutcome(answer) {
+		return statement.NoAnswer("the server's answer is not certain"), false
+	}
 	if answer.Code == statement.ReadOnly {
 		p.recordNotLeading()
 	}
-	if answer.OK() && c.Scope == statement.Leader && c.Writes() {
+	pc.noteProof(answer)
+	if answer.OK() && c.Scope == statement.Leader {
 		p.recordReadIndex(answer.Position, requestedAt)
 	}
 	if answer.Code == statement.NoStatement {
@@ -141,6 +68,15 @@
 	return answer, err == nil && last.State == statement.Idle && (last.Code == "" || len(answers) == 1)
 }
 
+// knowsOutcome reports whether the answer to a write outside of a transaction tells if the write took effect. An error that
+// may be the repetition of an earlier one does not, nor does a success in a transaction that should have been rolled back.
+func (p *Pool) knowsOutcome(a statement.Answer) bool {
+	if a.Code != "" {
+		return a.Proven
+	}
+	return a.State == statement.Idle
+}
+
 // startTransaction opens a transaction and runs its first statement. The connection belongs to the transaction until it
 // ends.
 func (p *Pool) startTransaction(ctx context.Context, pc *pooledConn, c statement.Call) statement.Answer {
@@ -172,6 +108,7 @@
 // runInTransaction runs a statement inside a transaction. The transaction ends if the server does not answer, or if it
 // answers that none is open any more. The caller holds t.mu.
 func (p *Pool) runInTransaction(ctx context.Context, id uint64, t *transaction, c statement.Call) statement.Answer {
+	requestedAt := p.options.Boot()
 	answers, err := p.send(t.pooledConn, deadlineWithin(ctx, maxStatementTime), statement.Forward{ID: c.ID, Body: c.Body})
 	t.lastUsed = p.options.Boot()
 	if err != nil {
@@ -181,6 +118,15 @@
 	}
 	a := answers[0]
 	p.recordAnswer()
+	if a.Code != "" && !a.Proven {
+		p.finish(id, t, false)
+		return statement.NoAnswer("the server's answer is not certain")
+	}
+	t.pooledConn.noteProof(a)
+	// A server that has lost the lead still answers the commit of a transaction without writes.
+	if _, commit := c.Body.(statement.Commit); a.OK() && !commit && c.Scope == statement.Leader {
+		p.recordReadIndex(a.Position, requestedAt)
+	}
 	if a.Code == statement.ReadOnly {
 		p.recordNotLeading()
 	}
@@ -383,6 +329,9 @@
 	answers, err := pc.conn.Run(deadline, commands...)
 	p.mu.Lock()
 	delete(p.inFlight, pc)
+	if strays := pc.conn.Strays(); strays > pc.strays {
+		pc.strays, p.distrustedUntil = strays, p.options.Boot()+distrustPeriod
+	}
 	for _, a := range answers {
 		p.lag = p.lag.withAnswer(p.options.Boot(), a)
 	}
--- a/internal/database/serverpool/serverpool.go
+++ b/internal/database/serverpool/serverpool.go
@@ -14,6 +14,9 @@
 // Execute returns delivery NotSent only if the caller's statement did not reach the server. Reads with scope Leader run
 // inside a read-write transaction, which a server that no longer leads refuses to open; it would still answer a read
 // outside of a transaction.
+//
+// A server may send an answer again. Package correlation tells which answers are certain; a write is sent only after the
+// certain success of the commands before it, and a read index counts only if its answer is certain.
 package serverpool
 
 import (
@@ -48,6 +51,7 @@
 	maxPrepared            = 48               // prepared statements on one connection
 	closeIdleAfterFailures = 2                // consecutive failures
 	tooManyPause           = 2 * time.Second  // without additional connections after the server refused one
+	distrustPeriod         = 10 * time.Minute // after an answer that belonged to no command
 )
 
 // Options sets the limits of a pool. Zero fields take the defaults.
@@ -80,6 +84,9 @@
 	values       map[string]string // session values that are set on the server
 	prepared     map[string]bool   // names of the statements that are prepared on the server
 	idleSince    time.Duration
+	// unprovenSetup is set while it is not proven that the server has the session values and prepared statements above.
+	unprovenSetup bool
+	strays        int // stray answers that are accounted for
 }
 
 // transaction is an open transaction of a caller and the connection that it occupies.
@@ -109,10 +116,12 @@
 	closed            bool
 	dialPausedUntil   time.Duration // the server refused a connection because it had too many
 	openedConnections uint64
+	replacements      Replacements
 	health            Health
 	readIndex         readindex.Index // newest one that the server confirmed
 	lastOrganisation  string          // of the newest call
 	lag               lag
+	distrustedUntil   time.Duration // the server has sent answers that belonged to no command
 }
 
 // Health describes the server as seen through the pool.
@@ -161,6 +170,19 @@
 	return p.connections, len(p.transactions), p.scheduler.Load(), p.openedConnections
 }
 
+// Replacements counts connections that were closed because answers of the server are not certain.
+type Replacements struct {
+	Unproven  uint64 // for a write, whose setup needed a proof that the connection could not give
+	OutOfStep uint64 // an answer may still have been on its way, or the setup was not proven at the end of a statement
+}
+
+// Replacements returns the replacements so far.
+func (p *Pool) Replacements() Replacements {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.replacements
+}
+
 // Load returns the number of queued and running statements.
 func (p *Pool) Load() int { return p.scheduler.Load() }
 
--- a/internal/database/statement/command.go
+++ b/internal/database/statement/command.go
@@ -70,6 +70,12 @@
 	// Report runs a command that is answered with the server's report: Status, PauseReplication, ResumeReplication or
 	// Demote.
 	Report(deadline time.Time, c Command) (Report, error)
+	// Reusable reports whether the connection can carry further commands, because no answer is still on its way.
+	Reusable() bool
+	// Strays returns how many answers were dropped because they belonged to no command that waited.
+	Strays() int
+	// ProvesOpening reports whether the answer to OpenTransaction will be proven if the server's log holds the position.
+	ProvesOpening(p driver.Position) bool
 	// Close closes the connection. The server rolls an open transaction back.
 	Close()
 }
--- a/internal/database/statement/statement.go
+++ b/internal/database/statement/statement.go
@@ -195,6 +195,8 @@
 	Position    driver.Position // log position of the server when it answered
 	Transaction uint64          // id of the transaction that the statement opened
 	Delivery    Delivery
+	// Proven is set on the connection to a server if the answer cannot be the repetition of an earlier one.
+	Proven bool
 }
 
 // OK reports whether the server ran the statement without an error.
--- a/internal/instance/entry/observe.go
+++ b/internal/instance/entry/observe.go
@@ -56,6 +56,9 @@
 		emit(metric.ServerTransactions, float64(transactions), label)
 		emit(metric.ServerLoad, float64(load), label)
 		emit(metric.ServerOpened, float64(opened), label)
+		replaced := g.pool.Replacements()
+		emit(metric.ServerReplaced, float64(replaced.Unproven), label, metric.Label{Name: "reason", Value: "unproven"})
+		emit(metric.ServerReplaced, float64(replaced.OutOfStep), label, metric.Label{Name: "reason", Value: "out_of_step"})
 	}
 }
 
--- a/internal/instance/metric/entry.go
+++ b/internal/instance/metric/entry.go
@@ -30,6 +30,7 @@
 	ServerTransactions   GaugeName = "tanagercross_server_transactions"
 	ServerLoad           GaugeName = "tanagercross_server_statements"
 	ServerOpened         GaugeName = "tanagercross_server_connections_opened"
+	ServerReplaced       GaugeName = "tanagercross_server_connections_replaced" // by server and reason
 	Steward              GaugeName = "tanagercross_steward"
 )
 
--- a/internal/standin/cluster/conn.go
+++ b/internal/standin/cluster/conn.go
@@ -70,6 +70,15 @@
 	return k, s.position(), nil
 }
 
+// Reusable implements statement.Conn.
+func (k *conn) Reusable() bool { return true }
+
+// Strays implements statement.Conn.
+func (k *conn) Strays() int { return 0 }
+
+// ProvesOpening implements statement.Conn.
+func (k *conn) ProvesOpening(driver.Position) bool { return true }
+
 // Close implements statement.Conn.
 func (k *conn) Close() {
 	k.cluster.mu.Lock()
@@ -171,6 +180,7 @@
 	}
 	c.catchUp(s)
 	a = statement.Answer{Delivery: statement.Answered}
+	defer func() { a.Proven = true }()
 	switch command := command.(type) {
 	case statement.Reset:
 		k.values, k.prepared = map[string]string{}, map[string]statement.Preparation{}
--- a/test/wire/main_test.go
+++ b/test/wire/main_test.go
@@ -86,6 +86,8 @@
 		{"share_50", wire.AnswerFault{Repeat: 0.5}},
 		{"two_copies", wire.AnswerFault{Repeat: 0.05, Copies: 2}},
 		{"errors", wire.AnswerFault{Repeat: 0.05, Busy: 0.05}},
+		{"every_answer", wire.AnswerFault{Repeat: 1, Copies: 3, Busy: 0.02}},
+		{"cut", wire.AnswerFault{Repeat: 0.2, Cut: 0.01}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			c.fault.Least, c.fault.Most = leastDelay, mostDelay
