Let servers repeat answers in a quarter of the soak's seeds

Seeds with remainder 3 by 4 now play with 10% of all answers sent again up to 80 ms later, beside the other faults; the seeds that failed once are none of these and play what they played.

--- a/test/soak/trial_test.go
+++ b/test/soak/trial_test.go
@@ -24,6 +24,8 @@
 	sessionsEach     = 2 // callers of each database and group
 	maximumFaults    = 25
 	mostFaultsAtOnce = 3
+	repeatShare      = 0.1                   // of the answers of servers
+	repeatDelay      = 80 * time.Millisecond // most delay of a repeated answer
 )
 
 var (
@@ -77,6 +79,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(x.platform.Stop)
+	if x.repeatsAnswers() {
+		x.platform.SetAnswers(wire.AnswerFault{Seed: seed, Repeat: repeatShare, Most: repeatDelay})
+	}
 	x.configure(true)
 	for n := range *instances {
 		i, err := process.New(program, x.directory, fmt.Sprintf("i%d", n), places[n%2], x.platform)
@@ -102,6 +107,10 @@
 // synchronous reports whether the commits of group meals wait for a replica in this seed.
 func (x *trial) synchronous() bool { return x.seed%2 == 0 }
 
+// repeatsAnswers reports whether the servers send answers again in this seed. The seeds that failed before this existed do
+// not, so that they still play what they played then.
+func (x *trial) repeatsAnswers() bool { return x.seed%4 == 3 }
+
 // configure writes the configuration, with or without the key that is withdrawn and the database that is removed.
 func (x *trial) configure(all bool) {
 	x.version += 3
