Show what the return of the store from an older copy breaks

The users' pages say that the store may come back from a copy some seconds old: versions go back and are given out again, and the header Store-Era rises.

--- a/internal/standin/wire/store.go
+++ b/internal/standin/wire/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -61,9 +62,50 @@
 	mu      sync.Mutex
 	fault   StoreFault
 	version uint64
+	era     uint64 // rises each time the store comes back from a copy
 	rows    map[rowKey]row
 }
 
+// eraHeader is in all answers of the store.
+const eraHeader = "Store-Era"
+
+// StoreCopy is a copy of the store's rows.
+type StoreCopy struct {
+	version uint64
+	rows    map[rowKey]row
+}
+
+// CopyStore copies the store as it is now.
+func (p *Platform) CopyStore() StoreCopy {
+	s := p.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreCopy{version: s.version, rows: maps.Clone(s.rows)}
+}
+
+// ReturnStore takes the store away for a time and brings it back from a copy. What instances wrote since the copy is gone, and
+// versions are given out again. The rows of the operator are written again at once; those of servers follow the cluster.
+func (p *Platform) ReturnStore(c StoreCopy, away time.Duration) {
+	p.SetStore(StoreRefuses)
+	time.Sleep(away)
+	s := p.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	operator := map[rowKey]row{}
+	for k, r := range s.rows {
+		if k.table == "op" {
+			operator[k] = r
+		}
+	}
+	s.rows, s.version, s.fault = maps.Clone(c.rows), c.version, StoreWorks
+	s.era++
+	for k, r := range operator {
+		s.version++
+		r.Version = s.version
+		s.rows[k] = r
+	}
+}
+
 func (s *store) put(k rowKey, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -129,6 +171,7 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	fault := s.fault
+	w.Header().Set(eraHeader, strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	time.Sleep(storeTime)
 	switch fault {
@@ -202,6 +245,9 @@
 		s.refresh()
 		p := s.page(q.Get("table"), after)
 		s.mu.Unlock()
+		if p.Version < after {
+			return http.StatusGone, nil
+		}
 		if len(p.Rows) > 0 || r.Context().Err() != nil || !time.Now().Before(deadline) {
 			return http.StatusOK, p
 		}
--- a/test/wire/trial_test.go
+++ b/test/wire/trial_test.go
@@ -75,6 +75,13 @@
 }
 
 func (x *trial) configure() {
+	if err := x.platform.Configure(x.document(3, databases, "k-coop")); err != nil {
+		x.t.Fatal(err)
+	}
+}
+
+// document is a configuration with the databases and the keys of the organisation.
+func (x *trial) document(version int, databases []string, keys ...string) any {
 	var routes []map[string]any
 	for n, d := range databases {
 		routes = append(routes, map[string]any{
@@ -82,17 +89,27 @@
 			"maxStalenessMs": 1500,
 		})
 	}
-	document := map[string]any{
-		"version": 3, "routes": routes, "limits": map[string]any{"transactionIdleMs": 3000},
+	return map[string]any{
+		"version": version, "routes": routes, "limits": map[string]any{"transactionIdleMs": 3000},
 		"services": []map[string]any{{"name": group, "connectionCap": 60, "syncReplicas": 0}},
-		"tenants":  []map[string]any{{"name": "coop", "apiKeys": []string{"k-coop"}, "ratePerS": 100000, "burst": 100000}},
-	}
-	if err := x.platform.Configure(document); err != nil {
-		x.t.Fatal(err)
+		"tenants":  []map[string]any{{"name": "coop", "apiKeys": keys, "ratePerS": 100000, "burst": 100000}},
 	}
 }
 
 func (x *trial) run() {
+	x.t.Helper()
+	x.start()
+	started := time.Now()
+	runAll(x.callers, operations/callers)
+	took := time.Since(started)
+	for _, i := range x.instances {
+		i.Stop()
+	}
+	x.report(took)
+}
+
+// start starts the instances and waits until they are ready.
+func (x *trial) start() {
 	x.t.Helper()
 	for _, i := range x.instances {
 		if err := i.Start(); err != nil {
@@ -104,13 +121,6 @@
 			x.t.Fatalf("%v; log in %s", err, x.directory)
 		}
 	}
-	started := time.Now()
-	runAll(x.callers, operations/callers)
-	took := time.Since(started)
-	for _, i := range x.instances {
-		i.Stop()
-	}
-	x.report(took)
 }
 
 func (x *trial) report(took time.Duration) {
