Compare versions of the store across its return from an older copy

What callers would see: after the store has come back from a copy, a withdrawn key works on and new databases stay unknown, for as long as the store's versions stay below those that the instances have read; and no server is promoted after the loss of a primary, because the list of servers is ignored in the same way and tokens go back.

Cause: versions of the store were taken to rise for ever. Versions now hold the generation in their high bits, so that every comparison that exists is right across the return. A configuration whose own version is lower than the one in force is ignored, servers and instances that the copy lacks are kept for a moment, and instances write their rows again.

--- a/internal/database/serverpool/lag_test.go
+++ b/internal/database/serverpool/lag_test.go
@@ -13,7 +13,7 @@
 // Guards against a replica that stands still and is asked again by each read, and against reads that it can serve being
 // refused.
 func TestReplicaThatStandsStillIsNotAskedAgain(t *testing.T) {
-	var now time.Duration = time.Second
+	now := time.Second
 	c, pool := start(t, replica, serverpool.Options{Boot: func() time.Duration { return now }})
 	c.Lag(replica, time.Hour)
 	behind := read("s1", 1)
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -16,6 +16,7 @@
 package view
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -232,6 +233,11 @@
 			t.observer.RowIgnored(r.Rows[0].Key, err)
 			return
 		}
+		if c.Version < t.configuration.Version {
+			// The store has come back from an older copy. The operator writes the newer configuration again.
+			t.observer.RowIgnored(r.Rows[0].Key, fmt.Errorf("version %d is older than %d in force", c.Version, t.configuration.Version))
+			return
+		}
 		for _, e := range c.Ignored() {
 			t.observer.RowIgnored(r.Rows[0].Key+" "+e.Entry, e.Err)
 		}
@@ -263,7 +269,8 @@
 	if r.Version < t.serverRows.Version || r.ReadAt < t.serverRows.ReadAt {
 		return
 	}
-	if t.serverRows.ReadAt > 0 && r.ReadAt-t.serverRows.ReadAt > storeOutageThreshold {
+	returned := Generation(r.Version) > Generation(t.serverRows.Version)
+	if t.serverRows.ReadAt > 0 && (returned || r.ReadAt-t.serverRows.ReadAt > storeOutageThreshold) {
 		t.outageUntil = now + missingServerGrace
 	}
 	var list []catalog.Server
@@ -297,7 +304,8 @@
 }
 
 // SetMembers applies the instance rows of a read, unless they are older than the present ones. This instance is a member
-// even if it has no row.
+// even if it has no row. The first read after the store returned from an older copy removes no member, because the rows of
+// instances that started since the copy are gone until these write them again.
 func (t *Table) SetMembers(r Rows) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -315,12 +323,25 @@
 			members = append(members, m)
 		}
 	}
+	if Generation(r.Version) > Generation(t.memberRows.Version) {
+		members = t.withPresentMembers(members)
+	}
 	t.members, t.memberRows = roster.New(r.Version, members), r
 	if t.membersFirstRead == 0 {
 		t.membersFirstRead = r.ReadAt
 	}
 }
 
+// withPresentMembers adds the members that the list lacks. The caller holds the lock.
+func (t *Table) withPresentMembers(list []roster.Member) []roster.Member {
+	for _, m := range t.members.Members() {
+		if !slices.ContainsFunc(list, func(l roster.Member) bool { return l.Name == m.Name }) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // MemberRowVersion returns the row version of an instance, if it has a row.
 func (t *Table) MemberRowVersion(name string) (uint64, bool) {
 	t.mu.RLock()
--- a/internal/instance/entry/reader.go
+++ b/internal/instance/entry/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"tanagercross/internal/fleet/roster"
@@ -38,6 +39,7 @@
 	regionDelay    = 700 * time.Millisecond
 	staleRankDelay = 250 * time.Millisecond
 	takeoverTime   = 5 * time.Second
+	announceSpread = time.Second // of the rows that instances write again after the store came back from a copy
 	// memberExpiry is how long an instance must not have been seen before its row is removed from the store.
 	memberExpiry = 12 * time.Second
 )
@@ -85,7 +87,9 @@
 	}
 	n.readMembersOnce(ctx)
 	removal := n.boot()
+	announced := n.table.Generation()
 	for {
+		announced = n.announceAgain(ctx, announced)
 		if n.boot()-removal > membersReadInterval {
 			removal = n.boot()
 			n.removeExpiredMembers(ctx)
@@ -103,6 +107,21 @@
 	}
 }
 
+// announceAgain writes the row of this instance again after the store has come back from an older copy, which may lack it. It
+// returns the generation of the store in which the row was written last. The writes of the instances are spread over
+// announceSpread.
+func (n *Node) announceAgain(ctx context.Context, announced uint64) uint64 {
+	generation := n.table.Generation()
+	if generation <= announced {
+		return announced
+	}
+	n.log.Info("store came back from a copy", "generation", generation, "before", announced)
+	if !clock.Sleep(ctx, rand.N(announceSpread)) || !n.writeOwnMember(ctx) {
+		return announced
+	}
+	return generation
+}
+
 // writeOwnMember writes the row of this instance and reports whether that succeeded. After a failure it reads the member
 // list, which is useful even without the own row.
 func (n *Node) writeOwnMember(ctx context.Context) bool {
--- a/test/wire/store_test.go
+++ b/test/wire/store_test.go
@@ -76,7 +76,7 @@
 }
 
 // writes reports whether an instance acknowledges a write.
-func writes(x *trial, address, id string) bool {
+func writes(address, id string) bool {
 	s, _, err := wire.OpenSession(address, databases[0], "k-coop", sessionTimeout)
 	if err != nil {
 		return false
@@ -93,7 +93,7 @@
 	x.platform.Crash(lost)
 	started := time.Now()
 	for _, i := range x.instances {
-		for n := 0; !writes(x, i.Callers.Address(), fmt.Sprintf("%s-%s-%d", round, i.Name, n)); n++ {
+		for n := 0; !writes(i.Callers.Address(), fmt.Sprintf("%s-%s-%d", round, i.Name, n)); n++ {
 			if time.Since(started) > recoverWithin {
 				t.Fatalf("%s serves no write %v after the loss of %s, round %s; logs in %s", i.Name, recoverWithin, lost, round, x.directory)
 			}
