--- a/internal/database/correlation/correlation.go
+++ b/internal/database/correlation/correlation.go
@@ -18,7 +18,7 @@
 //	var t correlation.Tracker
 //	switch verdict, reason := t.Match(command, answer); verdict {
 //	case correlation.Accepted: // of this command
-//	case correlation.Proven:   // of this command, for certain
+//	case correlation.Proven:   // of this command, no repetition
 //	case correlation.Stray:    // of another command: read the next answer
 //	}
 //	if !t.InStep() {
@@ -54,6 +54,7 @@
 	Unsigned Reason = "unsigned" // a success without a signature, for a statement of a caller
 	Foreign  Reason = "foreign"  // a signature or rows, for a command of the instance's own
 	State    Reason = "state"    // a transaction state to which the command does not lead
+	Position Reason = "position" // a log position below the one that the command requires
 	Greeting Reason = "greeting" // the answer to the start of the connection
 )
 
@@ -77,9 +78,13 @@
 	unproven       bool            // an own command was accepted without a proof since the last one
 	unprovenInside bool            // one of these inside a transaction
 	outOfStep      bool            // an answer may still be on its way
+	refused        bool
 	strays         int
 }
 
+// Refused reports whether the connection has carried an error other than Behind. An equal one would not be proven.
+func (t *Tracker) Refused() bool { return t.refused }
+
 // Strays returns the number of answers that belonged to no command that waited.
 func (t *Tracker) Strays() int { return t.strays }
 
@@ -145,6 +150,7 @@
 // answer to this command is still on its way.
 func (t *Tracker) matchError(c statement.Command, a statement.Answer) Verdict {
 	isNew := t.remember("ERROR ", string(a.Code)+" "+a.Text+" "+a.Position.String()+" "+string('0'+rune(a.State)))
+	t.refused = t.refused || a.Code != statement.Behind
 	switch {
 	case !isNew:
 		t.outOfStep = true
@@ -183,9 +189,9 @@
 // matchOwn matches an answer without a signature to a command of the instance's own.
 func (t *Tracker) matchOwn(c statement.Command, a statement.Answer) (Verdict, Reason) {
 	expected := t.state
-	switch c.(type) {
+	switch c := c.(type) {
 	case statement.OpenTransaction:
-		return t.matchOpening(a)
+		return t.matchOpening(c, a)
 	case statement.CloseTransaction, statement.Reset:
 		expected = statement.Idle
 	}
@@ -198,10 +204,13 @@
 }
 
 // matchOpening matches an answer to a command that opens a transaction.
-func (t *Tracker) matchOpening(a statement.Answer) (Verdict, Reason) {
+func (t *Tracker) matchOpening(c statement.OpenTransaction, a statement.Answer) (Verdict, Reason) {
 	if a.State != statement.InTransaction {
 		return Stray, State
 	}
+	if a.Position.Compare(c.After) < 0 {
+		return Stray, Position
+	}
 	if t.ProvesOpening(a.Position) {
 		t.unproven = false
 		return Proven, ""
--- a/internal/database/correlation/correlation_test.go
+++ b/internal/database/correlation/correlation_test.go
@@ -86,6 +86,9 @@
 			{closing, inside, correlation.Stray, correlation.State},
 			{opening, inside, correlation.Accepted, ""},
 		}, true},
+		"opening below the position that it requires": {[]step{
+			{statement.OpenTransaction{ReadOnly: true, After: driver.Position{Term: 1, Index: 6}}, inside, correlation.Stray, correlation.Position},
+		}, true},
 		"error": {[]step{{read, busy, correlation.Proven, ""}, {read, signed("s1"), correlation.Proven, ""}}, true},
 		"error that came before": {[]step{
 			{read, busy, correlation.Proven, ""},
--- a/internal/database/serverpool/connections.go
+++ b/internal/database/serverpool/connections.go
@@ -52,7 +52,7 @@
 var errClosed = errors.New("gate closed")
 
 // takeIdle removes an idle connection of the call's organisation from the idle list and returns it, or nil if there is
-// none. It prefers connections that prove what the call needs to be proven, then one that the session used last, whose session
+// none. It prefers connections that have carried no error, then those that prove what the call needs to be proven, then one that the session used last, whose session
 // values are already set, and otherwise the one that was released last. The caller holds p.mu.
 func (p *Pool) takeIdle(c statement.Call) *pooledConn {
 	conns := p.idleConnections[c.Organisation]
@@ -65,6 +65,9 @@
 		if pc.proofFor(c, p.distrustsLocked()) == proofUnneeded || pc.conn.ProvesOpening(p.readIndex.Position) {
 			rank += 2
 		}
+		if !pc.conn.Refused() {
+			rank += 4
+		}
 		if pc.lastSession == c.Session {
 			rank++
 		}
--- a/internal/database/serverpool/prepare.go
+++ b/internal/database/serverpool/prepare.go
@@ -102,6 +102,12 @@
 // or outside of its transaction. If a proof of their success is required and the connection does not give it, a new
 // connection takes its place. A refusal is returned with clean set if the connection can be used again.
 func (p *Pool) prepareConnection(ctx context.Context, pc *pooledConn, c statement.Call, open *statement.OpenTransaction) (refusal *statement.Answer, clean bool) {
+	if c.Step == statement.Single && c.Writes() && pc.conn.Refused() {
+		// The refusal of the write could not be told from the repetition of an earlier one.
+		if refusal := p.replace(ctx, pc); refusal != nil {
+			return refusal, false
+		}
+	}
 	level := pc.proofFor(c, p.distrusts())
 	refusal, clean, proven := p.tryPrepare(ctx, pc, c, open, level)
 	// A stray answer among those to the commands is the first sign of a server that repeats answers.
@@ -111,15 +117,9 @@
 	if refusal != nil || proven || level < proofRequired || c.Body == nil {
 		return refusal, clean
 	}
-	fresh, err := p.openConnection(ctx, c.Organisation)
-	if err != nil {
-		r := refuseDial(err)
-		return &r, false
+	if refusal := p.replace(ctx, pc); refusal != nil {
+		return refusal, false
 	}
-	p.mu.Lock()
-	p.replacements.Unproven++
-	p.mu.Unlock()
-	pc.replaceBy(fresh)
 	refusal, clean, proven = p.tryPrepare(ctx, pc, c, open, level)
 	if refusal == nil && !proven {
 		r := statement.Refused(statement.Aborted, "the state of the connection is not known")
@@ -128,11 +128,22 @@
 	return refusal, clean
 }
 
-// replaceBy closes the connection and takes over another one.
-func (pc *pooledConn) replaceBy(fresh *pooledConn) {
+// replace closes the connection and opens another one in its place. It returns a refusal if that fails. The old one is closed
+// first, so that the server's connection limit holds.
+func (p *Pool) replace(ctx context.Context, pc *pooledConn) *statement.Answer {
 	pc.conn.Close()
-	pc.conn, pc.values, pc.prepared, pc.unprovenSetup = fresh.conn, fresh.values, fresh.prepared, false
-	pc.strays = 0
+	pc.opened = true // it cannot be released if no other one opens
+	fresh, err := p.openConnection(ctx, pc.organisation)
+	if err != nil {
+		r := refuseDial(err)
+		return &r
+	}
+	p.mu.Lock()
+	p.replacements.Unproven++
+	p.mu.Unlock()
+	pc.conn, pc.values, pc.prepared = fresh.conn, fresh.values, fresh.prepared
+	pc.unprovenSetup, pc.strays, pc.opened = false, 0, false
+	return nil
 }
 
 // noteProof records that the commands before a proven answer succeeded.
--- a/internal/database/serverpool/proof_test.go
+++ b/internal/database/serverpool/proof_test.go
@@ -16,13 +16,20 @@
 type doubtful struct {
 	statement.Dialer
 	opened   int
+	closed   bool // the first connection
+	together bool // another connection was opened before the first one was closed
 	reusable bool
 	strays   int
+	refused  bool
+	idle     bool           // statements of callers are answered outside of a transaction
 	code     statement.Code // of the answers to statements of callers on that connection
 }
 
 func (d *doubtful) Dial(ctx context.Context, t statement.Target) (statement.Conn, driver.Position, error) {
 	conn, position, err := d.Dialer.Dial(ctx, t)
+	if d.opened == 1 && !d.closed {
+		d.together = true
+	}
 	d.opened++
 	if err != nil || d.opened > 1 {
 		return conn, position, err
@@ -41,6 +48,9 @@
 		answers[n].Proven = false
 		if _, ok := commands[n].(statement.Forward); ok {
 			answers[n].Code = c.dialer.code
+			if c.dialer.idle {
+				answers[n].State = statement.Idle
+			}
 		}
 	}
 	return answers, err
@@ -48,6 +58,13 @@
 
 func (c doubtfulConn) Reusable() bool { return c.dialer.reusable }
 
+func (c doubtfulConn) Close() {
+	c.dialer.closed = true
+	c.Conn.Close()
+}
+
+func (c doubtfulConn) Refused() bool { return c.dialer.refused }
+
 func (c doubtfulConn) Strays() int { return c.dialer.strays }
 
 func (c doubtfulConn) ProvesOpening(driver.Position) bool { return false }
@@ -80,6 +97,9 @@
 			if a := pool.Execute(context.Background(), c); !a.OK() || d.opened != 2 {
 				t.Errorf("got %+v after %d connections, want success on the second one", a, d.opened)
 			}
+			if d.together {
+				t.Error("two connections were open at once, beyond the limit of 1")
+			}
 			if connections, _, _, _ := pool.Counts(); connections != 1 || pool.Replacements().Unproven != 1 {
 				t.Errorf("%d connections are counted, %+v, want 1 and 1", connections, pool.Replacements())
 			}
@@ -113,18 +133,45 @@
 	}
 }
 
-// Guards against a read index from an answer that may be older than its request.
-func TestUnprovenReadIndexDoesNotCount(t *testing.T) {
-	_, pool := startDoubtful(t, &doubtful{reusable: true})
-	if p, ok := pool.ReadIndex(context.Background(), 0, "coop"); ok {
-		t.Errorf("got the read index %+v", p)
+// Guards against a read index from an answer that may be older than its request, and against a quiet server, whose position
+// does not grow, that gives no read index at all.
+func TestReadIndexAtAServerThatRepeatsAnswers(t *testing.T) {
+	for strays, opened := range []int{1, 2} {
+		d := &doubtful{reusable: true, strays: strays}
+		_, pool := startDoubtful(t, d)
+		for range 3 {
+			if p, ok := pool.ReadIndex(context.Background(), 0, "coop"); !ok {
+				t.Errorf("%d strays: no read index, %+v", strays, p)
+			}
+		}
+		if d.opened != opened {
+			t.Errorf("%d strays: %d connections, want %d", strays, d.opened, opened)
+		}
 	}
-	// The signature of a read in a plain transaction proves the position.
-	if a := pool.Execute(context.Background(), read("s1", 1)); !a.OK() {
-		t.Fatalf("read: %+v", a)
+}
+
+// Guards against a read outside of the transaction in which it was to show that the server leads, taken for a read at the
+// leader.
+func TestLeaderReadOutsideOfItsTransaction(t *testing.T) {
+	_, pool := startDoubtful(t, &doubtful{reusable: true, idle: true})
+	c := read("s1", 1)
+	c.Values = nil
+	if a := pool.Execute(context.Background(), c); a.Delivery != statement.Unanswered {
+		t.Errorf("got %+v, want unanswered", a)
+	}
+	if p, ok := pool.LastReadIndex(); ok {
+		t.Errorf("got the read index %+v", p)
 	}
-	if _, ok := pool.LastReadIndex(); !ok {
-		t.Error("a read at the leader gave no read index")
+}
+
+// Guards against a write whose clean refusal cannot be told from the repetition of one before on its connection.
+func TestWriteNeedsAConnectionWithoutErrors(t *testing.T) {
+	d := &doubtful{reusable: true, refused: true}
+	_, pool := startDoubtful(t, d)
+	c := write("s1", 1)
+	c.Values = nil
+	if a := pool.Execute(context.Background(), c); !a.OK() || d.opened != 2 {
+		t.Errorf("got %+v after %d connections, want success on the second one", a, d.opened)
 	}
 }
 
--- a/internal/database/serverpool/run.go
+++ b/internal/database/serverpool/run.go
@@ -51,10 +51,10 @@
 	}
 	answer = answers[0]
 	p.recordAnswer()
-	if c.Writes() && !p.knowsOutcome(answer) {
+	if c.Writes() && !p.knowsOutcome(answer) || verifyLeader && answer.OK() && answer.State != statement.InTransaction {
 		return statement.NoAnswer("the server's answer is not certain"), false
 	}
-	if answer.Code == statement.ReadOnly {
+	if answer.Code == statement.ReadOnly && answer.Proven {
 		p.recordNotLeading()
 	}
 	pc.noteProof(answer)
@@ -118,20 +118,25 @@
 	}
 	a := answers[0]
 	p.recordAnswer()
-	if a.Code != "" && !a.Proven {
+	_, commit := c.Body.(statement.Commit)
+	if a.Code != "" && !a.Proven || a.OK() && !commit && a.State != statement.InTransaction {
 		p.finish(id, t, false)
 		return statement.NoAnswer("the server's answer is not certain")
 	}
 	t.pooledConn.noteProof(a)
 	// A server that has lost the lead still answers the commit of a transaction without writes.
-	if _, commit := c.Body.(statement.Commit); a.OK() && !commit && c.Scope == statement.Leader {
+	if a.OK() && !commit && c.Scope == statement.Leader {
 		p.recordReadIndex(a.Position, requestedAt)
 	}
 	if a.Code == statement.ReadOnly {
 		p.recordNotLeading()
 	}
-	if a.State == statement.Idle {
+	switch {
+	case a.State == statement.Idle:
 		p.finish(id, t, true)
+	case a.Code != "" && !t.pooledConn.conn.Reusable():
+		// The error may be that of a command before, and the answer to this one is still on its way.
+		p.finish(id, t, false)
 	}
 	return a
 }
@@ -269,13 +274,36 @@
 		return readindex.Index{}, false
 	}
 	defer ticket.Release()
+	index, ok := p.confirmIndex(ctx, pc)
+	if !ok && p.distrusts() && p.replace(ctx, pc) == nil {
+		index, ok = p.confirmIndex(ctx, pc)
+	}
+	p.releaseOrDiscard(pc, pc.conn.Reusable() && !pc.opened)
+	return index, ok
+}
+
+// confirmIndex opens and ends a transaction on a connection and returns the position of the opening. Without a proof of the
+// opening, its answer and that of the end show a repetition unless two of them came in their places; at a server that is
+// known to repeat answers the proof is required.
+func (p *Pool) confirmIndex(ctx context.Context, pc *pooledConn) (readindex.Index, bool) {
 	requestedAt := p.options.Boot()
-	if refusal, clean := p.prepareConnection(ctx, pc, statement.Call{Values: pc.sessionValues()}, &statement.OpenTransaction{}); refusal != nil {
-		p.releaseOrDiscard(pc, clean)
+	pc.opened = true
+	answers, err := p.send(pc, deadlineWithin(ctx, controlTimeout), statement.OpenTransaction{}, statement.CloseTransaction{})
+	if err != nil {
+		p.recordFailure()
+		return readindex.Index{}, false
+	}
+	p.recordAnswer()
+	opening := answers[0]
+	pc.opened = answers[1].Code != "" || answers[1].State != statement.Idle
+	switch {
+	case opening.Code == statement.ReadOnly && opening.Proven:
+		p.recordNotLeading()
+		return readindex.Index{}, false
+	case opening.Code != "" || pc.opened || !opening.Proven && p.distrusts():
 		return readindex.Index{}, false
 	}
-	answers, err := p.send(pc, deadlineWithin(ctx, controlTimeout), statement.CloseTransaction{})
-	p.releaseOrDiscard(pc, err == nil && answers[0].State == statement.Idle)
+	p.recordReadIndex(opening.Position, requestedAt)
 	index, ok := p.LastReadIndex()
 	return index, ok && index.RequestedAt >= requestedAt
 }
--- a/internal/database/serverpool/serverpool.go
+++ b/internal/database/serverpool/serverpool.go
@@ -51,7 +51,7 @@
 	maxPrepared            = 48               // prepared statements on one connection
 	closeIdleAfterFailures = 2                // consecutive failures
 	tooManyPause           = 2 * time.Second  // without additional connections after the server refused one
-	distrustPeriod         = 10 * time.Minute // after an answer that belonged to no command
+	distrustPeriod         = 30 * time.Second // after an answer that belonged to no command
 )
 
 // Options sets the limits of a pool. Zero fields take the defaults.
@@ -86,7 +86,8 @@
 	idleSince    time.Duration
 	// unprovenSetup is set while it is not proven that the server has the session values and prepared statements above.
 	unprovenSetup bool
-	strays        int // stray answers that are accounted for
+	strays        int  // stray answers that are accounted for
+	opened        bool // a transaction of the instance's own may be open
 }
 
 // transaction is an open transaction of a caller and the connection that it occupies.
--- a/internal/database/statement/command.go
+++ b/internal/database/statement/command.go
@@ -72,6 +72,8 @@
 	Report(deadline time.Time, c Command) (Report, error)
 	// Reusable reports whether the connection can carry further commands, because no answer is still on its way.
 	Reusable() bool
+	// Refused reports whether the connection has carried an error other than Behind, so that an equal one is not proven.
+	Refused() bool
 	// Strays returns how many answers were dropped because they belonged to no command that waited.
 	Strays() int
 	// ProvesOpening reports whether the answer to OpenTransaction will be proven if the server's log holds the position.
--- a/internal/standin/cluster/conn.go
+++ b/internal/standin/cluster/conn.go
@@ -73,6 +73,9 @@
 // Reusable implements statement.Conn.
 func (k *conn) Reusable() bool { return true }
 
+// Refused implements statement.Conn.
+func (k *conn) Refused() bool { return false }
+
 // Strays implements statement.Conn.
 func (k *conn) Strays() int { return 0 }
 
--- a/test/wire/check_test.go
+++ b/test/wire/check_test.go
@@ -119,13 +119,15 @@
 // transactionPlace is where the statements of a transaction run.
 type transactionPlace struct {
 	place
-	only string // id of the only statement that ran there, empty after a second one
+	only      string // id of the only statement that ran there, empty after a second one
+	signature string // of its answer
 }
 
 // transaction checks the part of PINNED that concerns transactions: all statements of one run in one transaction of one
 // server connection, and no other caller's statement runs in it. An instance may run a single statement inside a
 // transaction of its own. It may run the first statement of a transaction again on another connection if it has no certain
-// answer: nothing else ran in the transaction before, which is rolled back, and effect finds it if it is not.
+// answer: nothing else ran in the transaction before, its caller did not get the answer of that run, and effect finds a write
+// that was not rolled back.
 func (k *checker) transaction(r wire.Record, s *sent, owners map[place]*attempt, places map[*attempt]transactionPlace) {
 	if !forwarded(s.text) {
 		return
@@ -145,10 +147,10 @@
 	switch {
 	case ok && before.place == at && before.only != r.ID:
 		only = ""
-	case ok && before.place != at && before.only != r.ID && !s.transaction.single:
+	case ok && before.place != at && !s.transaction.single && (before.only != r.ID || before.signature == s.got.Signature):
 		k.find("PINNED", fmt.Sprintf("it ran in %+v, statements before it in %+v", at, before.place), r.ID)
 	}
-	owners[at], places[s.transaction] = s.transaction, transactionPlace{at, only}
+	owners[at], places[s.transaction] = s.transaction, transactionPlace{at, only, r.Signature}
 }
 
 // answer checks MIXED: a success carries the signature and the rows that a server gave for this id.
