--- a/internal/database/serverpool/proof_test.go
+++ b/internal/database/serverpool/proof_test.go
@@ -22,6 +22,8 @@
 	strays   int
 	refused  bool
 	idle     bool           // statements of callers are answered outside of a transaction
+	inside   bool           // statements of callers are answered inside a transaction
+	every    bool           // all connections are like the first one
 	code     statement.Code // of the answers to statements of callers on that connection
 }
 
@@ -31,7 +33,7 @@
 		d.together = true
 	}
 	d.opened++
-	if err != nil || d.opened > 1 {
+	if err != nil || d.opened > 1 && !d.every {
 		return conn, position, err
 	}
 	return doubtfulConn{conn, d}, position, nil
@@ -51,6 +53,9 @@
 			if c.dialer.idle {
 				answers[n].State = statement.Idle
 			}
+			if c.dialer.inside {
+				answers[n].State = statement.InTransaction
+			}
 		}
 	}
 	return answers, err
@@ -71,11 +76,16 @@
 
 // startDoubtful returns a pool for the primary of a cluster, whose first connection proves nothing.
 func startDoubtful(t *testing.T, d *doubtful) (*cluster.Cluster, *serverpool.Pool) {
+	t.Helper()
+	return startDoubtfulWith(t, d, 1)
+}
+
+func startDoubtfulWith(t *testing.T, d *doubtful, connections int) (*cluster.Cluster, *serverpool.Pool) {
 	t.Helper()
 	c := cluster.New(clock.Boot)
 	c.AddGroup("meals", "agreste", "sertao")
 	d.Dialer = c.Dialer("i1")
-	pool := serverpool.New(statement.Target{Server: primary, Group: "meals", Address: primary}, d, serverpool.Options{Connections: 1})
+	pool := serverpool.New(statement.Target{Server: primary, Group: "meals", Address: primary}, d, serverpool.Options{Connections: connections})
 	t.Cleanup(func() {
 		pool.Close()
 		for _, f := range c.Faults() {
@@ -133,6 +143,79 @@
 	}
 }
 
+// Guards against the reuse of a connection whose session values are not certain, because the read after them had no proof.
+func TestUnprovenSetupIsNotReused(t *testing.T) {
+	d := &doubtful{reusable: true}
+	_, pool := startDoubtful(t, d)
+	for n := range 2 {
+		if a := pool.Execute(context.Background(), read("s1", n)); !a.OK() {
+			t.Errorf("read %d: %+v", n, a)
+		}
+	}
+	if d.opened != 2 {
+		t.Errorf("%d connections, want 2", d.opened)
+	}
+}
+
+// Guards against a write that is sent although the connection that takes the place of another one proves nothing either.
+func TestUnprovenReplacementIsNotUsed(t *testing.T) {
+	c, pool := startDoubtful(t, &doubtful{reusable: true, every: true})
+	if a := pool.Execute(context.Background(), write("s1", 1)); a.Delivery != statement.NotSent || a.Code != statement.Aborted || c.Runs("s1/1") != 0 {
+		t.Errorf("got %+v and %d runs, want aborted and none", a, c.Runs("s1/1"))
+	}
+}
+
+// Guards against a transaction that goes on after an error that may be the repetition of an earlier one.
+func TestUnprovenErrorEndsTheTransaction(t *testing.T) {
+	_, pool := startDoubtful(t, &doubtful{reusable: true, code: statement.Busy})
+	c := read("s1", 1)
+	c.Step, c.Values = statement.First, nil
+	a := pool.Execute(context.Background(), c)
+	if _, transactions, _, _ := pool.Counts(); a.Delivery != statement.Unanswered || transactions != 0 {
+		t.Errorf("got %+v and %d open transactions, want unanswered and none", a, transactions)
+	}
+}
+
+// Guards against a write that is acknowledged although it ran inside a transaction, which ends without a commit.
+func TestWriteInsideATransactionIsNotAcknowledged(t *testing.T) {
+	_, pool := startDoubtful(t, &doubtful{reusable: true, inside: true})
+	c := write("s1", 1)
+	c.Values = nil
+	if a := pool.Execute(context.Background(), c); a.Delivery != statement.Unanswered {
+		t.Errorf("got %+v, want unanswered", a)
+	}
+}
+
+// Guards against connections that are replaced although another idle one gives the proof, or has carried no error.
+func TestConnectionIsChosenByWhatItProves(t *testing.T) {
+	plain := write("s1", 1)
+	plain.Values = nil
+	for name, test := range map[string]struct {
+		dialer doubtful
+		call   statement.Call
+	}{
+		"proof":    {doubtful{reusable: true}, write("s1", 1)},
+		"no error": {doubtful{reusable: true, refused: true}, plain},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := &test.dialer
+			_, pool := startDoubtfulWith(t, d, 2)
+			first := read("s2", 1)
+			first.Step, first.Values = statement.First, nil
+			opened := pool.Execute(context.Background(), first)
+			other := read("s3", 1)
+			other.Values = nil
+			pool.Execute(context.Background(), other)
+			end := first
+			end.Step, end.Body, end.Transaction = statement.End, statement.Rollback{}, opened.Transaction
+			pool.Execute(context.Background(), end) // the doubtful connection is released last
+			if a := pool.Execute(context.Background(), test.call); !a.OK() || d.opened != 2 {
+				t.Errorf("got %+v after %d connections, want success on the second one", a, d.opened)
+			}
+		})
+	}
+}
+
 // Guards against a read index from an answer that may be older than its request, and against a quiet server, whose position
 // does not grow, that gives no read index at all.
 func TestReadIndexAtAServerThatRepeatsAnswers(t *testing.T) {
