Remove what the proof of answers left without a use in the pool

ReadIndex prepares no connection any more, so that sessionValues has no caller and prepareConnection gets no call without a statement. A comment is wrapped. No change of behaviour.

--- a/internal/database/serverpool/connections.go
+++ b/internal/database/serverpool/connections.go
@@ -52,8 +52,9 @@
 var errClosed = errors.New("gate closed")
 
 // takeIdle removes an idle connection of the call's organisation from the idle list and returns it, or nil if there is
-// none. It prefers connections that have carried no error, then those that prove what the call needs to be proven, then one that the session used last, whose session
-// values are already set, and otherwise the one that was released last. The caller holds p.mu.
+// none. It prefers connections that have carried no error, then those that prove what the call needs to be proven, then one
+// that the session used last, whose session values are already set, and otherwise the one that was released last. The caller
+// holds p.mu.
 func (p *Pool) takeIdle(c statement.Call) *pooledConn {
 	conns := p.idleConnections[c.Organisation]
 	if len(conns) == 0 {
--- a/internal/database/serverpool/prepare.go
+++ b/internal/database/serverpool/prepare.go
@@ -114,7 +114,7 @@
 	if level == proofPreferred && p.distrusts() {
 		level = proofRequired
 	}
-	if refusal != nil || proven || level < proofRequired || c.Body == nil {
+	if refusal != nil || proven || level < proofRequired {
 		return refusal, clean
 	}
 	if refusal := p.replace(ctx, pc); refusal != nil {
--- a/internal/database/serverpool/run.go
+++ b/internal/database/serverpool/run.go
@@ -319,15 +319,6 @@
 	return other
 }
 
-// sessionValues returns the session values that are set on the connection.
-func (pc *pooledConn) sessionValues() []statement.Value {
-	values := make([]statement.Value, 0, len(pc.values))
-	for name, value := range pc.values {
-		values = append(values, statement.Value{Name: name, Value: value})
-	}
-	return values
-}
-
 // releaseOrDiscard makes a clean connection idle and closes any other one.
 func (p *Pool) releaseOrDiscard(pc *pooledConn, clean bool) {
 	if clean {
