Carry priorities, latency goals and server loads between instances

The parts that decide under load need them on calls and answers. Priorities, home regions and limits of cold servers are decoded; nothing acts on them yet. Tests: platform, relay and callersession pass.

--- a/internal/database/statement/statement.go
+++ b/internal/database/statement/statement.go
@@ -166,6 +166,10 @@
 	Preparation  *Preparation // set for Execute
 	Timeout      time.Duration
 	Expires      time.Duration // end of the timeout by the clock of the instance that holds the connection; 0 for none
+	// Priority is that of the database, and OrganisationPriority that of the organisation. 0 is the highest.
+	Priority             uint8
+	OrganisationPriority uint8
+	Goal                 time.Duration // time left of the latency goal when the call was sent; 0 for no goal
 }
 
 // Writes reports whether the statement itself changes data.
@@ -197,6 +201,19 @@
 	Delivery    Delivery
 	// Proven is set on the connection to a server if the answer cannot be the repetition of an earlier one.
 	Proven bool
+	// Load is that of the server, as its holder saw it; nil if it was not reported.
+	Load *Load
+}
+
+// Priorities is the number of priorities that loads and queues distinguish. Lower priorities count as the last one.
+const Priorities = 3
+
+// Load is the load of a server, as seen by the instance through which its statements go.
+type Load struct {
+	Wait    [Priorities]time.Duration // expected wait of a new statement in the queue, by priority
+	Running int                       // statements
+	Queued  int
+	Slots   int
 }
 
 // OK reports whether the server ran the statement without an error.
--- a/internal/fleet/catalog/catalog.go
+++ b/internal/fleet/catalog/catalog.go
@@ -39,6 +39,8 @@
 	Timeout     time.Duration // time limit of one statement
 	LatencyGoal time.Duration // target for the time of a whole operation
 	Public      bool          // callers need no key
+	Priority    int           // of statements; 0 is the highest
+	HomeRegions []string      // regions whose servers may run its statements; empty for all
 }
 
 // Group is a replicated database: a primary and its replicas.
@@ -46,14 +48,20 @@
 	Name            string
 	ConnectionLimit int // most connections to one server, over all instances
 	SyncReplicas    int // replicas that must hold a commit before it is acknowledged
+	// ColdPeriod is how long a server is cold after its start, and ColdRate the number of statements per second that a cold
+	// server may get from all instances together; 0 for no limit.
+	ColdPeriod time.Duration
+	ColdRate   float64
 }
 
 // Organisation is a customer with its API keys and its rate limit.
 type Organisation struct {
-	Name  string
-	Keys  []key.Hash
-	Rate  float64 // operations per second
-	Burst float64 // capacity of the token bucket, in operations
+	Name        string
+	Keys        []key.Hash
+	Rate        float64  // operations per second
+	Burst       float64  // capacity of the token bucket, in operations
+	Priority    int      // within the same priority of databases; 0 is the highest
+	HomeRegions []string // regions whose servers may run its statements; empty for all
 }
 
 // Configuration is one version of the operator's configuration. The zero value has no database and no organisation, so that
@@ -171,7 +179,8 @@
 	Slots     int  // statements that the server runs at the same time
 	Leaving   bool // the server is about to shut down
 	Role      driver.Role
-	StartedMS int64 // start of the server, in Unix milliseconds; a restarted server may keep its id
+	StartedMS int64         // start of the server, in Unix milliseconds; a restarted server may keep its id
+	ColdFor   time.Duration // how much longer the server stays slow after its start, when its row was written
 }
 
 // Servers is the list of all database servers at one version of the metadata store. The zero value is empty.
--- a/internal/fleet/relay/message.go
+++ b/internal/fleet/relay/message.go
@@ -58,6 +58,8 @@
 		Step: uint32(c.Step), Scope: uint32(c.Scope), ReadOnly: c.ReadOnly, After: encodePosition(c.After),
 		MaximumAgeMilliseconds: uint32(c.MaximumAge.Milliseconds()), Id: []byte(c.ID),
 		TimeoutMilliseconds: uint32(c.Timeout.Milliseconds()),
+		Priority:            uint32(c.Priority), OrganisationPriority: uint32(c.OrganisationPriority),
+		GoalMilliseconds: uint32(max(0, c.Goal.Milliseconds())),
 	}
 	switch b := c.Body.(type) {
 	case statement.Read:
@@ -88,7 +90,9 @@
 		Organisation: r.Organisation, Session: r.Session, Transaction: r.Transaction, Step: statement.Step(r.Step),
 		Scope: statement.Scope(r.Scope), ReadOnly: r.ReadOnly, After: decodePosition(r.After),
 		MaximumAge: time.Duration(r.MaximumAgeMilliseconds) * time.Millisecond, ID: string(r.Id),
-		Timeout: time.Duration(r.TimeoutMilliseconds) * time.Millisecond,
+		Timeout:  time.Duration(r.TimeoutMilliseconds) * time.Millisecond,
+		Priority: uint8(min(r.Priority, math.MaxUint8)), OrganisationPriority: uint8(min(r.OrganisationPriority, math.MaxUint8)),
+		Goal: time.Duration(r.GoalMilliseconds) * time.Millisecond,
 	}
 	if c.Step > statement.End || c.Scope > statement.Replica {
 		return c, eris.Errorf("step %d or scope %d", r.Step, r.Scope)
@@ -122,7 +126,7 @@
 func encodeAnswer(a statement.Answer) *relayv1.ExecuteResponse {
 	r := &relayv1.ExecuteResponse{
 		Signature: []byte(a.Signature), Code: string(a.Code), Text: []byte(a.Text), State: uint32(a.State),
-		Position: encodePosition(a.Position), Transaction: a.Transaction, Fate: uint32(a.Delivery),
+		Position: encodePosition(a.Position), Transaction: a.Transaction, Fate: uint32(a.Delivery), Load: encodeLoad(a.Load),
 	}
 	for _, row := range a.Rows {
 		r.Rows = append(r.Rows, []byte(row))
@@ -135,6 +139,7 @@
 	a := statement.Answer{
 		Signature: string(r.Signature), Code: statement.Code(r.Code), Text: string(r.Text), State: statement.State(r.State),
 		Position: decodePosition(r.Position), Transaction: r.Transaction, Delivery: statement.Delivery(r.Fate),
+		Load: decodeLoad(r.Load),
 	}
 	for _, row := range r.Rows {
 		a.Rows = append(a.Rows, string(row))
@@ -145,6 +150,34 @@
 	return a
 }
 
+// encodeLoad returns nil for an unknown load.
+func encodeLoad(l *statement.Load) *relayv1.Load {
+	if l == nil {
+		return nil
+	}
+	out := &relayv1.Load{Running: uint32(max(0, l.Running)), Queued: uint32(max(0, l.Queued)), Slots: uint32(max(0, l.Slots))}
+	for _, w := range l.Wait {
+		out.WaitMilliseconds = append(out.WaitMilliseconds, uint32(min(math.MaxInt32, max(0, w.Milliseconds()))))
+	}
+	return out
+}
+
+// decodeLoad is the inverse of encodeLoad. Priorities that the sender did not name wait as long as the last one that it did.
+func decodeLoad(l *relayv1.Load) *statement.Load {
+	if l == nil {
+		return nil
+	}
+	out := &statement.Load{Running: int(l.Running), Queued: int(l.Queued), Slots: int(l.Slots)}
+	last := time.Duration(0)
+	for n := range out.Wait {
+		if n < len(l.WaitMilliseconds) {
+			last = time.Duration(l.WaitMilliseconds[n]) * time.Millisecond
+		}
+		out.Wait[n] = last
+	}
+	return out
+}
+
 func encodeRates(rates map[string]float64) map[string]float32 {
 	out := make(map[string]float32, len(rates))
 	for name, r := range rates {
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -55,6 +55,9 @@
 	PromotionLease time.Duration // how long the promotion lease lasts without renewal
 	// MaxConfigurationAge is the age of the configuration past which callers are refused; 0 for no limit.
 	MaxConfigurationAge time.Duration
+	EvacuationTimeout   time.Duration // to the last statement at the servers of an evacuated data centre
+	// PriorityScheduling asks for the decisions by priority under load.
+	PriorityScheduling bool
 	// FirstStart means that all instances of the fleet start for the first time, so that no caller is waiting.
 	FirstStart bool
 }
@@ -141,7 +144,8 @@
 	n.limiter = allotment.NewLimiter(n.rates, n.rates.totalSettings, allotment.Options{RateWait: rateTokenTimeout, HomeWait: 2 * rateTokenTimeout})
 	n.environment = callersession.Environment{
 		Configuration: n.table.Configuration, ConfigurationFresh: n.configurationFresh, Dispatcher: n.dispatcher, Limiter: admission{n.rates},
-		Observer: n.observer, Draining: n.endingSessions.Load, Stopping: n.endsWithin,
+		Priorities: o.Settings.PriorityScheduling,
+		Observer:   n.observer, Draining: n.endingSessions.Load, Stopping: n.endsWithin,
 	}
 	n.server = relay.NewServer(relay.NewHandler(&services{n}, n.boot))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/session/callersession/callersession.go
+++ b/internal/session/callersession/callersession.go
@@ -16,6 +16,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"math"
 	"time"
 
 	"tanagercross/internal/database/driver"
@@ -66,6 +67,8 @@
 	Limiter            Limiter
 	Observer           Observer
 	Draining           func() bool // the instance shuts down; sessions close when they have no open transaction
+	// Priorities asks for the priorities of databases and organisations on calls.
+	Priorities bool
 	// Stopping reports whether the process may end before a statement with the given timeout is answered.
 	Stopping func(timeout time.Duration) bool
 }
@@ -190,6 +193,7 @@
 	if refusal.Code != "" {
 		return refusal
 	}
+	call = s.withPriority(call, db)
 	call.Step = statement.Single
 	if db.Consistency == catalog.ReadYourWrites {
 		call.After = s.lastCommit
@@ -295,6 +299,20 @@
 	return call, statement.Answer{}
 }
 
+// withPriority returns a copy of a call with the priorities and the latency goal of its database, if calls carry them.
+func (s *Session) withPriority(c statement.Call, db catalog.Database) statement.Call {
+	if !s.env.Priorities {
+		return c
+	}
+	o, _ := s.env.Configuration().Organisation(s.organisation)
+	c.Priority, c.OrganisationPriority = priority(db.Priority), priority(o.Priority)
+	c.Goal = db.LatencyGoal
+	return c
+}
+
+// priority returns a configured priority in the range of calls.
+func priority(n int) uint8 { return uint8(min(max(0, n), math.MaxUint8)) }
+
 // recordCommit keeps the log position of a commit, from which a later read must see it.
 func (s *Session) recordCommit(p driver.Position) {
 	// A position of a newer term replaces an older one, whose log entry a change of primary may have removed.
--- a/internal/session/callersession/transaction.go
+++ b/internal/session/callersession/transaction.go
@@ -49,6 +49,7 @@
 		return refusal
 	}
 	s.mayHaveWritten = s.mayHaveWritten || call.Writes()
+	call = s.withPriority(call, s.transactionDatabase)
 	_, isCommit := q.Body.(statement.Commit)
 	if s.pin == nil {
 		return s.openTransaction(ctx, call, isCommit)
