Grant rate tokens by priority

Cause: tokens of an organisation above its rate went to whoever asked first.

Change: with PriorityScheduling, instances ask the coordinator for tokens by class of priority (wanted_by_priority), also when data centres lend tokens. allotment.Reserve keeps tokens in the bucket for the more urgent classes, learnt from what they take, and leaves 5% to the less urgent. TokenCache serves waiting callers by class, displaces the least urgent from a full queue, keeps prefetched tokens for the more urgent while the organisation is over its rate, and refuses callers at once whose class has no chance. Refusals name a time to retry from the rate at which the class gets tokens. New counters of granted and refused tokens by priority; the line "rate used up" tells what was reserved. Without the setting, calls and messages are as before.

Tests: the signature of callersession.Limiter changed, and with it the stand-in in callersession_test.go. The simulation of allotment_test.go runs TestRateNeverExceeded a second time with classes (100 seeds).

--- a/internal/fleet/relay/handler.go
+++ b/internal/fleet/relay/handler.go
@@ -51,6 +51,7 @@
 func (h *handler) Take(ctx context.Context, r *connect.Request[relayv1.TakeRequest]) (*connect.Response[relayv1.TakeResponse], error) {
 	g := h.services.TakeTokens(ctx, TokenRequest{
 		From: r.Msg.From, Organisation: r.Msg.Organisation, Wanted: int(r.Msg.Wanted), Lend: r.Msg.Lend,
+		ByClass: decodeByClass(r.Msg.WantedByPriority, int(r.Msg.Wanted)),
 	})
 	return connect.NewResponse(&relayv1.TakeResponse{
 		Granted: uint32(max(0, g.Granted)), RetryMilliseconds: uint32(g.RetryAfter.Milliseconds()), NotHome: g.NotHome,
--- a/internal/fleet/relay/message.go
+++ b/internal/fleet/relay/message.go
@@ -10,6 +10,7 @@
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/fleet/view"
 	relayv1 "tanagercross/internal/genproto/relay/v1"
+	"tanagercross/internal/organisation/allotment"
 )
 
 // Kinds of statements as encoded in ExecuteRequest.
@@ -178,6 +179,29 @@
 	return out
 }
 
+// encodeByClass returns nil if no class is named.
+func encodeByClass(b allotment.ByClass) []uint32 {
+	if b.Total() == 0 {
+		return nil
+	}
+	out := make([]uint32, 0, len(b))
+	for _, tokens := range b {
+		out = append(out, uint32(max(0, tokens)))
+	}
+	return out
+}
+
+// decodeByClass returns the classes of the tokens wanted. Priorities past the lowest class count as that class.
+func decodeByClass(wanted []uint32, total int) allotment.ByClass {
+	var named allotment.ByClass
+	for n, tokens := range wanted {
+		if n < int(allotment.Lowest) {
+			named[n] = int(tokens)
+		}
+	}
+	return named.Completed(total)
+}
+
 func encodeRates(rates map[string]float64) map[string]float32 {
 	out := make(map[string]float32, len(rates))
 	for name, r := range rates {
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -89,7 +89,9 @@
 	From         string // name of the instance that asks
 	Organisation string
 	Wanted       int
-	Lend         bool // the tokens are borrowed for callers of another place
+	// ByClass names the classes of the tokens wanted; those that it does not name are of the lowest class.
+	ByClass allotment.ByClass
+	Lend    bool // the tokens are borrowed for callers of another place
 }
 
 // Services are the operations that an instance offers to others. A handler of NewHandler calls them concurrently.
@@ -227,7 +229,7 @@
 
 // TakeTokens asks an instance for rate tokens. If it fails, tokens may have been granted and are lost.
 func (c *Client) TakeTokens(ctx context.Context, address string, t TokenRequest) (allotment.Grant, error) {
-	in := &relayv1.TakeRequest{From: t.From, Organisation: t.Organisation, Wanted: uint32(max(0, t.Wanted)), Lend: t.Lend}
+	in := &relayv1.TakeRequest{From: t.From, Organisation: t.Organisation, Wanted: uint32(max(0, t.Wanted)), Lend: t.Lend, WantedByPriority: encodeByClass(t.ByClass)}
 	p := c.peer(address)
 	out, err := monitoredCall(ctx, "take", p, p.service.Take, in, takeTokensTimeout)
 	if err != nil {
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -25,6 +25,7 @@
 	received relay.Gossip
 	response view.State
 	delay    time.Duration
+	tokens   relay.TokenRequest
 }
 
 func (i *fakeInstance) Execute(_ context.Context, _ string, c statement.Call) statement.Answer {
@@ -39,6 +40,7 @@
 }
 
 func (i *fakeInstance) TakeTokens(_ context.Context, w relay.TokenRequest) allotment.Grant {
+	i.tokens = w
 	return allotment.Grant{Granted: w.Wanted - 1, RetryAfter: 30 * time.Millisecond}
 }
 
@@ -194,6 +196,21 @@
 	}
 }
 
+// Guards against wanted tokens that arrive under another priority, and against requests without priorities, as earlier
+// versions send them, that do not count as the lowest.
+func TestTokensWantedByPriority(t *testing.T) {
+	instance := &fakeInstance{}
+	client, address := serve(t, instance)
+	for sent, want := range map[allotment.ByClass]allotment.ByClass{{1, 2, 4}: {1, 2, 4}, {}: {0, 0, 7}, {0, 2, 0}: {0, 2, 5}, {9, 9, 9}: {7, 0, 0}} {
+		if _, err := client.TakeTokens(t.Context(), address, relay.TokenRequest{Organisation: "coop", Wanted: 7, ByClass: sent}); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(relay.TokenRequest{Organisation: "coop", Wanted: 7, ByClass: want}, instance.tokens); diff != "" {
+			t.Errorf("sent %v (-want +got):\n%s", sent, diff)
+		}
+	}
+}
+
 // Guards against fields of the other calls that are lost in encoding or decoding.
 func TestOtherCalls(t *testing.T) {
 	client, address := serve(t, &fakeInstance{})
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -141,7 +141,9 @@
 	n.failover = newFailover(n)
 	n.gossip = newGossip(n)
 	n.dispatcher = dispatch.New(n.table, n.pools, dispatch.Options{Boot: n.boot, Observer: n.observer})
-	n.limiter = allotment.NewLimiter(n.rates, n.rates.totalSettings, allotment.Options{RateWait: rateTokenTimeout, HomeWait: 2 * rateTokenTimeout})
+	n.limiter = allotment.NewLimiter(n.rates, n.rates.totalSettings, allotment.Options{
+		RateWait: rateTokenTimeout, HomeWait: 2 * rateTokenTimeout, ByPriority: o.Settings.PriorityScheduling,
+	})
 	n.environment = callersession.Environment{
 		Configuration: n.table.Configuration, ConfigurationFresh: n.configurationFresh, Dispatcher: n.dispatcher, Limiter: admission{n.rates},
 		Priorities: o.Settings.PriorityScheduling,
--- a/internal/instance/entry/entry_test.go
+++ b/internal/instance/entry/entry_test.go
@@ -28,12 +28,13 @@
 
 // fleet is a deployment in one process: a simulated platform with its servers, and instances in its places.
 type fleet struct {
-	t       *testing.T
-	cluster *cluster.Cluster
-	nodes   []*entry.Node
-	regions roster.Regions
-	decoder view.Decoder // that of the cluster if nil
-	ids     atomic.Int64
+	t          *testing.T
+	cluster    *cluster.Cluster
+	nodes      []*entry.Node
+	byPriority bool // instances decide by priority under load
+	regions    roster.Regions
+	decoder    view.Decoder // that of the cluster if nil
+	ids        atomic.Int64
 }
 
 // configuration returns a configuration with three databases of the group meals and one organisation.
@@ -114,7 +115,7 @@
 		decoder = f.cluster
 	}
 	n, err := entry.Start(entry.Options{
-		Settings: entry.Settings{Name: name, Place: place, Regions: f.regions, PeersAddress: address, PromotionLease: time.Second},
+		Settings: entry.Settings{Name: name, Place: place, Regions: f.regions, PeersAddress: address, PromotionLease: time.Second, PriorityScheduling: f.byPriority},
 		Store:    store, Promoter: f.cluster, Decoder: decoder, Dialer: f.cluster.Dialer(name),
 		Metrics: metric.New(), Log: slog.New(slog.NewJSONHandler(logWriter(), nil)).With("node", name),
 	})
--- a/internal/instance/entry/lending.go
+++ b/internal/instance/entry/lending.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
-	"tanagercross/internal/fleet/relay"
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/metric"
 	"tanagercross/internal/organisation/allotment"
@@ -26,21 +26,35 @@
 
 // grantOrBorrow hands out tokens of the place, and borrows the missing ones from other places. Shares follow the demand
 // averaged over seconds, and the share of one place is too small for random peaks.
-func (r *rates) grantOrBorrow(ctx context.Context, organisation string, wanted int) allotment.Grant {
+func (r *rates) grantOrBorrow(ctx context.Context, organisation string, wanted allotment.ByClass) allotment.Grant {
 	g, a := r.grantLocal(organisation, wanted)
-	if g.NotHome || g.Granted >= wanted || a.organisation == "" {
+	if g.NotHome || g.Granted >= wanted.Total() || a.organisation == "" {
 		return g
 	}
 	r.recordShortage(organisation)
-	borrowed, from := r.borrow(ctx, a, wanted-g.Granted)
+	borrowed, from := r.borrow(ctx, a, r.missing(wanted, g))
 	g.Granted += borrowed
 	r.n.observer.metrics.Add(metric.TokensBorrowed, borrowed)
-	r.n.log.Info("rate used up", "organisation", organisation, "rate", a.rate, "burst", a.burst, "part", a.part,
-		"live", a.live, "all", a.all, "wanted", wanted, "granted", g.Granted, "borrowed", borrowed, "lenders", from,
-		"retry_ms", g.RetryAfter.Milliseconds())
+	fields := []any{
+		"organisation", organisation, "rate", a.rate, "burst", a.burst, "part", a.part,
+		"live", a.live, "all", a.all, "wanted", wanted.Total(), "granted", g.Granted, "borrowed", borrowed, "lenders", from,
+		"retry_ms", g.RetryAfter.Milliseconds(),
+	}
+	if r.n.settings.PriorityScheduling {
+		fields = append(fields, "wanted_by_priority", wanted, "granted_by_priority", g.ByClass, "reserved", math.Round(g.Reserved))
+	}
+	r.n.log.Info("rate used up", fields...)
 	return g
 }
 
+// missing returns the wanted tokens that the place did not grant.
+func (r *rates) missing(wanted allotment.ByClass, g allotment.Grant) allotment.ByClass {
+	if r.n.settings.PriorityScheduling {
+		return wanted.Minus(g.ByClass)
+	}
+	return wanted.Without(g.Granted)
+}
+
 // recordShortage records that the place has fewer tokens of an organisation than its callers need.
 func (r *rates) recordShortage(organisation string) {
 	r.mu.Lock()
@@ -49,7 +63,7 @@
 }
 
 // grantLocal hands out tokens of the place alone. If this instance is not the coordinator, the grant says so.
-func (r *rates) grantLocal(organisation string, wanted int) (allotment.Grant, allowance) {
+func (r *rates) grantLocal(organisation string, wanted allotment.ByClass) (allotment.Grant, allowance) {
 	if !r.n.gossip.isCoordinator() {
 		return allotment.Grant{NotHome: true}, allowance{}
 	}
@@ -63,12 +77,12 @@
 
 // borrow requests tokens from up to maxLenders places, one after the other, those with the most unused rate first. It
 // returns the number of tokens and the places that were called.
-func (r *rates) borrow(ctx context.Context, a allowance, wanted int) (n int, from []string) {
+func (r *rates) borrow(ctx context.Context, a allowance, wanted allotment.ByClass) (n int, from []string) {
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	now := r.n.boot()
 	for _, place := range Lenders(a.organisation, a.rate, r.n.settings.Place, r.n.table.Places(), r.n.table.Demands()) {
-		if n >= wanted || len(from) == maxLenders || ctx.Err() != nil {
+		if n >= wanted.Total() || len(from) == maxLenders || ctx.Err() != nil {
 			break
 		}
 		r.mu.Lock()
@@ -77,9 +91,9 @@
 		if paused {
 			continue
 		}
-		n += r.requestTokens(ctx, a.organisation, place, wanted-n)
+		n += r.requestTokens(ctx, a.organisation, place, wanted.Without(n))
 		from = append(from, place)
-		if n < wanted {
+		if n < wanted.Total() {
 			r.mu.Lock()
 			r.lenderPausedUntil[lender{a.organisation, place}] = now + lenderBackOff
 			r.mu.Unlock()
@@ -90,20 +104,20 @@
 
 // requestTokens requests tokens from the coordinator of a place and returns their number, 0 if there is no answer. Tokens
 // of an answer that arrives too late are lost.
-func (r *rates) requestTokens(ctx context.Context, organisation, place string, wanted int) int {
+func (r *rates) requestTokens(ctx context.Context, organisation, place string, wanted allotment.ByClass) int {
 	now := r.n.boot()
 	for _, m := range r.n.table.Coordinators(place) {
 		if r.n.table.Suspected(now, m.Name) {
 			continue
 		}
-		g, err := r.n.client.TakeTokens(ctx, m.Address, relay.TokenRequest{
-			From: r.n.settings.Name, Organisation: organisation, Wanted: wanted, Lend: true,
-		})
+		t := r.tokenRequest(organisation, wanted)
+		t.Lend = true
+		g, err := r.n.client.TakeTokens(ctx, m.Address, t)
 		if err != nil {
 			r.n.log.Warn("no answer about tokens", "organisation", organisation, "place", place, "steward", m.Name, "error", err.Error())
 			return 0
 		}
-		return min(wanted, g.Granted)
+		return min(wanted.Total(), g.Granted)
 	}
 	return 0
 }
--- a/internal/instance/entry/observe.go
+++ b/internal/instance/entry/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strconv"
 	"sync"
 	"time"
 
@@ -9,8 +10,10 @@
 	"tanagercross/internal/fleet/catalog"
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/metric"
+	"tanagercross/internal/organisation/allotment"
 	"tanagercross/internal/request/dispatch"
 	"tanagercross/internal/service/recovery"
+	"tanagercross/internal/session/outcome"
 )
 
 // slowStatement is the duration above which a successful statement is logged.
@@ -176,6 +179,15 @@
 		"configuration", o.n.table.Configuration().Version)
 }
 
+// tokenDecided counts an operation that got a rate token or was refused, by the class of its priority.
+func (o *observer) tokenDecided(c allotment.Class, refused outcome.Reason) {
+	name := metric.TokensGranted
+	if refused != "" {
+		name = metric.TokensRefused
+	}
+	o.metrics.Count(name, metric.Label{Name: "priority", Value: strconv.Itoa(int(c))})
+}
+
 // Answered implements callersession.Observer.
 func (o *observer) Answered(database, organisation string, q statement.Query, a statement.Answer, took time.Duration) {
 	o.metrics.Count(metric.Statements, metric.Label{Name: "code", Value: string(a.Code)})
--- a/internal/instance/entry/rates.go
+++ b/internal/instance/entry/rates.go
@@ -66,12 +66,18 @@
 }
 
 // admit takes a token for an operation of an organisation and counts the operation as demand. It returns the reason of a
-// refusal, if any.
-func (r *rates) admit(ctx context.Context, organisation string) outcome.Reason {
+// refusal, if any, and the time to retry, if that is known.
+func (r *rates) admit(ctx context.Context, organisation string, priority uint8) (outcome.Reason, time.Duration) {
 	r.mu.Lock()
 	r.counts[organisation]++
 	r.mu.Unlock()
-	return r.n.limiter.Take(ctx, organisation)
+	if !r.n.settings.PriorityScheduling {
+		return r.n.limiter.Take(ctx, organisation), 0
+	}
+	c := allotment.ClassOf(priority)
+	reason, retry := r.n.limiter.TakeClass(ctx, organisation, c)
+	r.n.observer.tokenDecided(c, reason)
+	return reason, retry
 }
 
 // totalSettings returns the rate and burst of an organisation for all instances together, zero if it is not configured.
@@ -265,12 +271,15 @@
 }
 
 // grant hands out tokens of the place's bucket, after adding tokens accumulated before a restart of the place.
-func (r *rates) grant(now time.Duration, a allowance, wanted int) allotment.Grant {
+func (r *rates) grant(now time.Duration, a allowance, wanted allotment.ByClass) allotment.Grant {
 	since := r.n.gossip.coordinatorSince()
 	if tokens := r.takeSavedTokens(now-since, a.organisation, a.Rate); tokens > 0 {
 		r.buckets.Add(toTime(since), a.organisation, a.Settings, tokens)
 	}
-	return r.buckets.Grant(toTime(now), toTime(since), a.organisation, a.Settings, wanted)
+	if r.n.settings.PriorityScheduling {
+		return r.buckets.GrantByClass(toTime(now), toTime(since), a.organisation, a.Settings, wanted)
+	}
+	return r.buckets.Grant(toTime(now), toTime(since), a.organisation, a.Settings, wanted.Total())
 }
 
 // checkEarlierDemand checks the demands that another instance of the place sent. A demand of the place from before this
@@ -309,9 +318,14 @@
 // errPanicked is the error of a request for tokens that ended by a panic.
 var errPanicked = errors.New("entry: rate tokens: panic")
 
-// Take implements allotment.Taker: it requests tokens from the coordinator of the place. If the call fails, the
+// Take implements allotment.Taker.
+func (r *rates) Take(ctx context.Context, organisation string, wanted, _ int) (allotment.Grant, error) {
+	return r.TakeByClass(ctx, organisation, allotment.ByClass{}.Completed(wanted))
+}
+
+// TakeByClass implements allotment.ClassTaker: it requests tokens from the coordinator of the place. If the call fails, the
 // coordinator is suspected. If no instance of the place answers calls, the grant says that this is not the home.
-func (r *rates) Take(ctx context.Context, organisation string, wanted, _ int) (_ allotment.Grant, err error) {
+func (r *rates) TakeByClass(ctx context.Context, organisation string, wanted allotment.ByClass) (_ allotment.Grant, err error) {
 	defer recovery.Catch(func(p recovery.Panic) {
 		r.n.observer.Panicked("rate tokens", p)
 		err = errPanicked
@@ -342,14 +356,23 @@
 }
 
 // takeFrom requests tokens from another instance of the place.
-func (r *rates) takeFrom(ctx context.Context, m roster.Member, organisation string, wanted int) (allotment.Grant, error) {
-	return r.n.client.TakeTokens(ctx, m.Address, relay.TokenRequest{From: r.n.settings.Name, Organisation: organisation, Wanted: wanted})
+func (r *rates) takeFrom(ctx context.Context, m roster.Member, organisation string, wanted allotment.ByClass) (allotment.Grant, error) {
+	return r.n.client.TakeTokens(ctx, m.Address, r.tokenRequest(organisation, wanted))
+}
+
+// tokenRequest returns a request for tokens. It names classes only with priority scheduling.
+func (r *rates) tokenRequest(organisation string, wanted allotment.ByClass) relay.TokenRequest {
+	t := relay.TokenRequest{From: r.n.settings.Name, Organisation: organisation, Wanted: wanted.Total()}
+	if r.n.settings.PriorityScheduling {
+		t.ByClass = wanted
+	}
+	return t
 }
 
 // takeFromSkipped requests tokens from the first of the instances that were skipped as unresponsive, after another one has
 // answered that it is not the coordinator. When all instances of a place restart, one that was called just before it
 // listened is the coordinator, and suspected.
-func (r *rates) takeFromSkipped(ctx context.Context, skipped []roster.Member, organisation string, wanted int) allotment.Grant {
+func (r *rates) takeFromSkipped(ctx context.Context, skipped []roster.Member, organisation string, wanted allotment.ByClass) allotment.Grant {
 	if len(skipped) == 0 {
 		return allotment.Grant{NotHome: true}
 	}
@@ -368,6 +391,6 @@
 type admission struct{ r *rates }
 
 // Take implements callersession.Limiter.
-func (a admission) Take(ctx context.Context, organisation string) outcome.Reason {
-	return a.r.admit(ctx, organisation)
+func (a admission) Take(ctx context.Context, organisation string, priority uint8) (outcome.Reason, time.Duration) {
+	return a.r.admit(ctx, organisation, priority)
 }
--- a/internal/instance/entry/rates_test.go
+++ b/internal/instance/entry/rates_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"tanagercross/internal/database/statement"
+	"tanagercross/internal/fleet/catalog"
 	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/clock"
@@ -80,6 +81,55 @@
 	}
 }
 
+// Guards against an organisation above its rate whose most urgent operations are refused beside less urgent ones, in the
+// place of the coordinator and at the instances that ask it.
+func TestUrgentOperationsGetTokens(t *testing.T) {
+	const rate = 60.0
+	f := newFleet(t)
+	f.byPriority = true
+	for n, place := range []string{"agreste", "agreste", "sertao"} {
+		f.start(fmt.Sprintf("i%d", n+1), place)
+	}
+	f.awaitReady()
+	c := configuration(2, rate, keyText)
+	o, _ := c.Organisation("coop")
+	urgent, _ := c.Database("tally")
+	lowest, _ := c.Database("plates")
+	urgent.Consistency, lowest.Priority = lowest.Consistency, 2
+	group, _ := c.Group("meals")
+	f.cluster.Configure(catalog.NewConfiguration(2, []catalog.Database{urgent, lowest}, []catalog.Group{group}, []catalog.Organisation{o}))
+	f.eventually("priorities", func() bool { return f.nodes[2].Table().Configuration().Version == 2 })
+	var asked, refused, refusedLowest atomic.Int64
+	var callers sync.WaitGroup
+	started := time.Now()
+	for n := range f.nodes {
+		for range 4 {
+			callers.Go(func() {
+				for s := f.session(n, "plates"); time.Since(started) < 5*time.Second; time.Sleep(10 * time.Millisecond) {
+					if !s.read("plates").OK() {
+						refusedLowest.Add(1)
+					}
+				}
+			})
+		}
+		callers.Go(func() {
+			for s := f.session(n, "tally"); time.Since(started) < 5*time.Second; time.Sleep(150 * time.Millisecond) {
+				if ok := s.read("tally").OK(); time.Since(started) > 2*time.Second {
+					asked.Add(1)
+					if !ok {
+						refused.Add(1)
+					}
+				}
+			}
+		})
+	}
+	callers.Wait()
+	if refused.Load()*10 > asked.Load() || refusedLowest.Load() < 100 {
+		t.Errorf("%d of %d operations of priority 0 refused beside %d of the lowest, want at most a tenth beside 100", refused.Load(), asked.Load(), refusedLowest.Load())
+	}
+	t.Logf("%d of %d of priority 0 refused, %d of the lowest", refused.Load(), asked.Load(), refusedLowest.Load())
+}
+
 // Guards against callers of one place who are refused below the rate of their organisation while the shares of other
 // places are unused, and against borrowed tokens that are granted by both places.
 func TestPlacesLendTokens(t *testing.T) {
--- a/internal/instance/entry/services.go
+++ b/internal/instance/entry/services.go
@@ -55,11 +55,11 @@
 // TakeTokens implements relay.Services.
 func (s *services) TakeTokens(ctx context.Context, t relay.TokenRequest) allotment.Grant {
 	if t.Lend {
-		g, _ := s.n.rates.grantLocal(t.Organisation, t.Wanted)
+		g, _ := s.n.rates.grantLocal(t.Organisation, t.ByClass)
 		return g
 	}
 	s.n.table.ClearSuspicion(s.n.boot(), t.From)
-	return s.n.rates.grantOrBorrow(ctx, t.Organisation, t.Wanted)
+	return s.n.rates.grantOrBorrow(ctx, t.Organisation, t.ByClass)
 }
 
 // ReadIndex implements relay.Services.
--- a/internal/instance/metric/entry.go
+++ b/internal/instance/metric/entry.go
@@ -12,6 +12,8 @@
 	StatementRetried CounterName = "tanagercross_statement_retried_total" // by reason
 	ReadsServed      CounterName = "tanagercross_reads_served_total"      // by scope
 	TokensBorrowed   CounterName = "tanagercross_tokens_borrowed_total"   // from other places
+	TokensGranted    CounterName = "tanagercross_tokens_granted_total"    // to operations, by priority
+	TokensRefused    CounterName = "tanagercross_tokens_refused_total"    // to operations, by priority
 	AnswersUnmatched CounterName = "tanagercross_answers_unmatched_total" // by reason
 	LeaderChanges    CounterName = "tanagercross_leader_changes_total"
 	Panics           CounterName = "tanagercross_panics_total"
--- a/internal/organisation/allotment/allotment_test.go
+++ b/internal/organisation/allotment/allotment_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -24,6 +25,7 @@
 	loadFactor   float64 // offered requests divided by the rate
 	singleCache  bool    // all requests arrive at one cache
 	faults       bool
+	byPriority   bool // requests are of random classes
 	leaseSettled bool // the home has held its lease for a minute, so that its bucket is full
 	duration     time.Duration
 
@@ -47,7 +49,7 @@
 	pausedUntil := make([]time.Time, r.caches)
 	withinIdeal := make([]map[Ticket]bool, r.caches) // whether an ideal bucket would have admitted the request
 	for i := range caches {
-		caches[i], withinIdeal[i] = NewTokenCache(Options{}), make(map[Ticket]bool)
+		caches[i], withinIdeal[i] = NewTokenCache(Options{ByPriority: r.byPriority}), make(map[Ticket]bool)
 	}
 	var homes Homes
 	var messages []message
@@ -77,7 +79,7 @@
 				// A call that arrives at an instance without the lease is refused.
 				m.grant = Grant{NotHome: true}
 				if !now.Before(leaseHeldFrom) {
-					m.grant = homes.Grant(now, leaseStart, "a", r.settings, m.call.Wanted)
+					m.grant = r.grant(&homes, now, leaseStart, m.call)
 				}
 				m.granted, m.at = true, r.arrival(now)
 				kept = append(kept, m)
@@ -100,7 +102,10 @@
 			if now.Before(pausedUntil[i]) {
 				continue
 			}
-			for _, refusal := range c.ExpireWaiters(now) {
+			for range c.Serve(now) {
+				admit()
+			}
+			for _, refusal := range slices.Concat(c.Displaced(), c.ExpireWaiters(now)) {
 				if withinIdeal[i][refusal.Ticket] {
 					r.refusedInside++
 				}
@@ -117,7 +122,7 @@
 					idealLevel--
 					r.insideRate++
 				}
-				ticket, reason := c.Request(now)
+				ticket, reason := c.RequestClass(now, r.class())
 				switch {
 				case reason != "" && withinIdealNow:
 					r.refusedInside++
@@ -134,6 +139,22 @@
 	}
 }
 
+// grant answers a call at the home.
+func (r *simulation) grant(homes *Homes, now, leaseStart time.Time, c Call) Grant {
+	if r.byPriority {
+		return homes.GrantByClass(now, leaseStart, "a", r.settings, c.ByClass)
+	}
+	return homes.Grant(now, leaseStart, "a", r.settings, c.Wanted)
+}
+
+// class returns the class of a request.
+func (r *simulation) class() Class {
+	if r.byPriority {
+		return Class(r.random.IntN(Classes))
+	}
+	return Lowest
+}
+
 // arrival returns when a message that is sent now arrives: usually after a delay within a region, sometimes after one
 // between regions.
 func (r *simulation) arrival(now time.Time) time.Time {
@@ -151,11 +172,18 @@
 // restarts and changes of the home, pauses of the process, late and lost answers, at up to ten times the rate. A bucket
 // of the full rate and burst that never goes below zero shows it for all windows.
 func TestRateNeverExceeded(t *testing.T) {
+	t.Run("order of arrival", func(t *testing.T) { testRateNeverExceeded(t, false, 200) })
+	t.Run("by priority", func(t *testing.T) { testRateNeverExceeded(t, true, 100) })
+}
+
+func testRateNeverExceeded(t *testing.T, byPriority bool, seeds uint64) {
+	t.Helper()
 	admitted := 0
-	for seed := range uint64(200) {
+	for seed := range seeds {
 		random := rand.New(rand.NewPCG(seed, 5))
 		r := simulation{
-			random: random, caches: 1 + random.IntN(15), loadFactor: 10 * random.Float64(), faults: true, duration: 4 * time.Second,
+			byPriority: byPriority,
+			random:     random, caches: 1 + random.IntN(15), loadFactor: 10 * random.Float64(), faults: true, duration: 4 * time.Second,
 			settings: Settings{Rate: 10 + 990*random.Float64(), Burst: 2 + 400*random.Float64()}, singleCache: seed%2 == 0,
 		}
 		r.simulate()
--- a/internal/organisation/allotment/bucket.go
+++ b/internal/organisation/allotment/bucket.go
@@ -7,6 +7,10 @@
 // so at most b - r*V + r*(W + V) = b + r*W requests are admitted in the window. A new home starts with an empty bucket,
 // so the limit also holds across a change of home.
 //
+// With Options.ByPriority, operations have classes of priority. The Reserve of a bucket leaves tokens in it for the more
+// urgent classes, and a TokenCache hands its tokens to the more urgent callers first. Both only decide who gets the tokens
+// of the bucket, so that the limit holds as without classes. The less urgent classes together keep lowerShare.
+//
 // # Usage
 //
 // At the home, while its lease is valid:
@@ -20,7 +24,12 @@
 //		return outcome.NotRun(reason)
 //	}
 //
-// Bucket and TokenCache do no I/O and take the time as a parameter. Homes and Limiter are safe for concurrent use.
+// By priority, with the Homes and the Limiter of a Taker that implements ClassTaker:
+//
+//	grant := homes.GrantByClass(now, leaseStart, "sertao_coop", settings, allotment.ByClass{1, 0, 4})
+//	reason, retry := limiter.TakeClass(ctx, "sertao_coop", allotment.ClassOf(priority))
+//
+// Bucket, Reserve and TokenCache do no I/O and take the time as a parameter. Homes and Limiter are safe for concurrent use.
 package allotment
 
 import (
@@ -65,6 +74,8 @@
 	Granted    int           // tokens
 	NotHome    bool          // the instance that was asked does not hold the organisation's lease
 	RetryAfter time.Duration // time until the next token, if fewer than requested were granted
+	ByClass    ByClass       // parts of Granted by class; only from Reserve.Take
+	Reserved   float64       // tokens that the lowest class left to the more urgent ones; only from Reserve.Take
 }
 
 // Bucket is a token bucket that starts empty. It is not safe for concurrent use.
@@ -81,11 +92,7 @@
 	if !s.Valid() {
 		return Grant{}
 	}
-	if elapsed := now.Sub(b.updatedAt); elapsed > 0 {
-		b.level += elapsed.Seconds() * s.Rate
-		b.updatedAt = now
-	}
-	b.level = min(b.level, s.capacity())
+	b.refill(now, s)
 	n := max(0, min(wanted, int(b.level)))
 	b.level -= float64(n)
 	g := Grant{Granted: n}
@@ -95,6 +102,15 @@
 	return g
 }
 
+// refill adds the tokens of the time since the last request, up to the capacity.
+func (b *Bucket) refill(now time.Time, s Settings) {
+	if elapsed := now.Sub(b.updatedAt); elapsed > 0 {
+		b.level += elapsed.Seconds() * s.Rate
+		b.updatedAt = now
+	}
+	b.level = min(b.level, s.capacity())
+}
+
 // Add adds tokens that accumulated before the bucket started, up to the capacity.
 func (b *Bucket) Add(s Settings, tokens float64) {
 	if s.Valid() {
@@ -105,6 +121,7 @@
 // account is the bucket of one organisation during one uninterrupted lease.
 type account struct {
 	bucket     *Bucket
+	reserve    *Reserve
 	leaseStart time.Time
 }
 
@@ -120,26 +137,35 @@
 func (h *Homes) Grant(now, leaseStart time.Time, organisation string, s Settings, wanted int) Grant {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.bucket(leaseStart, organisation).Take(now, s, wanted)
+	return h.account(leaseStart, organisation).bucket.Take(now, s, wanted)
+}
+
+// GrantByClass is Grant with the tokens that are wanted by class. The organisation's Reserve decides who gets them; like
+// the bucket it starts anew with the lease.
+func (h *Homes) GrantByClass(now, leaseStart time.Time, organisation string, s Settings, wanted ByClass) Grant {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.account(leaseStart, organisation)
+	return a.reserve.Take(now, a.bucket, s, wanted)
 }
 
 // Add adds tokens that an organisation accumulated before its home began. The caller must know that they were not used.
 func (h *Homes) Add(leaseStart time.Time, organisation string, s Settings, tokens float64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.bucket(leaseStart, organisation).Add(s, tokens)
+	h.account(leaseStart, organisation).bucket.Add(s, tokens)
 }
 
-// bucket returns the bucket of an organisation for the lease that began at leaseStart, and creates it if necessary. The
-// caller holds the lock.
-func (h *Homes) bucket(leaseStart time.Time, organisation string) *Bucket {
+// account returns the bucket of an organisation and its reserve for the lease that began at leaseStart, and creates them if
+// necessary. The caller holds the lock.
+func (h *Homes) account(leaseStart time.Time, organisation string) account {
 	a, ok := h.accounts[organisation]
 	if !ok || !a.leaseStart.Equal(leaseStart) {
-		a = account{bucket: NewBucket(leaseStart), leaseStart: leaseStart}
+		a = account{bucket: NewBucket(leaseStart), reserve: &Reserve{}, leaseStart: leaseStart}
 		if h.accounts == nil {
 			h.accounts = make(map[string]account)
 		}
 		h.accounts[organisation] = a
 	}
-	return a.bucket
+	return a
 }
--- a/internal/organisation/allotment/token_cache.go
+++ b/internal/organisation/allotment/token_cache.go
@@ -32,6 +32,8 @@
 	Timeout    time.Duration // of one call to the home
 	Backoff    time.Duration // delay before the next call after a failed one
 	Idle       time.Duration // the state of an organisation without requests is dropped after this time
+	// ByPriority hands tokens to the more urgent classes first. Without it all callers are of the lowest class.
+	ByPriority bool
 	// Now is the clock of a Limiter. The default is time.Now.
 	Now func() time.Time
 }
@@ -66,23 +68,19 @@
 	expires time.Time
 }
 
-// waiting is a caller that waits for a token, in the order of arrival.
-type waiting struct {
-	ticket   Ticket
-	queuedAt time.Time
-}
-
 // Call is a request for tokens to the home.
 type Call struct {
-	Wanted int
-	Unused int // tokens that expired since the last call
-	sentAt time.Time
+	Wanted  int
+	ByClass ByClass // parts of Wanted by class
+	Unused  int     // tokens that expired since the last call
+	sentAt  time.Time
 }
 
 // Refusal reports that the wait of a caller ended without a token.
 type Refusal struct {
-	Ticket Ticket
-	Reason outcome.Reason
+	Ticket     Ticket
+	Reason     outcome.Reason
+	RetryAfter time.Duration // see TokenCache.RetryAfter
 }
 
 // TokenCache holds the tokens that one instance was granted for one organisation, and the queue of callers that wait for
@@ -101,6 +99,15 @@
 	demand          float64   // estimated requests per second, an exponentially weighted average
 	lastRequestAt   time.Time
 	roundTrip       time.Duration
+
+	// The rest is used with Options.ByPriority only.
+	displaced  []Refusal
+	asked      [Classes]estimate // callers
+	served     [Classes]estimate // callers that got a token
+	due        [Classes]float64  // tokens that are due to a class and the less urgent ones; that of class 0 is not used
+	unmet      Class             // most urgent class that the last call was not granted in full
+	shortAt    time.Time         // when a call was last granted fewer tokens than it asked for
+	shortSince time.Time         // since when this has happened at least every overRateMemory
 }
 
 // NewTokenCache returns a cache without tokens.
@@ -108,19 +115,31 @@
 	return &TokenCache{options: o.WithDefaults(), roundTrip: initialRoundTrip}
 }
 
-// Request takes one token or queues the caller. Ticket 0 without a reason means that a token was taken. Any other ticket
-// means that the caller waits until Receive returns the ticket or ExpireWaiters refuses it. A reason is returned when the
-// queue is full.
+// Request is RequestClass for a caller of the lowest class.
 func (tc *TokenCache) Request(now time.Time) (Ticket, outcome.Reason) {
-	tc.recordDemand(now)
-	if len(tc.waiting) == 0 && tc.takeToken(now) {
+	return tc.RequestClass(now, Lowest)
+}
+
+// RequestClass takes one token or queues the caller. Ticket 0 without a reason means that a token was taken. Any other
+// ticket means that the caller waits until Receive or Serve returns the ticket, or ExpireWaiters or Displaced refuses it. A
+// reason is returned when the queue is full, or when the class has no chance of a token during the wait.
+func (tc *TokenCache) RequestClass(now time.Time, c Class) (Ticket, outcome.Reason) {
+	if !tc.options.ByPriority {
+		c = Lowest
+	}
+	tc.recordDemand(now, c)
+	if !tc.waits(c) && tc.mayTake(now, c) && tc.takeToken(now) {
+		tc.countServed(now, c)
 		return 0, ""
 	}
-	if len(tc.waiting) >= tc.options.MaxWaiting {
+	if tc.hopeless(now, c) {
+		return 0, tc.reason()
+	}
+	if len(tc.waiting) >= tc.options.MaxWaiting && !tc.displace(now, c) {
 		return 0, tc.reason()
 	}
 	tc.lastTicket++
-	tc.waiting = append(tc.waiting, waiting{ticket: tc.lastTicket, queuedAt: now})
+	tc.enqueue(waiting{ticket: tc.lastTicket, class: c, queuedAt: now})
 	return tc.lastTicket, ""
 }
 
@@ -132,8 +151,11 @@
 	return outcome.RateExceeded
 }
 
-// recordDemand counts one request in the demand estimate.
-func (tc *TokenCache) recordDemand(now time.Time) {
+// recordDemand counts one request in the demand estimates.
+func (tc *TokenCache) recordDemand(now time.Time, c Class) {
+	if tc.options.ByPriority {
+		tc.asked[c].add(now, outlookWindow, 1)
+	}
 	if elapsed := now.Sub(tc.lastRequestAt); elapsed > 0 {
 		tc.demand *= math.Exp(-elapsed.Seconds() / demandWindow.Seconds())
 	}
@@ -179,25 +201,31 @@
 // CallFailed. A call asks for a token for each waiting caller, and prefetches tokens for the expected demand.
 func (tc *TokenCache) NextCall(now time.Time, s Settings) (Call, bool) {
 	tc.dropExpired(now)
-	if tc.calling || now.Before(tc.nextCallAt) {
+	if tc.calling || now.Before(tc.nextCallAt) && !tc.moreUrgentWaits() {
 		return Call{}, false
 	}
-	expected := tc.demand * s.Validity().Seconds() * batchValidityShare
-	ahead := 0
-	if expected >= minPrefetchTokens {
-		ahead = int(expected)
-	}
+	prefetch := tc.prefetch(now, s.Validity())
+	ahead := prefetch.Total()
 	held := tc.tokens()
 	// Tokens are prefetched when those held may be used up within two round trips.
 	low := float64(held) <= tc.demand*2*tc.roundTrip.Seconds()
 	if len(tc.waiting) == 0 && (ahead <= held || !low) {
 		return Call{}, false
 	}
-	c := Call{Wanted: len(tc.waiting) + max(0, ahead-held), Unused: tc.unused, sentAt: now}
+	wanted := prefetch.Without(held)
+	for _, w := range tc.waiting {
+		wanted[w.class]++
+	}
+	c := Call{Wanted: wanted.Total(), ByClass: wanted, Unused: tc.unused, sentAt: now}
 	tc.calling, tc.unused = true, 0
 	return c, true
 }
 
+// moreUrgentWaits reports whether a caller waits that is more urgent than all those for which the last call got no tokens.
+func (tc *TokenCache) moreUrgentWaits() bool {
+	return len(tc.waiting) > 0 && tc.waiting[0].class < tc.unmet
+}
+
 // NextCallTime returns when NextCall may return a call although nothing else has happened. It is zero while a call is in
 // progress or nobody waits.
 func (tc *TokenCache) NextCallTime() time.Time {
@@ -218,6 +246,8 @@
 	tc.roundTrip += (now.Sub(c.sentAt) - tc.roundTrip) / 4
 	if g.Granted < c.Wanted {
 		tc.nextCallAt = now.Add(g.RetryAfter)
+		tc.unmet = c.ByClass.Without(g.Granted).mostUrgent()
+		tc.recordShortage(now)
 	}
 	// The home made the grant after the call was sent. Counted from the sending, the tokens expire no later than Validity
 	// after the grant.
@@ -225,18 +255,13 @@
 	if g.Granted > 0 {
 		tc.batches = append(tc.batches, batch{tokens: g.Granted, expires: expires})
 	}
-	var served []Ticket
-	for len(tc.waiting) > 0 && tc.takeToken(now) {
-		served = append(served, tc.waiting[0].ticket)
-		tc.waiting = tc.waiting[1:]
-	}
-	return served
+	return tc.Serve(now)
 }
 
 // CallFailed ends a call that was not answered by a home. The next call is made after Options.Backoff.
 func (tc *TokenCache) CallFailed(now time.Time) {
 	tc.calling, tc.homeUnavailable = false, true
-	tc.nextCallAt = now.Add(tc.options.Backoff)
+	tc.nextCallAt, tc.unmet = now.Add(tc.options.Backoff), 0
 }
 
 // ExpireWaiters refuses the callers that have waited for Options.RateWait, or for Options.HomeWait if the last call was
@@ -247,10 +272,15 @@
 		limit = tc.options.HomeWait
 	}
 	var ended []Refusal
-	for len(tc.waiting) > 0 && now.Sub(tc.waiting[0].queuedAt) >= limit {
-		ended = append(ended, Refusal{Ticket: tc.waiting[0].ticket, Reason: tc.reason()})
-		tc.waiting = tc.waiting[1:]
+	kept := tc.waiting[:0]
+	for _, w := range tc.waiting {
+		if now.Sub(w.queuedAt) < limit {
+			kept = append(kept, w)
+			continue
+		}
+		ended = append(ended, Refusal{Ticket: w.ticket, Reason: tc.reason(), RetryAfter: tc.RetryAfter(now, w.class)})
 	}
+	tc.waiting = kept
 	return ended
 }
 
--- a/internal/session/callersession/callersession.go
+++ b/internal/session/callersession/callersession.go
@@ -16,6 +16,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"math"
 	"time"
 
@@ -37,6 +38,9 @@
 	preparedHashBytes        = 16 // of SHA-256, in the name of a prepared statement
 )
 
+// defaultRetry is the time to retry that a refusal names if nothing is known about the organisation's rate.
+const defaultRetry = 500 * time.Millisecond
+
 // Dispatcher runs statements on servers. It is implemented by dispatch.Dispatcher.
 type Dispatcher interface {
 	Single(ctx context.Context, db catalog.Database, c statement.Call) statement.Answer
@@ -45,9 +49,11 @@
 	Rollback(p dispatch.Pin, c statement.Call)
 }
 
-// Limiter enforces the rates of organisations. Take returns the reason to refuse an operation, or "" to admit it.
+// Limiter enforces the rates of organisations. Take returns the reason to refuse an operation, or "" to admit it. With a
+// reason it returns the time after which the caller is to retry, 0 if that is not known. The priority is that of the
+// database, 0 if calls carry none.
 type Limiter interface {
-	Take(ctx context.Context, organisation string) outcome.Reason
+	Take(ctx context.Context, organisation string, priority uint8) (outcome.Reason, time.Duration)
 }
 
 // Observer records refusals and answers for logs and metrics.
@@ -216,12 +222,28 @@
 	if s.organisation == publicOrganisation {
 		return db, statement.Answer{}
 	}
-	if reason := s.env.Limiter.Take(ctx, s.organisation); reason != "" {
-		return db, s.refuse(q, statement.TooMany, string(reason)+"; retry after 500 ms")
+	if reason, retry := s.env.Limiter.Take(ctx, s.organisation, s.databasePriority(db)); reason != "" {
+		return db, s.refuse(q, statement.TooMany, fmt.Sprintf("%s; retry after %d ms", reason, retryTime(retry).Milliseconds()))
 	}
 	return db, statement.Answer{}
 }
 
+// retryTime returns the time to retry that a refusal names, defaultRetry if it is not known.
+func retryTime(known time.Duration) time.Duration {
+	if known <= 0 {
+		return defaultRetry
+	}
+	return known
+}
+
+// databasePriority returns the priority of a database, 0 if calls carry none.
+func (s *Session) databasePriority(db catalog.Database) uint8 {
+	if !s.env.Priorities {
+		return 0
+	}
+	return priority(db.Priority)
+}
+
 // refuse records a refusal and returns it as the answer, without a change of the session's state.
 func (s *Session) refuse(q statement.Query, code statement.Code, text string) statement.Answer {
 	s.env.Observer.Refused(s.database, s.organisation, q.ID, code, text)
--- a/internal/session/callersession/callersession_test.go
+++ b/internal/session/callersession/callersession_test.go
@@ -56,16 +56,19 @@
 	servers       servers
 	configuration catalog.Configuration
 	refusal       outcome.Reason
+	retryAfter    time.Duration // named by the limiter
+	askedPriority uint8         // of the last Take
 	stopping      bool
 	faulty        bool // Take panics
 	panics        int
 }
 
-func (w *world) Take(context.Context, string) outcome.Reason {
+func (w *world) Take(_ context.Context, _ string, priority uint8) (outcome.Reason, time.Duration) {
 	if w.faulty {
 		panic("faulty limiter")
 	}
-	return w.refusal
+	w.askedPriority = priority
+	return w.refusal, w.retryAfter
 }
 
 func (w *world) Panicked(string, recovery.Panic) { w.panics++ }
@@ -205,6 +208,12 @@
 	if a := do(session, statement.Read{}); a.Code != statement.TooMany || a.State != statement.Idle || session.ShouldClose() {
 		t.Errorf("above the rate: %+v", a)
 	}
+	for retry, want := range map[time.Duration]string{0: "rate_exceeded; retry after 500 ms", 1200 * time.Millisecond: "rate_exceeded; retry after 1200 ms"} {
+		w.retryAfter = retry
+		if a := do(session, statement.Read{}); a.Text != want {
+			t.Errorf("text %q, want %q", a.Text, want)
+		}
+	}
 	w.refusal = ""
 	do(session, statement.Begin{})
 	do(session, statement.Write{})
