Add the queue of a server by priority

Cause: the queue of a server ordered by organisation alone, with one cost for each, and kept items that could no longer end in time. Change: package serverqueue decides by open transaction, priority of the route and of the organisation, and deficit round robin over measured service time. Each waiting priority gets 5% of the service time. Items that are not expected to end in time are refused.

--- /dev/null
+++ b/internal/database/serverqueue/cost.go
@@ -0,0 +1,85 @@
+package serverqueue
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// settledSamples is the number of samples that the moving average of a cost weighs. Of the statements of one kind, 3%
+	// take seven times as long; each of these then moves the average by less than half.
+	settledSamples = 16
+	usageWindow    = 500 * time.Millisecond
+)
+
+// costs holds the mean measured cost of statements by kind and priority.
+type costs struct {
+	mean    [kinds][levels]time.Duration
+	samples [kinds][levels]int
+	running [kinds][levels]int
+}
+
+// estimate returns the expected cost of a request: that of its kind and priority, else of its kind at another priority.
+func (c *costs) estimate(r Request, initial time.Duration) time.Duration {
+	if c.samples[r.Kind][r.Level()] > 0 {
+		return c.mean[r.Kind][r.Level()]
+	}
+	for l, n := range c.samples[r.Kind] {
+		if n > 0 {
+			return c.mean[r.Kind][l]
+		}
+	}
+	return initial
+}
+
+// learn adds a measured cost.
+func (c *costs) learn(r Request, cost time.Duration) {
+	mean, n := &c.mean[r.Kind][r.Level()], &c.samples[r.Kind][r.Level()]
+	*n = min(*n+1, settledSamples)
+	*mean = max(time.Microsecond, *mean+(cost-*mean)/time.Duration(*n))
+}
+
+// longestRunning returns the highest expected cost of the kinds and priorities that run.
+func (c *costs) longestRunning() time.Duration {
+	longest := time.Duration(0)
+	for k := range c.running {
+		for l, n := range c.running[k] {
+			if n > 0 {
+				longest = max(longest, c.mean[k][l])
+			}
+		}
+	}
+	return longest
+}
+
+// usage holds the recent service time of each group, which ages exponentially.
+type usage struct {
+	spent [groups]float64 // seconds
+	at    time.Duration
+}
+
+func (u *usage) age(now time.Duration) {
+	if now <= u.at {
+		return
+	}
+	factor := math.Exp(-float64(now-u.at) / float64(usageWindow))
+	for g := range u.spent {
+		u.spent[g] *= factor
+	}
+	u.at = now
+}
+
+func (u *usage) add(now time.Duration, group int, cost time.Duration) {
+	u.age(now)
+	u.spent[group] += cost.Seconds()
+}
+
+// above returns the part of the slots' time that the groups above the given one use, from 0 to 1 less the reserved share.
+func (u *usage) above(now time.Duration, group, slots int) float64 {
+	u.age(now)
+	total := 0.0
+	for _, s := range u.spent[:group] {
+		total += s
+	}
+	return min(total/usageWindow.Seconds()/float64(slots), 1-1.0/reservedShare)
+}
--- /dev/null
+++ b/internal/database/serverqueue/scheduler.go
@@ -0,0 +1,141 @@
+package serverqueue
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"tanagercross/internal/database/statement"
+)
+
+// waiter is a call of Acquire that waits for its turn.
+type waiter struct {
+	result chan error // buffered; nil means that the item was started
+}
+
+// Scheduler is a Queue that starts items while slots are free. It is safe for concurrent use.
+type Scheduler struct {
+	now func() time.Duration
+
+	mu      sync.Mutex
+	queue   *Queue[*waiter]
+	expiry  *time.Timer
+	expires time.Duration // when the timer fires; 0 if it is not set
+}
+
+// NewScheduler returns a scheduler. The clock must count the time during which the machine is suspended, so that requests
+// expire in it.
+func NewScheduler(o Options, now func() time.Duration) *Scheduler {
+	s := &Scheduler{now: now}
+	s.queue = NewQueue(o, func(i *Item[*waiter], r Refusal) { i.Value.result <- newError("wait", r) })
+	s.expiry = time.AfterFunc(time.Hour, s.expire)
+	s.expiry.Stop()
+	return s
+}
+
+// Ticket is the right to run one statement until Release.
+type Ticket struct {
+	// Waited is the time that the request waited.
+	Waited time.Duration
+
+	once   sync.Once
+	finish func()
+}
+
+// Release ends the statement and charges the time since Acquire returned. Calls after the first have no effect.
+func (t *Ticket) Release() { t.once.Do(t.finish) }
+
+// Acquire waits until the request may run, until it is refused, or until the context ends. Errors are *Error.
+func (s *Scheduler) Acquire(ctx context.Context, r Request) (*Ticket, error) {
+	w := &waiter{result: make(chan error, 1)}
+	s.mu.Lock()
+	i, err := s.queue.Push(s.now(), r, w)
+	s.dispatch()
+	s.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case err = <-w.result:
+	case <-ctx.Done():
+		err = s.abandon(i)
+	}
+	if err != nil {
+		return nil, err
+	}
+	started := s.now()
+	return &Ticket{Waited: i.Wait(started), finish: func() { s.finish(i, started) }}, nil
+}
+
+// abandon rejects an item whose context has ended. If it was started at the same moment, it keeps its turn: the caller finds
+// out by the context before anything is sent.
+func (s *Scheduler) abandon(i *Item[*waiter]) error {
+	s.mu.Lock()
+	s.queue.Cancel(s.now(), i)
+	s.dispatch()
+	s.mu.Unlock()
+	return <-i.Value.result
+}
+
+// finish ends a started item and starts the next ones.
+func (s *Scheduler) finish(i *Item[*waiter], started time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.queue.Finish(now, i, now-started)
+	s.dispatch()
+}
+
+// expire rejects items that can no longer end in time.
+func (s *Scheduler) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expires = 0
+	s.dispatch()
+}
+
+// dispatch starts waiting items while slots are free, and sets the timer for the next item to expire. The caller holds the
+// lock.
+func (s *Scheduler) dispatch() {
+	now := s.now()
+	s.queue.Expire(now)
+	for s.queue.slotFree() {
+		i, ok := s.queue.Next(now)
+		if !ok {
+			break
+		}
+		i.Value.result <- nil
+	}
+	s.setTimer(now)
+}
+
+// setTimer sets the timer to the time after which the next item expires, unless it fires earlier.
+func (s *Scheduler) setTimer(now time.Duration) {
+	next, ok := s.queue.NextExpiry()
+	if !ok || s.expires > now && s.expires <= next+1 {
+		return
+	}
+	s.expires = next + 1
+	s.expiry.Reset(s.expires - now)
+}
+
+// Backlog returns the number of waiting and running items.
+func (s *Scheduler) Backlog() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.Len() + s.queue.Running()
+}
+
+// Load returns the load of the server.
+func (s *Scheduler) Load() statement.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.Load(s.now())
+}
+
+// Stop rejects all waiting and all later requests. Running statements are not affected.
+func (s *Scheduler) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.Stop(s.now())
+}
--- /dev/null
+++ b/internal/database/serverqueue/strict.go
@@ -0,0 +1,51 @@
+package serverqueue
+
+import "time"
+
+// reservedShare is the part of the service time that each waiting level gets, as a divisor: 1/20 is 5%.
+const reservedShare = 20
+
+// strict serves the highest waiting level first, and each lower one at least its reserved share of the service time. While a
+// level waits, of any service time T that ends it gets T/reservedShare less the expected cost of one item: it is served as
+// soon as what it is owed pays for its next item.
+type strict struct {
+	owed [classes]time.Duration
+}
+
+// pick returns the level to serve out of the first n, and whether its reserved share pays for it. The cost of a level is
+// that of its next item; 0 means that none waits.
+func (s *strict) pick(n int, cost *[classes]time.Duration) (picked int, reserved bool) {
+	picked = -1
+	for l := range n {
+		switch {
+		case cost[l] == 0:
+		case picked < 0:
+			picked = l
+		case s.owed[l] >= cost[l]:
+			return l, true
+		}
+	}
+	return picked, false
+}
+
+// start charges a level for an item.
+func (s *strict) start(l int, estimate time.Duration, reserved bool) {
+	s.owed[l] -= estimate
+	if !reserved {
+		s.owed[l] = max(0, s.owed[l])
+	}
+}
+
+// finish corrects the charge of an item to its measured cost. Each level that waits is owed its share of the cost.
+func (s *strict) finish(l int, estimate, cost time.Duration, reserved bool, waiting func(int) bool) {
+	if reserved {
+		s.owed[l] += estimate - cost
+	}
+	for other := range s.owed {
+		if waiting(other) {
+			s.owed[other] += cost / reservedShare
+		} else {
+			s.owed[other] = min(0, s.owed[other])
+		}
+	}
+}
