Serve statements at a server by priority if the settings ask for it

Cause: the pool knew one order of the waiting statements. Change: the pool has an admission with two implementations, fairness as before and serverqueue with Options.PriorityScheduling. Answers carry the load of the server then. A slot that was given back because no connection was free is not charged. Counters, a histogram, a gauge and the log line "queue refused" have the inputs of the decisions.

--- a/internal/database/serverpool/run.go
+++ b/internal/database/serverpool/run.go
@@ -158,7 +158,7 @@
 	if _, ok := c.Body.(statement.Rollback); ok {
 		return p.rollback(ctx, c.Transaction, t)
 	}
-	ticket, err := p.scheduler.Acquire(ctx, c.Organisation, c.Session)
+	ticket, err := p.admission.acquire(ctx, p.request(ctx, c), c.Session)
 	if err != nil {
 		_ = p.rollback(ctx, c.Transaction, t)
 		return statement.Refused(statement.Aborted, "queue")
--- a/internal/database/serverpool/serverpool.go
+++ b/internal/database/serverpool/serverpool.go
@@ -27,8 +27,6 @@
 	"tanagercross/internal/database/readindex"
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/instance/clock"
-	"tanagercross/internal/organisation/fairness"
-	"tanagercross/internal/session/outcome"
 )
 
 // Limits of a pool.
@@ -60,6 +58,10 @@
 	Connections     int
 	TransactionIdle time.Duration        // longest pause inside a transaction; 0 for no limit
 	Boot            func() time.Duration // clock that counts suspended time; nil for the machine's own
+	// PriorityScheduling serves statements by package serverqueue instead of fairness, and reports the load of the server in
+	// the answers.
+	PriorityScheduling bool
+	Queue              QueueObserver // may be nil
 }
 
 // WithDefaults returns a copy in which zero fields have their defaults.
@@ -104,7 +106,7 @@
 	target    statement.Target
 	dialer    statement.Dialer
 	options   Options
-	scheduler *fairness.Scheduler[string]
+	admission admission
 
 	mu                sync.Mutex
 	connections       int // open or being opened
@@ -139,7 +141,7 @@
 	o = o.WithDefaults()
 	return &Pool{
 		target: t, dialer: d, options: o, connectionLimit: o.Connections,
-		scheduler:       fairness.NewScheduler[string](fairness.Options{MaxQueued: maxQueued, MaxInOrder: maxInOrder}, o.Slots+prefetchedStatements),
+		admission:       newAdmission(t, o),
 		idleConnections: map[string][]*pooledConn{}, transactions: map[uint64]*transaction{},
 		inFlight: map[*pooledConn]time.Duration{}, lastTransactionID: uint64(time.Now().UnixNano()),
 	}
@@ -168,7 +170,7 @@
 func (p *Pool) Counts() (connections, transactions, load int, openedConnections uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.connections, len(p.transactions), p.scheduler.Load(), p.openedConnections
+	return p.connections, len(p.transactions), p.admission.size(), p.openedConnections
 }
 
 // Replacements counts connections that were closed because answers of the server are not certain.
@@ -185,11 +187,17 @@
 }
 
 // Load returns the number of queued and running statements.
-func (p *Pool) Load() int { return p.scheduler.Load() }
+func (p *Pool) Load() int { return p.admission.size() }
 
 // Execute runs a statement. The context and the timeout of the call bound the time in the queue and on the server
 // together.
 func (p *Pool) Execute(ctx context.Context, c statement.Call) statement.Answer {
+	answer := p.execute(ctx, c)
+	answer.Load = p.admission.load()
+	return answer
+}
+
+func (p *Pool) execute(ctx context.Context, c statement.Call) statement.Answer {
 	if c.Timeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, c.Timeout)
@@ -223,25 +231,23 @@
 
 // acquireSlot waits for a slot of the server and a connection. If it gets none, the connection is nil and the answer is
 // the refusal to return to the caller. The ticket holds the slot until it is released or slotHoldTimeout is over.
-func (p *Pool) acquireSlot(ctx context.Context, c statement.Call) (*fairness.Ticket, *pooledConn, statement.Answer) {
+func (p *Pool) acquireSlot(ctx context.Context, c statement.Call) (ticket, *pooledConn, statement.Answer) {
+	request := p.request(ctx, c)
 	for {
-		ticket, err := p.scheduler.Acquire(ctx, c.Organisation, c.Session)
+		ticket, err := p.admission.acquire(ctx, request, c.Session)
 		if err != nil {
-			code := statement.Busy
-			if fairness.ReasonOf(err) == outcome.QueueFull {
-				code = statement.TooMany
-			}
-			return nil, nil, statement.Refused(code, "queue: "+string(fairness.ReasonOf(err)))
+			return nil, nil, p.admission.refusal(err)
 		}
 		pc, wait, err := p.acquireConnection(ctx, c)
 		if pc != nil {
 			time.AfterFunc(slotHoldTimeout, ticket.Release)
 			return ticket, pc, statement.Answer{}
 		}
-		ticket.Release()
 		if err != nil {
+			ticket.Release()
 			return nil, nil, refuseDial(err)
 		}
+		ticket.Withdraw()
 		select {
 		case <-wait:
 		case <-ctx.Done():
@@ -303,7 +309,7 @@
 
 // Close closes the connections. Queued statements are refused, and those that a server has not answered are given up.
 func (p *Pool) Close() {
-	p.scheduler.Stop(outcome.ServerLeaving)
+	p.admission.stop()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
--- a/internal/database/serverqueue/admission.go
+++ b/internal/database/serverqueue/admission.go
@@ -133,7 +133,7 @@
 	if victim == nil {
 		return false
 	}
-	r := q.refusal(now, victim, Displaced, 0)
+	r := q.refusal(now, victim, Displaced, q.expectedWait(now, victim.Request, victim.flow.items[newWork].length-1))
 	r.For = i.Request
 	q.refuse(victim, r)
 	return true
--- a/internal/database/serverqueue/cost.go
+++ b/internal/database/serverqueue/cost.go
@@ -19,14 +19,19 @@
 	running [kinds][levels]int
 }
 
-// estimate returns the expected cost of a request: that of its kind and priority, else of its kind at another priority.
+// estimate returns the expected cost of a request.
 func (c *costs) estimate(r Request, initial time.Duration) time.Duration {
-	if c.samples[r.Kind][r.Level()] > 0 {
-		return c.mean[r.Kind][r.Level()]
+	return c.expected(r.Kind, r.Level(), initial)
+}
+
+// expected returns the mean cost of a kind and priority, else of the kind at another priority.
+func (c *costs) expected(k Kind, level int, initial time.Duration) time.Duration {
+	if c.samples[k][level] > 0 {
+		return c.mean[k][level]
 	}
-	for l, n := range c.samples[r.Kind] {
+	for l, n := range c.samples[k] {
 		if n > 0 {
-			return c.mean[r.Kind][l]
+			return c.mean[k][l]
 		}
 	}
 	return initial
@@ -40,12 +45,12 @@
 }
 
 // longestRunning returns the highest expected cost of the kinds and priorities that run.
-func (c *costs) longestRunning() time.Duration {
+func (c *costs) longestRunning(initial time.Duration) time.Duration {
 	longest := time.Duration(0)
 	for k := range c.running {
 		for l, n := range c.running[k] {
 			if n > 0 {
-				longest = max(longest, c.mean[k][l])
+				longest = max(longest, c.expected(Kind(k), l, initial))
 			}
 		}
 	}
--- a/internal/database/serverqueue/queue.go
+++ b/internal/database/serverqueue/queue.go
@@ -250,6 +250,17 @@
 	q.leave(i)
 }
 
+// Withdraw ends a started item that was not run, and takes its charge back.
+func (q *Queue[T]) Withdraw(i *Item[T]) {
+	q.running--
+	q.runningWork -= i.estimate
+	q.costs.running[i.Kind][i.Level()]--
+	q.classes[i.flow.class].charge(i.flow, -i.estimate)
+	q.shares.refund(i.group, i.estimate, i.reserved)
+	q.classShares[i.group].refund(i.flow.class, i.estimate, i.classShare)
+	q.leave(i)
+}
+
 // Expire rejects items that can no longer end in time.
 func (q *Queue[T]) Expire(now time.Duration) {
 	for {
@@ -261,7 +272,7 @@
 		if limit, _ := i.limit(); now >= limit {
 			o = TimedOut
 		}
-		q.refuse(i, q.refusal(now, i, o, 0))
+		q.refuse(i, q.refusal(now, i, o, q.expectedWait(now, i.Request, i.flow.items[i.section()].length-1)))
 	}
 }
 
@@ -318,5 +329,5 @@
 	if q.running >= q.options.Slots {
 		return false
 	}
-	return q.running < max(1, q.options.Slots-q.options.PrefetchSlots) || q.costs.longestRunning() <= q.options.Short
+	return q.running < max(1, q.options.Slots-q.options.PrefetchSlots) || q.costs.longestRunning(q.options.InitialEstimate) <= q.options.Short
 }
--- a/internal/database/serverqueue/scheduler.go
+++ b/internal/database/serverqueue/scheduler.go
@@ -33,17 +33,31 @@
 	return s
 }
 
-// Ticket is the right to run one statement until Release.
+// Ticket is the right to run one statement until Release or Withdraw.
 type Ticket struct {
 	// Waited is the time that the request waited.
 	Waited time.Duration
 
-	once   sync.Once
-	finish func()
+	once      sync.Once
+	scheduler *Scheduler
+	item      *Item[*waiter]
+	started   time.Duration
 }
 
-// Release ends the statement and charges the time since Acquire returned. Calls after the first have no effect.
-func (t *Ticket) Release() { t.once.Do(t.finish) }
+// Release ends the statement and charges the time since Acquire returned. After the first call of Release or Withdraw
+// neither has an effect.
+func (t *Ticket) Release() {
+	t.once.Do(func() {
+		t.scheduler.end(func(now time.Duration) { t.scheduler.queue.Finish(now, t.item, now-t.started) })
+	})
+}
+
+// Withdraw gives the right back without a charge, because nothing was run.
+func (t *Ticket) Withdraw() {
+	t.once.Do(func() {
+		t.scheduler.end(func(time.Duration) { t.scheduler.queue.Withdraw(t.item) })
+	})
+}
 
 // Acquire waits until the request may run, until it is refused, or until the context ends. Errors are *Error.
 func (s *Scheduler) Acquire(ctx context.Context, r Request) (*Ticket, error) {
@@ -64,25 +78,31 @@
 		return nil, err
 	}
 	started := s.now()
-	return &Ticket{Waited: i.Wait(started), finish: func() { s.finish(i, started) }}, nil
+	return &Ticket{Waited: i.Wait(started), scheduler: s, item: i, started: started}, nil
 }
 
-// abandon rejects an item whose context has ended. If it was started at the same moment, it keeps its turn: the caller finds
-// out by the context before anything is sent.
+// abandon rejects an item whose context has ended, also if it was started at the same moment.
 func (s *Scheduler) abandon(i *Item[*waiter]) error {
 	s.mu.Lock()
-	s.queue.Cancel(s.now(), i)
+	defer s.mu.Unlock()
+	now := s.now()
+	if i.waiting {
+		s.queue.Cancel(now, i)
+		s.setTimer(now)
+	}
+	if err := <-i.Value.result; err != nil {
+		return err
+	}
+	s.queue.Withdraw(i)
 	s.dispatch()
-	s.mu.Unlock()
-	return <-i.Value.result
+	return newError("acquire", s.queue.refusal(now, i, TimedOut, 0))
 }
 
-// finish ends a started item and starts the next ones.
-func (s *Scheduler) finish(i *Item[*waiter], started time.Duration) {
+// end ends a started item and starts the next ones.
+func (s *Scheduler) end(finish func(now time.Duration)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
-	s.queue.Finish(now, i, now-started)
+	finish(s.now())
 	s.dispatch()
 }
 
--- a/internal/database/serverqueue/strict.go
+++ b/internal/database/serverqueue/strict.go
@@ -38,9 +38,7 @@
 
 // finish corrects the charge of an item to its measured cost. Each level that waits is owed its share of the cost.
 func (s *strict) finish(l int, estimate, cost time.Duration, reserved bool, waiting func(int) bool) {
-	if reserved {
-		s.owed[l] += estimate - cost
-	}
+	s.refund(l, estimate-cost, reserved)
 	for other := range s.owed {
 		if waiting(other) {
 			s.owed[other] += cost / reservedShare
@@ -49,3 +47,10 @@
 		}
 	}
 }
+
+// refund takes back a part of what a level was charged from its reserved share.
+func (s *strict) refund(l int, d time.Duration, reserved bool) {
+	if reserved {
+		s.owed[l] += d
+	}
+}
--- a/internal/instance/entry/observe.go
+++ b/internal/instance/entry/observe.go
@@ -2,9 +2,12 @@
 
 import (
 	"log/slog"
+	"strconv"
 	"sync"
 	"time"
 
+	"tanagercross/internal/database/serverpool"
+	"tanagercross/internal/database/serverqueue"
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/fleet/catalog"
 	"tanagercross/internal/fleet/view"
@@ -59,9 +62,50 @@
 		replaced := g.pool.Replacements()
 		emit(metric.ServerReplaced, float64(replaced.Unproven), label, metric.Label{Name: "reason", Value: "unproven"})
 		emit(metric.ServerReplaced, float64(replaced.OutOfStep), label, metric.Label{Name: "reason", Value: "out_of_step"})
+		if load := g.pool.QueueLoad(); load != nil {
+			for priority, wait := range load.Wait {
+				emit(metric.ServerExpectedWait, wait.Seconds(), label, priorityLabel(priority))
+			}
+		}
 	}
 }
 
+// priorityLabel returns the label of a level of priority.
+func priorityLabel(level int) metric.Label {
+	return metric.Label{Name: "priority", Value: strconv.Itoa(level)}
+}
+
+// QueueServed implements serverpool.QueueObserver.
+func (o *observer) QueueServed(_ string, r serverqueue.Request, waited time.Duration) {
+	o.countQueue(r, serverqueue.Served)
+	o.metrics.Waited(strconv.Itoa(r.Level()), waited)
+}
+
+// QueueRefused implements serverpool.QueueObserver.
+func (o *observer) QueueRefused(server string, r serverqueue.Refusal) {
+	o.countQueue(r.Request, r.Outcome)
+	fields := []any{
+		"request", r.Request.ID, "server", server, "organisation", r.Request.Organisation, "priority", r.Request.Priority,
+		"organisation_priority", r.Request.OrganisationPriority, "outcome", string(r.Outcome), "waited_ms", r.Waited.Milliseconds(),
+		"expected_ms", r.Expected.Milliseconds(), "queued", r.Queued,
+	}
+	if r.Request.Deadline > 0 {
+		fields = append(fields, "deadline_ms", (r.Request.Deadline - r.At).Milliseconds())
+	}
+	if r.Request.Goal > 0 {
+		fields = append(fields, "goal_ms", (r.Request.Goal - r.At).Milliseconds())
+	}
+	if r.Outcome == serverqueue.Displaced {
+		fields = append(fields, "for_request", r.For.ID, "for_organisation", r.For.Organisation, "for_priority", r.For.Priority,
+			"for_transaction", r.For.InTransaction)
+	}
+	o.log.Info("queue refused", fields...)
+}
+
+func (o *observer) countQueue(r serverqueue.Request, outcome serverqueue.Outcome) {
+	o.metrics.Count(metric.QueueLeft, priorityLabel(r.Level()), metric.Label{Name: "outcome", Value: string(outcome)})
+}
+
 // ConfigurationChanged implements view.Observer.
 func (o *observer) ConfigurationChanged(before, after catalog.Configuration, read time.Duration) {
 	o.log.Info("configuration in force", "version", after.Version, "before", before.Version, "age_ms", (o.n.boot() - read).Milliseconds())
@@ -217,4 +261,7 @@
 	}
 }
 
-var _ dispatch.Observer = (*observer)(nil)
+var (
+	_ dispatch.Observer        = (*observer)(nil)
+	_ serverpool.QueueObserver = (*observer)(nil)
+)
--- a/internal/instance/entry/servers.go
+++ b/internal/instance/entry/servers.go
@@ -75,6 +75,7 @@
 		target := statement.Target{Server: s.ID, Group: s.Group, Address: s.Address}
 		o = &openPool{server: s, pool: serverpool.New(target, g.n.options.Dialer, serverpool.Options{
 			Slots: s.Slots, Connections: g.connectionLimit(now, s), TransactionIdle: configuration.TransactionIdle, Boot: g.n.boot,
+			PriorityScheduling: g.n.settings.PriorityScheduling, Queue: g.n.observer,
 		})}
 		g.byServer[server] = o
 	}
--- a/internal/instance/metric/entry.go
+++ b/internal/instance/metric/entry.go
@@ -16,11 +16,15 @@
 	LeaderChanges    CounterName = "tanagercross_leader_changes_total"
 	Panics           CounterName = "tanagercross_panics_total"
 	DependencyErrors CounterName = "tanagercross_dependency_errors_total" // by dependency
+	QueueLeft        CounterName = "tanagercross_server_queue_total"      // by priority and outcome
 )
 
 // StatementDuration is the histogram of statements as callers see them.
 const StatementDuration = "tanagercross_statement_duration_seconds"
 
+// QueueWait is the histogram of the waits of statements that got their turn at a server, by priority.
+const QueueWait = "tanagercross_server_queue_wait_seconds"
+
 // Names of the gauges of the entry instance.
 const (
 	ConfigurationAge     GaugeName = "tanagercross_configuration_age_seconds"
@@ -30,7 +34,8 @@
 	ServerTransactions   GaugeName = "tanagercross_server_transactions"
 	ServerLoad           GaugeName = "tanagercross_server_statements"
 	ServerOpened         GaugeName = "tanagercross_server_connections_opened"
-	ServerReplaced       GaugeName = "tanagercross_server_connections_replaced" // by server and reason
+	ServerReplaced       GaugeName = "tanagercross_server_connections_replaced"  // by server and reason
+	ServerExpectedWait   GaugeName = "tanagercross_server_expected_wait_seconds" // by server and priority
 	Steward              GaugeName = "tanagercross_steward"
 )
 
@@ -44,3 +49,8 @@
 func (r *Registry) Statement(code string, d time.Duration) {
 	r.set.GetOrCreatePrometheusHistogramExt(series(StatementDuration, Label{"code", code}), latencyBounds).Update(d.Seconds())
 }
+
+// Waited records the wait of a statement of a priority that got its turn at a server.
+func (r *Registry) Waited(priority string, d time.Duration) {
+	r.set.GetOrCreatePrometheusHistogramExt(series(QueueWait, Label{"priority", priority}), latencyBounds).Update(d.Seconds())
+}
