Refuse at the instance what cannot be served in time, and bound retries

Instances sent every call to a server and repeated refused ones up to five times; nothing bounded the retries over all statements, and no one was refused before the queue of a server was full.

--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -140,7 +140,9 @@
 	n.readIndexes = newReadIndexes(n)
 	n.failover = newFailover(n)
 	n.gossip = newGossip(n)
-	n.dispatcher = dispatch.New(n.table, n.pools, dispatch.Options{Boot: n.boot, Observer: n.observer})
+	n.dispatcher = dispatch.New(n.table, n.pools, dispatch.Options{
+		Boot: n.boot, Observer: n.observer, PriorityScheduling: o.Settings.PriorityScheduling,
+	})
 	n.limiter = allotment.NewLimiter(n.rates, n.rates.totalSettings, allotment.Options{RateWait: rateTokenTimeout, HomeWait: 2 * rateTokenTimeout})
 	n.environment = callersession.Environment{
 		Configuration: n.table.Configuration, ConfigurationFresh: n.configurationFresh, Dispatcher: n.dispatcher, Limiter: admission{n.rates},
--- a/internal/instance/entry/observe.go
+++ b/internal/instance/entry/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strconv"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/metric"
 	"tanagercross/internal/request/dispatch"
+	"tanagercross/internal/request/door"
 	"tanagercross/internal/service/recovery"
 )
 
@@ -49,6 +51,7 @@
 		isCoordinator = 1
 	}
 	emit(metric.Steward, isCoordinator)
+	o.expectedWaits(emit)
 	for id, g := range n.pools.snapshot() {
 		connections, transactions, load, opened := g.pool.Counts()
 		label := metric.Label{Name: "server", Value: id}
@@ -62,6 +65,25 @@
 	}
 }
 
+// expectedWaits emits the expected wait of each server by priority, where a recent report of its holder is known.
+func (o *observer) expectedWaits(emit metric.Emit) {
+	if o.n.dispatcher == nil {
+		return // the instance is still starting
+	}
+	for _, s := range o.n.table.Servers().All() {
+		for priority := range uint8(statement.Priorities) {
+			if wait, ok := o.n.dispatcher.ExpectedWait(s, priority); ok {
+				emit(metric.ServerExpectedWait, wait.Seconds(), metric.Label{Name: "server", Value: s.ID}, priorityLabel(priority))
+			}
+		}
+	}
+}
+
+// priorityLabel returns the label of a priority. Lower priorities than those that queues distinguish count as the last one.
+func priorityLabel(priority uint8) metric.Label {
+	return metric.Label{Name: "priority", Value: strconv.Itoa(min(int(priority), statement.Priorities-1))}
+}
+
 // ConfigurationChanged implements view.Observer.
 func (o *observer) ConfigurationChanged(before, after catalog.Configuration, read time.Duration) {
 	o.log.Info("configuration in force", "version", after.Version, "before", before.Version, "age_ms", (o.n.boot() - read).Milliseconds())
@@ -158,6 +180,24 @@
 	o.metrics.Count(metric.StatementRetried, metric.Label{Name: "reason", Value: reason})
 }
 
+// Admission implements dispatch.Observer.
+func (o *observer) Admission(c statement.Call, database string, v door.Verdict) {
+	outcome := "admitted"
+	if !v.Admitted {
+		outcome = "refused"
+		o.log.Info("refused at the door", "request", c.ID, "session", c.Session, "database", database, "organisation", c.Organisation,
+			"priority", c.Priority, "limit_ms", v.Limit.Milliseconds(), "wait_ms", v.Wait.Milliseconds(), "age_ms", v.Age.Milliseconds(),
+			"servers", v.Servers, "refused_fraction", v.Refused, "retry_after_ms", v.RetryAfter.Milliseconds())
+	}
+	o.metrics.Count(metric.Admissions, priorityLabel(c.Priority), metric.Label{Name: "outcome", Value: outcome})
+}
+
+// RetryDenied implements dispatch.Observer.
+func (o *observer) RetryDenied(c statement.Call, reason string) {
+	o.metrics.Count(metric.Admissions, priorityLabel(c.Priority), metric.Label{Name: "outcome", Value: "retry_denied"})
+	o.log.Info("retry denied", "request", c.ID, "session", c.Session, "organisation", c.Organisation, "priority", c.Priority, "reason", reason)
+}
+
 // Panicked implements dispatch.Observer and callersession.Observer.
 func (o *observer) Panicked(part string, p recovery.Panic) {
 	o.metrics.Count(metric.Panics)
--- a/internal/instance/metric/entry.go
+++ b/internal/instance/metric/entry.go
@@ -10,6 +10,7 @@
 	Statements       CounterName = "tanagercross_statements_total"        // by code
 	StatementRefused CounterName = "tanagercross_statement_refused_total" // by code and reason
 	StatementRetried CounterName = "tanagercross_statement_retried_total" // by reason
+	Admissions       CounterName = "tanagercross_admissions_total"        // by priority and outcome
 	ReadsServed      CounterName = "tanagercross_reads_served_total"      // by scope
 	TokensBorrowed   CounterName = "tanagercross_tokens_borrowed_total"   // from other places
 	AnswersUnmatched CounterName = "tanagercross_answers_unmatched_total" // by reason
@@ -30,7 +31,8 @@
 	ServerTransactions   GaugeName = "tanagercross_server_transactions"
 	ServerLoad           GaugeName = "tanagercross_server_statements"
 	ServerOpened         GaugeName = "tanagercross_server_connections_opened"
-	ServerReplaced       GaugeName = "tanagercross_server_connections_replaced" // by server and reason
+	ServerReplaced       GaugeName = "tanagercross_server_connections_replaced"  // by server and reason
+	ServerExpectedWait   GaugeName = "tanagercross_server_expected_wait_seconds" // by server and priority
 	Steward              GaugeName = "tanagercross_steward"
 )
 
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/clock"
+	"tanagercross/internal/request/door"
 	"tanagercross/internal/service/recovery"
 )
 
@@ -59,6 +60,10 @@
 	LeaderUnreachable(l view.Leader)
 	// Retried is called before each further attempt with the reason for it.
 	Retried(reason string)
+	// Admission is called with each decision about the admission of a call.
+	Admission(c statement.Call, database string, v door.Verdict)
+	// RetryDenied is called with the reason for each retry or hedge that is not made.
+	RetryDenied(c statement.Call, reason string)
 	// Panicked is called after a panic in an attempt, with the part in which it happened.
 	Panicked(part string, p recovery.Panic)
 }
@@ -67,6 +72,8 @@
 type Options struct {
 	Boot     func() time.Duration // clock that counts suspended time
 	Observer Observer
+	// PriorityScheduling asks for placement by reported load, admission control and a retry budget.
+	PriorityScheduling bool
 }
 
 // Dispatcher runs statements on the servers in an instance's view of the fleet. It is safe for concurrent use.
@@ -75,15 +82,23 @@
 	executor    Executor
 	options     Options
 	loadReports loadReports
+	scheduling  *scheduling // nil without Options.PriorityScheduling
 }
 
 // New returns a dispatcher that chooses among the servers and instances of the table.
 func New(t *view.Table, e Executor, o Options) *Dispatcher {
-	return &Dispatcher{table: t, executor: e, options: o}
+	d := &Dispatcher{table: t, executor: e, options: o}
+	if o.PriorityScheduling {
+		d.scheduling = newScheduling(o.Boot())
+	}
+	return d
 }
 
 // PruneLoadReports drops the load reports of servers that are no longer in the table.
-func (d *Dispatcher) PruneLoadReports() { d.loadReports.retain(d.table.Servers()) }
+func (d *Dispatcher) PruneLoadReports() {
+	d.loadReports.retain(d.table.Servers())
+	d.scheduling.retain(d.table.Servers())
+}
 
 // Pin identifies an open transaction: its server, the instance that holds its connection, and its id at that instance.
 type Pin struct {
@@ -118,10 +133,18 @@
 	} else {
 		c.Scope, c.MaximumAge = statement.Replica, db.MaximumAge
 	}
+	refusal, trial := d.admit(db, c, d.candidates(db, c.Scope == statement.Replica))
+	if refusal.Code != "" {
+		return refusal
+	}
+	var a statement.Answer
 	if c.Writes() {
-		return d.write(ctx, db, c)
+		a = d.write(ctx, db, c)
+	} else {
+		a = d.read(ctx, db, c, trial)
 	}
-	return d.read(ctx, db, c)
+	d.scheduling.served(a)
+	return a
 }
 
 // attempt runs a call once on a server. It tries the instances that hold connections to the server, best first, and goes
@@ -134,7 +157,11 @@
 		if attempts++; attempts > maxHolders {
 			break
 		}
+		if attempts > 1 && !d.allowRetry(c) {
+			break
+		}
 		started := time.Now()
+		d.scheduling.sent(d.options.Boot(), s.ID, c)
 		if deadline, ok := ctx.Deadline(); ok {
 			// The holder's own timeout ends earlier, so that its refusal arrives before this instance's deadline.
 			c.Timeout = max(minTimeout, time.Until(deadline)-returnDelay)
@@ -142,15 +169,14 @@
 		a := d.executor.Execute(ctx, m, s.ID, c)
 		took := time.Since(started)
 		d.options.Observer.AttemptEnded(c, s.ID, m.Name, a, took)
-		if !c.Writes() {
-			d.loadReports.record(d.options.Boot(), s.ID, a, took)
-		}
 		if a.Delivery != statement.NotSent || a.Code != statement.WrongServer || ctx.Err() != nil {
+			d.recordLoad(s.ID, c, a, took)
 			return a, m
 		}
 		unreachable = a
 		d.options.Observer.Retried("holder_unreachable")
 	}
+	d.recordLoad(s.ID, c, unreachable, 0)
 	return unreachable, roster.Member{}
 }
 
@@ -201,6 +227,7 @@
 	serverWait, cancelWait := context.WithTimeout(ctx, serverWaitTimeout(db))
 	defer cancelWait()
 	answer := statement.Refused(statement.Busy, "no primary is known")
+	started := d.options.Boot()
 	for n := range maxAttempts {
 		s, l, ok := d.waitForLeader(serverWait, db.Group)
 		if !ok {
@@ -209,8 +236,8 @@
 		if n > 0 {
 			d.options.Observer.Retried(string(answer.Code))
 		}
-		answer, _ = d.attempt(ctx, s, c)
-		if !d.retryable(l, answer) || !clock.Sleep(serverWait, retryPause<<n) {
+		answer, _ = d.attempt(ctx, s, d.withGoalLeft(c, started))
+		if !d.retryable(l, answer) || !d.allowRepeat(c, answer, retryPause<<n) || !clock.Sleep(serverWait, retryPause<<n) {
 			return answer
 		}
 	}
@@ -226,10 +253,15 @@
 	defer cancelWait()
 	c.Step = statement.First
 	replica := c.ReadOnly && db.Consistency != catalog.PrimaryOnly
-	answer := statement.Refused(statement.Busy, "no primary is known")
+	answer, trial := d.admit(db, c, d.candidates(db, replica))
+	if answer.Code != "" {
+		return answer, nil
+	}
+	answer = statement.Refused(statement.Busy, "no primary is known")
+	started := d.options.Boot()
 	var tried []string
 	for n := range maxAttempts {
-		s, ok := d.chooseServer(serverWait, db, replica, tried)
+		s, ok := d.chooseServer(serverWait, db, choice{replica: replica, tried: tried, priority: c.Priority, trial: trial})
 		if !ok {
 			return answer, nil
 		}
@@ -243,18 +275,23 @@
 			d.options.Observer.Retried(string(answer.Code))
 		}
 		var instance roster.Member
-		answer, instance = d.executeFirst(ctx, s, c)
+		answer, instance = d.executeFirst(ctx, s, d.withGoalLeft(c, started))
 		if answer.OK() {
+			d.scheduling.served(answer)
 			return answer, &Pin{Server: s.ID, Instance: instance, Transaction: answer.Transaction, Scope: c.Scope}
 		}
 		if answer.Transaction != 0 && answer.Delivery == statement.Answered {
 			d.rollback(instance, s.ID, c, answer.Transaction)
 		}
 		if c.Scope == statement.Replica {
+			if !d.allowRetry(c) {
+				return answer, nil
+			}
 			continue
 		}
 		// Without a commit the transaction has no effect, so even a statement without an answer may be sent again.
-		if !d.retryable(l, answer) && answer.Delivery != statement.Unanswered || !clock.Sleep(serverWait, retryPause) {
+		if !d.retryable(l, answer) && answer.Delivery != statement.Unanswered || !d.allowRepeat(c, answer, retryPause) ||
+			!clock.Sleep(serverWait, retryPause) {
 			return answer, nil
 		}
 	}
@@ -285,6 +322,8 @@
 	started := time.Now()
 	a := d.executor.Execute(ctx, p.Instance, p.Server, c)
 	d.options.Observer.AttemptEnded(c, p.Server, p.Instance.Name, a, time.Since(started))
+	d.scheduling.answered(d.options.Boot(), p.Server, c, a, time.Since(started))
+	d.scheduling.served(a)
 	if a.Code == statement.ReadOnly {
 		if s, ok := d.table.Servers().Server(p.Server); ok {
 			d.table.RejectLeader(d.options.Boot(), s.Group, p.Server)
--- a/internal/request/dispatch/read.go
+++ b/internal/request/dispatch/read.go
@@ -11,14 +11,19 @@
 	"tanagercross/internal/service/recovery"
 )
 
-// chooseServer returns the next server for a read. If replica is set, that is the best server that was not tried yet;
+// choice is a call's state in the choice of its servers.
+type choice struct {
+	replica  bool     // a replica may run the call
+	tried    []string // ids of servers
+	priority uint8
+	trial    string // server that is to be tried first, "" for none
+}
+
+// chooseServer returns the next server for a read. If a replica may run it, that is the best server that was not tried yet;
 // otherwise, or if all were tried, it is the leader, for which it waits until the context ends.
-func (d *Dispatcher) chooseServer(ctx context.Context, db catalog.Database, replica bool, tried []string) (catalog.Server, bool) {
-	if replica {
-		l, _ := d.table.Leader(db.Group)
-		now := d.options.Boot()
-		loadReport := func(server string) LoadReport { return d.loadReports.report(now, server) }
-		if s, ok := Candidate(d.table.Servers().InGroup(db.Group), l.Server, d.table.Self().Place, tried, loadReport); ok {
+func (d *Dispatcher) chooseServer(ctx context.Context, db catalog.Database, c choice) (catalog.Server, bool) {
+	if c.replica {
+		if s, ok := d.bestServer(db, c); ok {
 			return s, true
 		}
 	}
@@ -26,6 +31,17 @@
 	return s, ok
 }
 
+// bestServer returns the best server that was not tried yet for a call that any server may run.
+func (d *Dispatcher) bestServer(db catalog.Database, c choice) (catalog.Server, bool) {
+	l, _ := d.table.Leader(db.Group)
+	now := d.options.Boot()
+	if d.scheduling != nil {
+		return d.scheduling.choose(now, d.candidates(db, true), l.Server, d.table.Self().Place, c)
+	}
+	loadReport := func(server string) LoadReport { return d.loadReports.report(now, server) }
+	return Candidate(d.table.Servers().InGroup(db.Group), l.Server, d.table.Self().Place, c.tried, loadReport)
+}
+
 // hedgedRead is a read and its attempts, of which several may run at the same time on different servers.
 type hedgedRead struct {
 	d       *Dispatcher
@@ -34,8 +50,11 @@
 	ctx     context.Context // of the attempts
 	results chan attemptResult
 	tried   []string // ids of the servers that the read was sent to
+	trial   string   // server that is to be tried first, "" for none
 	running int      // attempts without a result
 	started int      // attempts so far
+	begin   time.Duration
+	refused []refusal // by overload
 }
 
 // attemptResult is the answer of one attempt and the server that gave it, in the form in which a leader is reported.
@@ -46,11 +65,12 @@
 
 // startAttempt sends the read to the next server. It returns false if no server is known before the context ends.
 func (r *hedgedRead) startAttempt(serverWait context.Context) bool {
-	s, ok := r.d.chooseServer(serverWait, r.db, r.call.Scope == statement.Replica, r.tried)
-	if !ok {
+	c := r.call
+	s, ok := r.d.chooseServer(serverWait, r.db, choice{c.Scope == statement.Replica, r.tried, c.Priority, r.trial})
+	if !ok || r.started > 0 && !(r.d.allowAfter(c, s.ID, r.refused) && r.d.allowRetry(c)) {
 		return false
 	}
-	c := r.call
+	c = r.d.withGoalLeft(c, r.begin)
 	l, _ := r.d.table.Leader(r.db.Group)
 	if s.ID == l.Server {
 		c.Scope, c.MaximumAge = statement.Leader, 0
@@ -72,14 +92,14 @@
 
 // read sends a read to one server after the other until one answers it. The next attempt starts when the one before
 // fails, and once when no answer has arrived after hedgeDelay.
-func (d *Dispatcher) read(ctx context.Context, db catalog.Database, c statement.Call) statement.Answer {
+func (d *Dispatcher) read(ctx context.Context, db catalog.Database, c statement.Call, trial string) statement.Answer {
 	limit := Timeout(db)
 	// Attempts that are still running when another one has answered go on until the statement's timeout: to cancel one
 	// would close its connection.
 	running, cancelRunning := context.WithTimeout(context.Background(), limit)
 	serverWait, cancelWait := context.WithTimeout(ctx, serverWaitTimeout(db))
 	defer cancelWait()
-	r := &hedgedRead{d: d, db: db, call: c, ctx: running, results: make(chan attemptResult, maxAttempts)}
+	r := &hedgedRead{d: d, db: db, call: c, ctx: running, results: make(chan attemptResult, maxAttempts), trial: trial, begin: d.options.Boot()}
 	defer func() { go r.drain(cancelRunning) }()
 	if !r.startAttempt(serverWait) {
 		return statement.Refused(statement.Busy, "no primary is known")
@@ -95,6 +115,7 @@
 				return result.answer
 			}
 			last = result.answer
+			r.refused = d.appendRefusal(r.refused, result)
 			if !r.retry(serverWait, result) && r.running == 0 {
 				return last
 			}
--- /dev/null
+++ b/internal/request/door/door_test.go
@@ -0,0 +1,218 @@
+package door_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"tanagercross/internal/request/door"
+	"tanagercross/internal/request/placement"
+)
+
+const (
+	ms        = time.Millisecond
+	seeds     = 5
+	instances = 94
+	limit     = 500 * ms
+)
+
+func always(f float64) func() float64 { return func() float64 { return f } }
+
+// Guards against a refusal while a server that may run the call reports room, or has sent no recent report.
+func TestNoRefusalWhileThereIsRoom(t *testing.T) {
+	full := placement.Report{Server: "a", Wait: 30 * time.Second, Age: 50 * ms, Known: true, Idle: 10 * ms}
+	for name, r := range map[string]placement.Report{
+		"room":    {Server: "b", Wait: limit, Age: 50 * ms, Known: true, Idle: 10 * ms},
+		"old":     {Server: "b", Wait: time.Minute, Age: 501 * ms, Known: true, Idle: 10 * ms},
+		"unknown": {Server: "b"},
+		"trial":   {Server: "b", Wait: time.Minute, Age: 400 * ms, Known: true, Idle: 101 * ms},
+	} {
+		var d door.Door
+		q := door.Question{Limit: limit, Reports: []placement.Report{full, r}, Instances: 1}
+		if v := d.Decide(time.Second, q, always(0)); !v.Admitted {
+			t.Errorf("%s: refused: %+v", name, v)
+		}
+	}
+	var d door.Door
+	q := door.Question{Limit: limit, Reports: []placement.Report{full}, Instances: 1}
+	got := d.Decide(time.Second, q, always(0))
+	want := door.Verdict{RetryAfter: 2 * time.Second, Limit: limit, Wait: full.Wait, Servers: 1, Age: full.Age, Refused: got.Refused}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("every server is full (-want +got):\n%s", diff)
+	}
+	if want := "overloaded; retry after 2000 ms"; got.Text() != want {
+		t.Errorf("text %q, want %q", got.Text(), want)
+	}
+}
+
+// Guards against a time to retry that is not understood, or that is read from another text.
+func TestRetryAfter(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		door.Verdict{RetryAfter: 350 * ms}.Text(): 350 * ms,
+		"rate_exceeded; retry after 500 ms":       500 * ms,
+		"queue: queue_timeout":                    0,
+		"retry after some ms":                     0,
+		"retry after 10":                          0,
+		"retry after -5 ms":                       0,
+		"":                                        0,
+	} {
+		if got := door.RetryAfter(text); got != want {
+			t.Errorf("%q: %v, want %v", text, got, want)
+		}
+	}
+}
+
+// Guards against a server that no call tries any more after a report of a long wait, and against trials that let every call
+// pass.
+func TestTrials(t *testing.T) {
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		var d door.Door
+		lastTry, gap, admitted := map[string]time.Duration{}, time.Duration(0), 0
+		for now := time.Second; now < 6*time.Second; now += ms {
+			var q door.Question
+			q.Limit, q.Instances = limit, 1
+			for _, id := range []string{"a", "b", "c"} {
+				q.Reports = append(q.Reports, placement.Report{Server: id, Wait: time.Minute, Known: true, Idle: now - max(time.Second, lastTry[id])})
+			}
+			v := d.Decide(now, q, random.Float64)
+			if v.Admitted {
+				admitted++
+				gap = max(gap, now-max(time.Second, lastTry[v.Trial]))
+				lastTry[v.Trial] = now
+			}
+		}
+		if gap > 103*ms || admitted > 160 {
+			t.Errorf("seed %d: %d calls admitted in 5 s, longest time without a trial %v", seed, admitted, gap)
+		}
+	}
+}
+
+// fleet is a server that serves perStep calls in each step, and instances that ask for more.
+type fleet struct {
+	random   *rand.Rand
+	doors    [instances]door.Door
+	lastSent [instances]time.Duration
+	waits    []time.Duration // by step
+	queue    float64
+}
+
+const (
+	step    = 10 * ms
+	perStep = 6.0 // 600 calls a second
+)
+
+// run plays steps with the number of calls that is asked in each, and a report that is late by a time. It returns the
+// admitted calls of each second.
+func (f *fleet) run(steps int, late time.Duration, asked func(step, refused int) int) (admitted []float64, idle int) {
+	refused := 0
+	for n := range steps {
+		now := time.Duration(n) * step
+		known := n >= int(late/step)
+		var wait time.Duration
+		if known {
+			wait = f.waits[n-int(late/step)]
+		}
+		if n%100 == 0 {
+			admitted = append(admitted, 0)
+		}
+		calls := asked(n, refused)
+		refused = 0
+		for range calls {
+			i := f.random.IntN(instances)
+			r := placement.Report{Server: "a", Wait: wait, Known: known, Idle: now - f.lastSent[i]}
+			v := f.doors[i].Decide(now, door.Question{Limit: limit, Reports: []placement.Report{r}, Instances: instances}, f.random.Float64)
+			if !v.Admitted {
+				refused++
+				continue
+			}
+			f.lastSent[i] = now
+			f.queue++
+			admitted[len(admitted)-1]++
+		}
+		if f.queue < perStep {
+			idle++
+		}
+		f.queue = max(0, f.queue-perStep)
+		f.waits = append(f.waits, time.Duration(f.queue/perStep*float64(step)))
+	}
+	return admitted, idle
+}
+
+// Guards against instances that all stop and all start again: the server runs empty although more is asked than it serves,
+// or its queue grows and shrinks without end.
+// Load: 94 instances ask for 1.3 to 4 times what the server serves, for 40 s; each sees the report that is 1 s old.
+func TestNoOscillationWithLateReports(t *testing.T) {
+	for seed := range uint64(seeds) {
+		for _, load := range []float64{1.3, 2, 4} {
+			f := fleet{random: rand.New(rand.NewPCG(seed, 1))}
+			admitted, idle := f.run(4000, time.Second, func(int, int) int { return int(load * perStep) })
+			low, high := admitted[20], admitted[20]
+			for _, n := range admitted[20:] {
+				low, high = min(low, n), max(high, n)
+			}
+			shortest, longest := f.waits[2000], f.waits[2000]
+			for _, w := range f.waits[2000:] {
+				shortest, longest = min(shortest, w), max(longest, w)
+			}
+			t.Logf("seed %d, load %.1f: %v to %v of 600 admitted a second, wait %v to %v", seed, load, low, high, shortest, longest)
+			if low < 0.85*600 || high > 1.15*600 || shortest < limit || idle > 0 {
+				t.Errorf("seed %d, load %.1f: the admitted load or the queue oscillates", seed, load)
+			}
+		}
+	}
+}
+
+// Guards against callers that gain by coming back at once: they are refused again, and the server neither runs empty nor
+// gets more than it does with patient callers.
+// Load: 94 instances, twice what the server serves, for 30 s; every refused caller comes back within 100 ms.
+func TestRefusedCallersComeBackAtOnce(t *testing.T) {
+	for seed := range uint64(seeds) {
+		f := fleet{random: rand.New(rand.NewPCG(seed, 1))}
+		var back [3000 + 10]int
+		asked := func(n, refused int) int {
+			for range refused {
+				back[n+f.random.IntN(10)]++
+			}
+			if n < 1000 {
+				return 2*perStep + back[n]
+			}
+			return perStep/2 + back[n] // the load ends: the callers that wait must be served
+		}
+		admitted, _ := f.run(3000, 100*ms, asked)
+		longest := time.Duration(0)
+		for _, w := range f.waits {
+			longest = max(longest, w)
+		}
+		t.Logf("seed %d: admitted by second %v, longest wait %v", seed, admitted, longest)
+		for n := 3; n < 10; n++ {
+			if admitted[n] < 0.85*600 {
+				t.Errorf("seed %d: %v of 600 admitted in second %d", seed, admitted[n], n)
+			}
+		}
+		if longest > 8*time.Second || back[2990] > 0 {
+			t.Errorf("seed %d: wait of %v, %d callers still refused at the end", seed, longest, back[2990])
+		}
+	}
+}
+
+// A decision takes at most 5 us and allocates nothing.
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{1, 3, 16} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var d door.Door
+			q := door.Question{Limit: limit, Instances: instances}
+			for i := range n {
+				q.Reports = append(q.Reports, placement.Report{Server: fmt.Sprint(i), Wait: 3 * time.Second, Known: true})
+			}
+			random := rand.New(rand.NewPCG(1, 1))
+			b.ReportAllocs()
+			for b.Loop() {
+				d.Decide(time.Second, q, random.Float64)
+			}
+		})
+	}
+}
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -131,12 +131,14 @@
 	if !a.LoadOnly {
 		r.setLatency(now, a)
 	}
-	switch code := a.Answer.Code; {
+	code := a.Answer.Code
+	unreachable := code == statement.WrongServer && a.Answer.Delivery == statement.NotSent
+	switch {
 	case a.Answer.OK():
 		r.behindUntil = 0
 	case code == statement.Behind:
 		r.behindUntil = now + behindLifetime
-	case code == statement.TooMany, code == statement.Busy, code == statement.WrongServer, a.Answer.Delivery == statement.Unanswered:
+	case code == statement.TooMany, code == statement.Busy, unreachable, a.Answer.Delivery == statement.Unanswered:
 		r.busyUntil = now + busyLifetime
 	}
 }
--- a/internal/request/retry/retry.go
+++ b/internal/request/retry/retry.go
@@ -5,6 +5,7 @@
 //
 //	budget := retry.NewBudget(retry.Policy{}, now)
 //	budget.Request()
+//	allowed := budget.TakeFor(now, priority)
 //	attempts := retry.NewAttempts(retry.Policy{}, deadline)
 //	wait, denied := attempts.NextAttempt(now, reason, budget, rand.Int64N)
 //	if denied != "" {
@@ -38,6 +39,8 @@
 	MaxDelay         time.Duration // upper bound of all waits
 	BudgetPerRequest float64
 	BudgetPerSecond  float64
+	// PriorityReserve is the share of BudgetPerSecond that only priority 0 may use.
+	PriorityReserve float64
 }
 
 // WithDefaults returns a copy in which fields that are zero or negative have their defaults.
@@ -142,7 +145,10 @@
 }
 
 // Take takes one retry and reports whether one was left.
-func (b *Budget) Take(now time.Time) bool {
+func (b *Budget) Take(now time.Time) bool { return b.TakeFor(now, 0) }
+
+// TakeFor is Take for a call of a priority. Only priority 0, the highest, may use the reserve.
+func (b *Budget) TakeFor(now time.Time, priority uint8) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if elapsed := now.Sub(b.updated); elapsed > 0 {
@@ -152,7 +158,11 @@
 		}
 		b.updated = now
 	}
-	if b.tokens < 1 {
+	reserve := 0.0
+	if priority > 0 {
+		reserve = b.policy.PriorityReserve * b.policy.BudgetPerSecond
+	}
+	if b.tokens < 1+reserve {
 		return false
 	}
 	b.tokens--
--- a/internal/request/retry/retry_test.go
+++ b/internal/request/retry/retry_test.go
@@ -50,3 +50,24 @@
 		t.Fatalf("%d retries, want 1000 to %d", retries, limit)
 	}
 }
+
+// Guards against retries of lower priorities that leave none for priority 0.
+// Load: for 10 s, every millisecond a served request and a wish to retry of priority 2, and every 20 ms one of priority 0.
+func TestBudgetReserve(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := NewBudget(Policy{BudgetPerRequest: 0.02, BudgetPerSecond: 40, PriorityReserve: 0.25}, now)
+	high, low := 0, 0
+	for n := range 10_000 {
+		now = now.Add(time.Millisecond)
+		b.Request()
+		for b.TakeFor(now, 2) {
+			low++
+		}
+		if n%20 == 0 && b.TakeFor(now, 0) {
+			high++
+		}
+	}
+	if high != 500 || low > 40+10*(40+20)-500 {
+		t.Fatalf("%d retries of priority 0 of 500 asked, %d of priority 2", high, low)
+	}
+}
