--- a/internal/instance/entry/observe.go
+++ b/internal/instance/entry/observe.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"log/slog"
 	"strconv"
 	"sync"
@@ -12,6 +13,7 @@
 	"tanagercross/internal/instance/metric"
 	"tanagercross/internal/request/dispatch"
 	"tanagercross/internal/request/door"
+	"tanagercross/internal/request/placement"
 	"tanagercross/internal/service/recovery"
 )
 
@@ -187,11 +189,20 @@
 		outcome = "refused"
 		o.log.Info("refused at the door", "request", c.ID, "session", c.Session, "database", database, "organisation", c.Organisation,
 			"priority", c.Priority, "limit_ms", v.Limit.Milliseconds(), "wait_ms", v.Wait.Milliseconds(), "age_ms", v.Age.Milliseconds(),
-			"servers", v.Servers, "refused_fraction", v.Refused, "retry_after_ms", v.RetryAfter.Milliseconds())
+			"reports", reportTexts(v.Reports), "refused_fraction", v.Refused, "retry_after_ms", v.RetryAfter.Milliseconds())
 	}
 	o.metrics.Count(metric.Admissions, priorityLabel(c.Priority), metric.Label{Name: "outcome", Value: outcome})
 }
 
+// reportTexts returns the reports on which a refusal is based in the form of the log.
+func reportTexts(reports []placement.Report) []string {
+	texts := make([]string, 0, len(reports))
+	for _, r := range reports {
+		texts = append(texts, fmt.Sprintf("%s: wait %d ms, %d ms old", r.Server, r.Wait.Milliseconds(), r.Age.Milliseconds()))
+	}
+	return texts
+}
+
 // RetryDenied implements dispatch.Observer.
 func (o *observer) RetryDenied(c statement.Call, reason string) {
 	o.metrics.Count(metric.Admissions, priorityLabel(c.Priority), metric.Label{Name: "outcome", Value: "retry_denied"})
--- a/internal/request/door/door.go
+++ b/internal/request/door/door.go
@@ -20,6 +20,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -58,9 +59,10 @@
 	RetryAfter time.Duration // of a refusal
 	Limit      time.Duration
 	Wait       time.Duration // shortest reported wait of the servers
-	Servers    int           // that may run the call
 	Age        time.Duration // of the oldest report
 	Refused    float64       // fraction of such calls that is refused
+	// Reports are those on which a refusal is based.
+	Reports []placement.Report
 }
 
 // Text returns the text of a refusal.
@@ -87,7 +89,7 @@
 
 // Decide decides about a call. Random returns numbers from 0 up to, but not including, 1.
 func (d *Door) Decide(now time.Duration, q Question, random func() float64) Verdict {
-	v := Verdict{Admitted: true, Limit: q.Limit, Servers: len(q.Reports)}
+	v := Verdict{Admitted: true, Limit: q.Limit}
 	if len(q.Reports) == 0 {
 		return v
 	}
@@ -107,7 +109,7 @@
 	if v.Trial = d.claimTrial(now, q); v.Trial != "" {
 		return v
 	}
-	v.Admitted = false
+	v.Admitted, v.Reports = false, slices.Clone(q.Reports)
 	v.RetryAfter = time.Duration(float64(max(minRetryAfter, excess)) * (1 + retrySpread*random()))
 	v.RetryAfter = min(maxRetryAfter, v.RetryAfter).Round(time.Millisecond)
 	return v
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -36,6 +36,10 @@
 	latencyLifetime = time.Second
 	// baseLifetime is how long transit and service time are used together with reports. They change less than waits.
 	baseLifetime = 10 * time.Second
+	// maxWait is the longest wait that is kept. No caller waits for as long.
+	maxWait = time.Minute
+	// maxSlots is the largest number of slots of a server's row.
+	maxSlots = 1 << 16
 	// transitWindow is the period over which the lowest duration counts as transit. Two of them are kept.
 	transitWindow = 5 * time.Second
 	// Weights of a new value in moving averages.
@@ -143,9 +147,13 @@
 	}
 }
 
-// setLoad keeps a report.
+// setLoad keeps a report. Its figures come from another instance, so that they are limited before they are summed.
 func (r *record) setLoad(now time.Duration, l statement.Load) {
-	utilisation := float64(l.Running+l.Queued) / float64(max(1, l.Slots))
+	for p, wait := range l.Wait {
+		l.Wait[p] = min(max(0, wait), maxWait)
+	}
+	l.Running, l.Queued, l.Slots = max(0, l.Running), max(0, l.Queued), min(max(1, l.Slots), maxSlots)
+	utilisation := (float64(l.Running) + float64(l.Queued)) / float64(l.Slots)
 	since := now - r.received
 	switch {
 	case !r.hasReport(now):
--- a/internal/request/placement/placement_test.go
+++ b/internal/request/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -217,6 +218,24 @@
 	}
 }
 
+// Guards against a report with figures that no server has, which would make sums overflow and the server attract everything.
+func TestImpossibleLoad(t *testing.T) {
+	for _, l := range []statement.Load{
+		{Wait: [3]time.Duration{math.MaxInt64, math.MaxInt64, math.MaxInt64}, Running: math.MaxInt, Queued: 1},
+		{Wait: [3]time.Duration{math.MinInt64, -1, -1}, Running: -5, Queued: -5, Slots: -1},
+	} {
+		var e placement.Estimates
+		s := catalog.Server{ID: "s0", Place: "agreste"}
+		e.Answered(time.Second, s.ID, placement.Attempt{Answer: statement.Answer{Delivery: statement.Answered, Load: &l}})
+		if x := e.Expected(time.Second, s, "agreste", 0); x.Total() < 0 || x.Wait < 0 || x.Utilisation < 0 {
+			t.Errorf("%+v: %+v", l, x)
+		}
+		if _, ok := e.Choose(time.Second, placement.Question{Servers: []catalog.Server{s}, Leader: s.ID}, func() float64 { return 0.9 }); !ok {
+			t.Errorf("%+v: no server is chosen", l)
+		}
+	}
+}
+
 // A decision takes at most 5 us and allocates nothing.
 func BenchmarkChoose(b *testing.B) {
 	for _, n := range []int{3, 16} {
