Keep a session's admission for a second, so that asking again does not help

An independent draw for each call let refused callers in who came back at once: with all of them back within 100 ms the wait grew to 6.6 s at twice the load. The draw now follows from the session and changes once a second.

--- a/internal/request/dispatch/scheduling.go
+++ b/internal/request/dispatch/scheduling.go
@@ -136,7 +136,7 @@
 			reports = append(reports, d.scheduling.estimates.Report(now, s.ID, c.Priority))
 		}
 	}
-	q := door.Question{Limit: limit, Reports: reports, Instances: d.table.Roster().Len()}
+	q := door.Question{Session: c.Session, Limit: limit, Reports: reports, Instances: d.table.Roster().Len()}
 	v := d.scheduling.door.Decide(now, q, rand.Float64)
 	d.options.Observer.Admission(c, db.Name, v)
 	if !v.Admitted {
--- a/internal/request/door/door.go
+++ b/internal/request/door/door.go
@@ -4,14 +4,15 @@
 // # Usage
 //
 //	var d door.Door
-//	verdict := d.Decide(now, door.Question{Limit: timeout, Reports: reports, Instances: 94}, rand.Float64)
+//	verdict := d.Decide(now, door.Question{Session: session, Limit: timeout, Reports: reports, Instances: 94}, rand.Float64)
 //	if !verdict.Admitted {
 //		return statement.Refused(statement.Busy, verdict.Text())
 //	}
 //
 // A call may be refused only if every server that may run it reported a wait past the limit, not longer ago than
 // ReportLifetime. The refused fraction grows with the excess, because all instances hold about the same reports: if all
-// refused everything at the same wait, the servers would run empty before the next report. Servers that this instance has
+// refused everything at the same wait, the servers would run empty before the next report. Which calls are refused follows
+// from their session and changes once in drawPeriod, so that a caller that asks again at once gets the same answer. Servers that this instance has
 // not sent a statement to for a while are tried whatever they reported.
 //
 // The package does no I/O; time and randomness are parameters.
@@ -20,12 +21,15 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"tanagercross/internal/request/placement"
 )
 
@@ -38,6 +42,8 @@
 	excessScale = 1500 * time.Millisecond
 	// trialInterval is the longest time in which no call tries a server.
 	trialInterval = 100 * time.Millisecond
+	// drawPeriod is how long a session is among those that are refused at a fraction, or among the others.
+	drawPeriod = time.Second
 	// A refusal names a time to retry within these bounds.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -47,6 +53,7 @@
 
 // Question describes a call for which a decision is wanted.
 type Question struct {
+	Session   string             // of the caller
 	Limit     time.Duration      // longest wait that is of use to the caller
 	Reports   []placement.Report // of all servers that may run the call
 	Instances int                // that send to these servers
@@ -103,18 +110,28 @@
 	}
 	excess := v.Wait - q.Limit
 	v.Refused = 1 - math.Exp(-float64(excess)/float64(excessScale))
-	if random() >= v.Refused {
+	drawn, remaining := draw(now, q.Session)
+	if drawn >= v.Refused {
 		return v
 	}
 	if v.Trial = d.claimTrial(now, q); v.Trial != "" {
 		return v
 	}
 	v.Admitted, v.Reports = false, slices.Clone(q.Reports)
-	v.RetryAfter = time.Duration(float64(max(minRetryAfter, excess)) * (1 + retrySpread*random()))
+	v.RetryAfter = time.Duration(float64(max(minRetryAfter, excess, remaining)) * (1 + retrySpread*random()))
 	v.RetryAfter = min(maxRetryAfter, v.RetryAfter).Round(time.Millisecond)
 	return v
 }
 
+// draw returns the number of a session, from 0 up to, but not including, 1, against which the refused fraction is compared,
+// and for how long the session keeps it. The periods of different sessions start at different moments.
+func draw(now time.Duration, session string) (number float64, remaining time.Duration) {
+	hash := xxhash.Sum64String(session)
+	moment := now + time.Duration(hash%uint64(drawPeriod))
+	random := rand.NewPCG(hash, uint64(moment/drawPeriod))
+	return float64(random.Uint64()>>11) / (1 << 53), drawPeriod - moment%drawPeriod
+}
+
 // claimTrial returns a server that no call of this instance has tried for its part of the trial interval, or "". The
 // instances share the trials of a server, so that these alone do not fill it. Past ReportLifetime a call is admitted for
 // lack of a recent report.
