Try replicas before a full leader is asked again, and answer callers with busy

A read-only transaction that a full leader refused was not tried at a replica, because the retry counted as one at the same server. With a denied retry a caller could get a refusal that concerns the choice of the server, such as behind; as the statement has not run, it is now busy. Without PriorityScheduling nothing changes.

--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -143,8 +143,7 @@
 	} else {
 		a = d.read(ctx, db, c, trial)
 	}
-	d.scheduling.served(a)
-	return a
+	return d.scheduling.conclude(a)
 }
 
 // attempt runs a call once on a server. It tries the instances that hold connections to the server, best first, and goes
@@ -260,10 +259,11 @@
 	answer = statement.Refused(statement.Busy, "no primary is known")
 	started := d.options.Boot()
 	var tried []string
+	var refused []refusal
 	for n := range maxAttempts {
 		s, ok := d.chooseServer(serverWait, db, choice{replica: replica, tried: tried, priority: c.Priority, trial: trial})
-		if !ok {
-			return answer, nil
+		if !ok || !d.allowAfter(c, s.ID, refused) {
+			return d.scheduling.conclude(answer), nil
 		}
 		c.Scope, c.MaximumAge = statement.Leader, 0
 		l, _ := d.table.Leader(db.Group)
@@ -277,25 +277,30 @@
 		var instance roster.Member
 		answer, instance = d.executeFirst(ctx, s, d.withGoalLeft(c, started))
 		if answer.OK() {
-			d.scheduling.served(answer)
+			d.scheduling.conclude(answer)
 			return answer, &Pin{Server: s.ID, Instance: instance, Transaction: answer.Transaction, Scope: c.Scope}
 		}
 		if answer.Transaction != 0 && answer.Delivery == statement.Answered {
 			d.rollback(instance, s.ID, c, answer.Transaction)
 		}
-		if c.Scope == statement.Replica {
+		refused = d.appendRefusal(refused, s.ID, answer)
+		elsewhere := c.Scope == statement.Replica
+		if replica && !elsewhere && len(refused) > 0 {
+			tried, elsewhere = append(tried, s.ID), true // a replica may still have room
+		}
+		if elsewhere {
 			if !d.allowRetry(c) {
-				return answer, nil
+				return d.scheduling.conclude(answer), nil
 			}
 			continue
 		}
 		// Without a commit the transaction has no effect, so even a statement without an answer may be sent again.
 		if !d.retryable(l, answer) && answer.Delivery != statement.Unanswered || !d.allowRepeat(c, answer, retryPause) ||
 			!clock.Sleep(serverWait, retryPause) {
-			return answer, nil
+			return d.scheduling.conclude(answer), nil
 		}
 	}
-	return answer, nil
+	return d.scheduling.conclude(answer), nil
 }
 
 // executeFirst runs the first statement of a transaction within openTimeout.
@@ -323,7 +328,7 @@
 	a := d.executor.Execute(ctx, p.Instance, p.Server, c)
 	d.options.Observer.AttemptEnded(c, p.Server, p.Instance.Name, a, time.Since(started))
 	d.scheduling.answered(d.options.Boot(), p.Server, c, a, time.Since(started))
-	d.scheduling.served(a)
+	d.scheduling.conclude(a)
 	if a.Code == statement.ReadOnly {
 		if s, ok := d.table.Servers().Server(p.Server); ok {
 			d.table.RejectLeader(d.options.Boot(), s.Group, p.Server)
--- a/internal/request/dispatch/read.go
+++ b/internal/request/dispatch/read.go
@@ -115,7 +115,7 @@
 				return result.answer
 			}
 			last = result.answer
-			r.refused = d.appendRefusal(r.refused, result)
+			r.refused = d.appendRefusal(r.refused, result.leader.Server, result.answer)
 			if !r.retry(serverWait, result) && r.running == 0 {
 				return last
 			}
--- a/internal/request/dispatch/scheduling.go
+++ b/internal/request/dispatch/scheduling.go
@@ -59,11 +59,19 @@
 	s.estimates.Answered(now, server, placement.Attempt{Answer: a, Took: took, LoadOnly: followUp || c.Writes()})
 }
 
-// served adds what a served statement allows to the retry budget.
-func (s *scheduling) served(a statement.Answer) {
-	if s != nil && a.OK() {
+// conclude adds what a served statement allows to the retry budget, and returns the answer for the caller. A server's
+// refusal that concerns the choice of the server says nothing to a caller; as the statement has not run, it becomes Busy.
+func (s *scheduling) conclude(a statement.Answer) statement.Answer {
+	if s == nil {
+		return a
+	}
+	if a.OK() {
 		s.budget.Request()
 	}
+	if a.Delivery == statement.Answered && (a.Code == statement.Behind || a.Code == statement.ReadOnly || a.Code == statement.WrongServer) {
+		a.Code, a.Text = statement.Busy, string(a.Code)+": "+a.Text
+	}
+	return a
 }
 
 // retain drops what is known of servers that are not in the list.
@@ -187,13 +195,13 @@
 	until  time.Duration // end of the time that it names
 }
 
-// appendRefusal adds the refusal of an attempt, if it is one that names a time.
-func (d *Dispatcher) appendRefusal(list []refusal, r attemptResult) []refusal {
-	after := overloadTime(r.answer)
+// appendRefusal adds the answer of a server, if it is a refusal by overload that names a time.
+func (d *Dispatcher) appendRefusal(list []refusal, server string, a statement.Answer) []refusal {
+	after := overloadTime(a)
 	if d.scheduling == nil || after == 0 {
 		return list
 	}
-	return append(list, refusal{server: r.leader.Server, until: d.options.Boot() + after})
+	return append(list, refusal{server: server, until: d.options.Boot() + after})
 }
 
 // allowAfter reports whether a call may be sent to a server after the given refusals.
--- a/internal/request/dispatch/scheduling_test.go
+++ b/internal/request/dispatch/scheduling_test.go
@@ -176,6 +176,41 @@
 	}
 }
 
+// Guards against a transaction that only reads and is refused because the leader is full, while a replica has room.
+func TestReadOnlyTransactionLeavesFullLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, e := newDispatcher(true, executor{time.Millisecond, func(server string, _ statement.Call) statement.Answer {
+			if server == "s0" {
+				return statement.Refused(statement.Busy, "overloaded; retry after 700 ms")
+			}
+			return statement.Answer{Delivery: statement.Answered, Transaction: 7, State: statement.InTransaction}
+		}})
+		c := call(statement.Read{}, 0)
+		c.ReadOnly = true
+		if a, pin := d.Open(t.Context(), meals, c); pin == nil || pin.Server == "s0" || e.counts["at s0"] != 1 {
+			t.Errorf("answer %+v, pin %+v, events %v", a, pin, e.counts)
+		}
+	})
+}
+
+// Guards against callers that get a refusal which is meant for the choice of the server, because the retry elsewhere is denied.
+func TestDeniedRetryIsBusy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, e := newDispatcher(true, executor{time.Millisecond, func(string, statement.Call) statement.Answer {
+			return statement.Answer{Delivery: statement.Answered, Code: statement.Behind, Text: "at 7"}
+		}})
+		for n := range 20 {
+			a := d.Single(t.Context(), meals, call(statement.Read{}, 2))
+			if a.Code != statement.Busy || a.Text != "behind: at 7" || a.Delivery != statement.Answered {
+				t.Fatalf("call %d: %+v", n, a)
+			}
+		}
+		if e.counts["denied budget"] == 0 {
+			t.Error("no retry was denied")
+		}
+	})
+}
+
 // Guards against calls that are sent although every server reported a wait past their goal, against refusals that are not
 // marked as not run, and against refusals of statements of an open transaction, of calls that have time, and without
 // PriorityScheduling.
