Limit the utilisation that a report can state

The price of a leader is computed from the square of the utilisation. With an impossible count of running statements it overflowed, and the leader could attract every read. Tests of internal/request pass.

--- a/internal/request/dispatch/read.go
+++ b/internal/request/dispatch/read.go
@@ -49,12 +49,12 @@
 	call    statement.Call
 	ctx     context.Context // of the attempts
 	results chan attemptResult
-	tried   []string // ids of the servers that the read was sent to
-	trial   string   // server that is to be tried first, "" for none
-	running int      // attempts without a result
-	started int      // attempts so far
-	begin   time.Duration
-	refused []refusal // by overload
+	tried   []string      // ids of the servers that the read was sent to
+	trial   string        // server that is to be tried first, "" for none
+	running int           // attempts without a result
+	started int           // attempts so far
+	begin   time.Duration // of the read, by the clock of the instance
+	refused []refusal     // by overload
 }
 
 // attemptResult is the answer of one attempt and the server that gave it, in the form in which a leader is reported.
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -38,6 +38,8 @@
 	baseLifetime = 10 * time.Second
 	// maxWait is the longest wait that is kept. No caller waits for as long.
 	maxWait = time.Minute
+	// maxUtilisation is the highest utilisation that is kept. The price of a leader reaches its bound long before.
+	maxUtilisation = 100
 	// maxSlots is the largest number of slots of a server's row.
 	maxSlots = 1 << 16
 	// transitWindow is the period over which the lowest duration counts as transit. Two of them are kept.
@@ -153,7 +155,7 @@
 		l.Wait[p] = min(max(0, wait), maxWait)
 	}
 	l.Running, l.Queued, l.Slots = max(0, l.Running), max(0, l.Queued), min(max(1, l.Slots), maxSlots)
-	utilisation := (float64(l.Running) + float64(l.Queued)) / float64(l.Slots)
+	utilisation := min(maxUtilisation, (float64(l.Running)+float64(l.Queued))/float64(l.Slots))
 	since := now - r.received
 	switch {
 	case !r.hasReport(now):
--- a/internal/request/placement/placement_test.go
+++ b/internal/request/placement/placement_test.go
@@ -230,8 +230,10 @@
 		if x := e.Expected(time.Second, s, "agreste", 0); x.Total() < 0 || x.Wait < 0 || x.Utilisation < 0 {
 			t.Errorf("%+v: %+v", l, x)
 		}
-		if _, ok := e.Choose(time.Second, placement.Question{Servers: []catalog.Server{s}, Leader: s.ID}, func() float64 { return 0.9 }); !ok {
-			t.Errorf("%+v: no server is chosen", l)
+		q := placement.Question{Servers: []catalog.Server{s, {ID: "s1", Place: "sertao"}}, Leader: s.ID, Place: "agreste"}
+		got, _ := e.Choose(time.Second, q, func() float64 { return 0 })
+		if want := map[bool]string{true: "s1", false: "s0"}[l.Running > 0]; got.ID != want {
+			t.Errorf("%+v: chose %q, want %q", l, got.ID, want)
 		}
 	}
 }
