--- a/internal/instance/entry/observe.go
+++ b/internal/instance/entry/observe.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"log/slog"
 	"strconv"
 	"sync"
@@ -14,6 +15,8 @@
 	"tanagercross/internal/instance/metric"
 	"tanagercross/internal/organisation/allotment"
 	"tanagercross/internal/request/dispatch"
+	"tanagercross/internal/request/door"
+	"tanagercross/internal/request/placement"
 	"tanagercross/internal/service/recovery"
 	"tanagercross/internal/session/outcome"
 )
@@ -54,6 +57,7 @@
 		isCoordinator = 1
 	}
 	emit(metric.Steward, isCoordinator)
+	o.expectedWaits(emit)
 	for id, g := range n.pools.snapshot() {
 		connections, transactions, load, opened := g.pool.Counts()
 		label := metric.Label{Name: "server", Value: id}
@@ -66,17 +70,12 @@
 		emit(metric.ServerReplaced, float64(replaced.OutOfStep), label, metric.Label{Name: "reason", Value: "out_of_step"})
 		if load := g.pool.QueueLoad(); load != nil {
 			for priority, wait := range load.Wait {
-				emit(metric.ServerExpectedWait, wait.Seconds(), label, priorityLabel(priority))
+				emit(metric.ServerExpectedWait, wait.Seconds(), label, priorityLabel(uint8(priority)))
 			}
 		}
 	}
 }
 
-// priorityLabel returns the label of a level of priority.
-func priorityLabel(level int) metric.Label {
-	return metric.Label{Name: "priority", Value: strconv.Itoa(level)}
-}
-
 // QueueServed implements serverpool.QueueObserver.
 func (o *observer) QueueServed(_ string, r serverqueue.Request, waited time.Duration) {
 	o.countQueue(r, serverqueue.Served)
@@ -105,7 +104,26 @@
 }
 
 func (o *observer) countQueue(r serverqueue.Request, outcome serverqueue.Outcome) {
-	o.metrics.Count(metric.QueueLeft, priorityLabel(r.Level()), metric.Label{Name: "outcome", Value: string(outcome)})
+	o.metrics.Count(metric.QueueLeft, priorityLabel(uint8(r.Level())), metric.Label{Name: "outcome", Value: string(outcome)})
+}
+
+// expectedWaits emits the wait of each server by priority that its holder reported lately.
+func (o *observer) expectedWaits(emit metric.Emit) {
+	if o.n.dispatcher == nil {
+		return // the instance is still starting
+	}
+	for _, s := range o.n.table.Servers().All() {
+		for priority := range uint8(statement.Priorities) {
+			if wait, ok := o.n.dispatcher.ExpectedWait(s, priority); ok {
+				emit(metric.ServerReportedWait, wait.Seconds(), metric.Label{Name: "server", Value: s.ID}, priorityLabel(priority))
+			}
+		}
+	}
+}
+
+// priorityLabel returns the label of a priority. Lower priorities than those that queues distinguish count as the last one.
+func priorityLabel(priority uint8) metric.Label {
+	return metric.Label{Name: "priority", Value: strconv.Itoa(min(int(priority), statement.Priorities-1))}
 }
 
 // ConfigurationChanged implements view.Observer.
@@ -204,6 +222,33 @@
 	o.metrics.Count(metric.StatementRetried, metric.Label{Name: "reason", Value: reason})
 }
 
+// Admission implements dispatch.Observer.
+func (o *observer) Admission(c statement.Call, database string, v door.Verdict) {
+	outcome := "admitted"
+	if !v.Admitted {
+		outcome = "refused"
+		o.log.Info("refused at the door", "request", c.ID, "session", c.Session, "database", database, "organisation", c.Organisation,
+			"priority", c.Priority, "limit_ms", v.Limit.Milliseconds(), "wait_ms", v.Wait.Milliseconds(), "age_ms", v.Age.Milliseconds(),
+			"reports", reportTexts(v.Reports), "refused_fraction", v.Refused, "retry_after_ms", v.RetryAfter.Milliseconds())
+	}
+	o.metrics.Count(metric.Admissions, priorityLabel(c.Priority), metric.Label{Name: "outcome", Value: outcome})
+}
+
+// reportTexts returns the reports on which a refusal is based in the form of the log.
+func reportTexts(reports []placement.Report) []string {
+	texts := make([]string, 0, len(reports))
+	for _, r := range reports {
+		texts = append(texts, fmt.Sprintf("%s: wait %d ms, %d ms old", r.Server, r.Wait.Milliseconds(), r.Age.Milliseconds()))
+	}
+	return texts
+}
+
+// RetryDenied implements dispatch.Observer.
+func (o *observer) RetryDenied(c statement.Call, reason string) {
+	o.metrics.Count(metric.Admissions, priorityLabel(c.Priority), metric.Label{Name: "outcome", Value: "retry_denied"})
+	o.log.Info("retry denied", "request", c.ID, "session", c.Session, "organisation", c.Organisation, "priority", c.Priority, "reason", reason)
+}
+
 // Panicked implements dispatch.Observer and callersession.Observer.
 func (o *observer) Panicked(part string, p recovery.Panic) {
 	o.metrics.Count(metric.Panics)
--- a/internal/instance/metric/entry.go
+++ b/internal/instance/metric/entry.go
@@ -10,6 +10,7 @@
 	Statements       CounterName = "tanagercross_statements_total"        // by code
 	StatementRefused CounterName = "tanagercross_statement_refused_total" // by code and reason
 	StatementRetried CounterName = "tanagercross_statement_retried_total" // by reason
+	Admissions       CounterName = "tanagercross_admissions_total"        // by priority and outcome
 	ReadsServed      CounterName = "tanagercross_reads_served_total"      // by scope
 	TokensBorrowed   CounterName = "tanagercross_tokens_borrowed_total"   // from other places
 	TokensGranted    CounterName = "tanagercross_tokens_granted_total"    // to operations, by priority
@@ -38,6 +39,7 @@
 	ServerOpened         GaugeName = "tanagercross_server_connections_opened"
 	ServerReplaced       GaugeName = "tanagercross_server_connections_replaced"  // by server and reason
 	ServerExpectedWait   GaugeName = "tanagercross_server_expected_wait_seconds" // by server and priority
+	ServerReportedWait   GaugeName = "tanagercross_server_reported_wait_seconds" // by server and priority, as its holder reported it
 	Steward              GaugeName = "tanagercross_steward"
 )
 
