Plan connections where a server allows fewer than there are organisations

Cause: at the connection limit the pool closed the connection that had been idle for the longest time, also the only one of an organisation that came back at once while others held several. Nothing kept less urgent callers from holding all connections.

Change: connplan decides who may open, keep and lose a connection: the idle connection that saves the fewest expected openings is closed, a call waits for a connection of its organisation that is expected back before one could be opened, less urgent calls leave one connection for each slot (at most a quarter of the limit) and one opening to urgent ones, and openings run at most one a slot. serverpool uses it where the group's connection limit is below the number of organisations. Gauge tanagercross_server_connections_evicted and log line "connection evicted", by reason. The refusals of a class of rate tokens are added to the log of its test.

--- a/internal/database/serverpool/connections.go
+++ b/internal/database/serverpool/connections.go
@@ -19,7 +19,7 @@
 
 // acquireConnection returns an idle connection of the call's organisation or opens a new one. At the connection limit, or
 // soon after the server refused a connection because it had too many, it first closes the connection that has been idle
-// for the longest time. If none is idle, it returns a channel that is closed when a connection may have become free.
+// for the longest time, unless a plan decides (PlanConnections). If none is idle, it returns a channel that is closed when a connection may have become free.
 func (p *Pool) acquireConnection(ctx context.Context, c statement.Call) (*pooledConn, chan struct{}, error) {
 	p.mu.Lock()
 	p.lastOrganisation = c.Organisation
@@ -27,6 +27,9 @@
 		p.mu.Unlock()
 		return nil, nil, &statement.DialError{Err: errClosed}
 	}
+	if p.planning.plan != nil {
+		return p.acquirePlanned(ctx, c)
+	}
 	if pc := p.takeIdle(c); pc != nil {
 		p.mu.Unlock()
 		return pc, nil, nil
@@ -151,6 +154,7 @@
 	if len(p.waiters) > 0 {
 		close(p.waiters[0])
 		p.waiters = p.waiters[1:]
+		p.waiterRemoved(0)
 	}
 }
 
@@ -162,6 +166,7 @@
 	for n, w := range p.waiters {
 		if w == wait {
 			p.waiters = append(p.waiters[:n:n], p.waiters[n+1:]...)
+			p.waiterRemoved(n)
 			return
 		}
 	}
@@ -173,6 +178,7 @@
 func (p *Pool) release(pc *pooledConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.returned(pc)
 	certain := !pc.unprovenSetup && pc.conn.Reusable()
 	if !certain {
 		p.replacements.OutOfStep++
@@ -193,6 +199,7 @@
 	pc.conn.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.returned(pc)
 	p.connections--
 	p.wakeNextWaiter()
 }
--- a/internal/database/serverpool/serverpool.go
+++ b/internal/database/serverpool/serverpool.go
@@ -24,6 +24,7 @@
 	"sync"
 	"time"
 
+	"tanagercross/internal/database/connplan"
 	"tanagercross/internal/database/readindex"
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/instance/clock"
@@ -86,8 +87,10 @@
 	idleSince    time.Duration
 	// unprovenSetup is set while it is not proven that the server has the session values and prepared statements above.
 	unprovenSetup bool
-	strays        int  // stray answers that are accounted for
-	opened        bool // a transaction of the instance's own may be open
+	strays        int            // stray answers that are accounted for
+	opened        bool           // a transaction of the instance's own may be open
+	plan          *connplan.Plan // that counts the connection as in use; nil if none does
+	use           connplan.Use
 }
 
 // transaction is an open transaction of a caller and the connection that it occupies.
@@ -111,6 +114,7 @@
 	connectionLimit   int
 	idleConnections   map[string][]*pooledConn // by organisation, in the order of their release
 	waiters           []chan struct{}          // of callers that wait for a connection, oldest first
+	planning          planning
 	transactions      map[uint64]*transaction
 	inFlight          map[*pooledConn]time.Duration // when the commands without an answer were sent
 	lastTransactionID uint64
--- a/internal/fleet/catalog/catalog.go
+++ b/internal/fleet/catalog/catalog.go
@@ -153,6 +153,9 @@
 	return o, ok
 }
 
+// OrganisationCount returns the number of organisations.
+func (c Configuration) OrganisationCount() int { return len(c.organisations) }
+
 // FirstOrganisation returns the organisation whose name sorts first. It returns false if there is none.
 func (c Configuration) FirstOrganisation() (Organisation, bool) {
 	if len(c.organisations) == 0 {
--- a/internal/instance/entry/observe.go
+++ b/internal/instance/entry/observe.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"tanagercross/internal/database/connplan"
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/fleet/catalog"
 	"tanagercross/internal/fleet/view"
@@ -62,6 +63,9 @@
 		replaced := g.pool.Replacements()
 		emit(metric.ServerReplaced, float64(replaced.Unproven), label, metric.Label{Name: "reason", Value: "unproven"})
 		emit(metric.ServerReplaced, float64(replaced.OutOfStep), label, metric.Label{Name: "reason", Value: "out_of_step"})
+		evicted := g.pool.Evictions()
+		emit(metric.ServerEvicted, float64(evicted.Surplus), label, metric.Label{Name: "reason", Value: string(connplan.Surplus)})
+		emit(metric.ServerEvicted, float64(evicted.Demand), label, metric.Label{Name: "reason", Value: string(connplan.Demand)})
 	}
 }
 
--- a/internal/instance/entry/servers.go
+++ b/internal/instance/entry/servers.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"tanagercross/internal/database/connplan"
 	"tanagercross/internal/database/readindex"
 	"tanagercross/internal/database/serverpool"
 	"tanagercross/internal/database/statement"
@@ -76,6 +77,7 @@
 		o = &openPool{server: s, pool: serverpool.New(target, g.n.options.Dialer, serverpool.Options{
 			Slots: s.Slots, Connections: g.connectionLimit(now, s), TransactionIdle: configuration.TransactionIdle, Boot: g.n.boot,
 		})}
+		g.planConnections(o)
 		g.byServer[server] = o
 	}
 	o.lastUsed = now
@@ -95,6 +97,17 @@
 	return max(1, int(float64(limit)*share))
 }
 
+// planConnections lets a plan decide who has connections to a server if it allows fewer than there are organisations.
+func (g *pools) planConnections(o *openPool) {
+	configuration := g.n.table.Configuration()
+	group, _ := configuration.Group(o.server.Group)
+	scarce := group.ConnectionLimit > 0 && group.ConnectionLimit < configuration.OrganisationCount()
+	o.pool.PlanConnections(scarce, func(e connplan.Eviction, organisation string) {
+		g.n.log.Info("connection evicted", "server", o.server.ID, "organisation", e.Organisation, "for", organisation,
+			"reason", string(e.Reason), "connections", e.Connections, "calls", e.Calls, "saved", e.Saved)
+	})
+}
+
 // snapshot returns a copy of the open pools, by server id.
 func (g *pools) snapshot() map[string]openPool {
 	g.mu.Lock()
@@ -124,6 +137,7 @@
 		for id, o := range g.snapshot() {
 			o.pool.Sweep()
 			o.pool.SetConnections(g.connectionLimit(now, o.server))
+			g.planConnections(&o)
 			g.reportState(now, o)
 			g.closeUnused(now, id)
 		}
--- a/internal/instance/metric/entry.go
+++ b/internal/instance/metric/entry.go
@@ -33,6 +33,7 @@
 	ServerLoad           GaugeName = "tanagercross_server_statements"
 	ServerOpened         GaugeName = "tanagercross_server_connections_opened"
 	ServerReplaced       GaugeName = "tanagercross_server_connections_replaced" // by server and reason
+	ServerEvicted        GaugeName = "tanagercross_server_connections_evicted"  // by server and reason
 	Steward              GaugeName = "tanagercross_steward"
 )
 
--- a/internal/organisation/allotment/class_test.go
+++ b/internal/organisation/allotment/class_test.go
@@ -217,7 +217,7 @@
 func (f *fleet) check(t *testing.T, seed uint64) {
 	t.Helper()
 	f.run()
-	t.Logf("seed %d: %d admitted, by class %v of %v offered, %v refused at once, %.1f reserved", seed, f.total, f.admitted, f.offered, f.refusedAtOnce, f.reserved)
+	t.Logf("seed %d: %d admitted, by class %v of %v offered, %v refused, %v of them at once, %.1f reserved", seed, f.total, f.admitted, f.offered, f.refused, f.refusedAtOnce, f.reserved)
 	if f.lowestLevel < -1e-6 {
 		t.Errorf("seed %d: bucket of the whole rate down to %.2f", seed, f.lowestLevel)
 	}
