Wake callers that wait for a connection although none is in use

Cause: a caller that waits for a connection is woken when one is returned or an opening ends. After the server refused a connection, neither may happen, and the caller waited until its timeout.

Change: the pool with a plan wakes a waiting caller at each regular call of PlanConnections if an opening may begin.

--- a/internal/database/serverpool/planned.go
+++ b/internal/database/serverpool/planned.go
@@ -32,7 +32,8 @@
 }
 
 // PlanConnections sets whether a connplan.Plan decides who may open, keep and lose a connection. For each eviction, evicted
-// is called with the organisation that gets a connection.
+// is called with the organisation that gets a connection. The owner of the pool calls it regularly, because it wakes a caller
+// that waits although no connection is in use and none is being opened.
 func (p *Pool) PlanConnections(enabled bool, evicted func(e connplan.Eviction, organisation string)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -43,6 +44,8 @@
 	case p.planning.plan == nil:
 		p.planning.plan = connplan.New(connplan.Options{Slots: p.options.Slots})
 		p.planning.ownWaiters = map[string][]chan struct{}{}
+	case p.planning.plan.MayOpen():
+		p.wakeNextWaiter()
 	}
 }
 
--- a/internal/database/serverpool/planned_test.go
+++ b/internal/database/serverpool/planned_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -10,8 +11,11 @@
 	"time"
 
 	"tanagercross/internal/database/connplan"
+	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/serverpool"
 	"tanagercross/internal/database/statement"
+	"tanagercross/internal/instance/clock"
+	"tanagercross/internal/standin/cluster"
 )
 
 // of returns a read of an organisation with a priority.
@@ -60,6 +64,50 @@
 	}
 }
 
+// fullServer refuses the first connection because it has too many.
+type fullServer struct {
+	cluster.Dialer
+	refused atomic.Bool
+}
+
+func (d *fullServer) Dial(ctx context.Context, t statement.Target) (statement.Conn, driver.Position, error) {
+	if d.refused.CompareAndSwap(false, true) {
+		return nil, driver.Position{}, &statement.DialError{Code: statement.TooMany, Err: errors.New("too many")}
+	}
+	return d.Dialer.Dial(ctx, t)
+}
+
+// Guards against a caller that waits until its timeout although a connection may be opened, because no connection is in use
+// whose return would wake it.
+func TestWaiterIsWokenWhenOpeningIsPossible(t *testing.T) {
+	c, _ := start(t, primary, serverpool.Options{})
+	var ahead atomic.Int64
+	boot := func() time.Duration { return clock.Boot() + time.Duration(ahead.Load()) }
+	pool := serverpool.New(statement.Target{Server: primary, Group: "meals", Address: primary}, &fullServer{Dialer: c.Dialer("i1")},
+		serverpool.Options{Boot: boot})
+	defer pool.Close()
+	pool.PlanConnections(true, nil)
+	if a := pool.Execute(t.Context(), of("o1", 0, 1)); a.Code != statement.TooMany {
+		t.Fatalf("%+v, want the refusal of the server", a)
+	}
+	answer := make(chan statement.Answer)
+	go func() { answer <- pool.Execute(context.Background(), of("o1", 0, 2)) }()
+	time.Sleep(50 * time.Millisecond) // it waits, because no connection may be opened
+	ahead.Store(int64(time.Minute))
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		pool.PlanConnections(true, nil)
+		select {
+		case a := <-answer:
+			if !a.OK() {
+				t.Errorf("%+v, want success", a)
+			}
+			return
+		default:
+		}
+	}
+	t.Error("no answer")
+}
+
 // Guards against callers that are never woken, or served beyond the connection limit, while many organisations compete for
 // few connections and the plan is switched on and off.
 func TestManyOrganisationsOnFewConnections(t *testing.T) {
