Test that operations ask for tokens under their database's priority

Cause: the stand-in of the limiter kept the priority that it was asked with, and no test read it.

Change: TestTokensAreAskedForByPriority requires the database's priority, and 0 where calls carry none.

--- a/internal/session/callersession/callersession_test.go
+++ b/internal/session/callersession/callersession_test.go
@@ -201,6 +201,25 @@
 	}
 }
 
+// Guards against operations that ask for rate tokens under another priority than that of their database, and against
+// priorities where calls carry none.
+func TestTokensAreAskedForByPriority(t *testing.T) {
+	for _, priorities := range []bool{false, true} {
+		w := &world{askedPriority: 9, refusal: outcome.RateExceeded}
+		c := catalog.NewConfiguration(1, []catalog.Database{{Name: "tally", Group: "meals", Priority: 2}}, nil,
+			[]catalog.Organisation{{Name: "coop", Keys: []key.Hash{key.HashOf("k1")}}})
+		session, _ := callersession.Start(callersession.Environment{
+			Configuration: func() catalog.Configuration { return c }, ConfigurationFresh: func() bool { return true },
+			Limiter: w, Observer: w, Draining: func() bool { return false }, Priorities: priorities,
+			Stopping: func(time.Duration) bool { return false },
+		}, "s1", "tally", "k1")
+		do(session, statement.Read{})
+		if want := map[bool]uint8{false: 0, true: 2}[priorities]; w.askedPriority != want {
+			t.Errorf("priorities %v: asked with priority %d, want %d", priorities, w.askedPriority, want)
+		}
+	}
+}
+
 // Guards against operations that run under a withdrawn key or above the organisation's rate.
 func TestOperationsAreAdmitted(t *testing.T) {
 	w, session := start(t, "k1")
