--- a/internal/instance/entry/observe.go
+++ b/internal/instance/entry/observe.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"tanagercross/internal/database/connplan"
 	"tanagercross/internal/database/serverpool"
 	"tanagercross/internal/database/serverqueue"
 	"tanagercross/internal/database/statement"
@@ -73,6 +74,9 @@
 				emit(metric.ServerExpectedWait, wait.Seconds(), label, priorityLabel(uint8(priority)))
 			}
 		}
+		evicted := g.pool.Evictions()
+		emit(metric.ServerEvicted, float64(evicted.Surplus), label, metric.Label{Name: "reason", Value: string(connplan.Surplus)})
+		emit(metric.ServerEvicted, float64(evicted.Demand), label, metric.Label{Name: "reason", Value: string(connplan.Demand)})
 	}
 }
 
--- a/internal/instance/metric/entry.go
+++ b/internal/instance/metric/entry.go
@@ -40,6 +40,7 @@
 	ServerReplaced       GaugeName = "tanagercross_server_connections_replaced"  // by server and reason
 	ServerExpectedWait   GaugeName = "tanagercross_server_expected_wait_seconds" // by server and priority
 	ServerReportedWait   GaugeName = "tanagercross_server_reported_wait_seconds" // by server and priority, as its holder reported it
+	ServerEvicted        GaugeName = "tanagercross_server_connections_evicted"   // by server and reason
 	Steward              GaugeName = "tanagercross_steward"
 )
 
