Evacuate data centres and keep statements in their home regions

The operator's rows evacuate/PLACE were dropped by the adapter, and no choice of a server looked at places that must not be used.

The evacuations are read with the configuration, travel with gossip as rows that end once, and survive a store that comes back from an older copy. Home regions filter servers and relays. A cold server gets statements from its first holder only, at the rate of its group.

--- a/internal/database/serverpool/run.go
+++ b/internal/database/serverpool/run.go
@@ -155,7 +155,7 @@
 	if t.finished {
 		return statement.Refused(statement.Aborted, "the transaction has ended")
 	}
-	if _, ok := c.Body.(statement.Rollback); ok {
+	if _, ok := c.Body.(statement.Rollback); ok && !p.evacuationOver() {
 		return p.rollback(ctx, c.Transaction, t)
 	}
 	ticket, err := p.scheduler.Acquire(ctx, c.Organisation, c.Session)
@@ -165,6 +165,10 @@
 	}
 	defer ticket.Release()
 	time.AfterFunc(slotHoldTimeout, ticket.Release)
+	if p.evacuationOver() {
+		p.finish(c.Transaction, t, false)
+		return statement.Refused(statement.Aborted, "the server is evacuated")
+	}
 	if refusal, _ := p.prepareConnection(ctx, t.pooledConn, c, nil); refusal != nil {
 		p.finish(c.Transaction, t, false)
 		return statement.Refused(statement.Aborted, refusal.Text)
--- a/internal/database/serverpool/serverpool.go
+++ b/internal/database/serverpool/serverpool.go
@@ -123,6 +123,7 @@
 	lastOrganisation  string          // of the newest call
 	lag               lag
 	distrustedUntil   time.Duration // the server has sent answers that belonged to no command
+	evacuatedUntil    time.Duration // end of the open transactions of an evacuated server; 0 if it is not evacuated
 }
 
 // Health describes the server as seen through the pool.
@@ -233,6 +234,10 @@
 			}
 			return nil, nil, statement.Refused(code, "queue: "+string(fairness.ReasonOf(err)))
 		}
+		if p.evacuated() {
+			ticket.Release()
+			return nil, nil, refuseEvacuated()
+		}
 		pc, wait, err := p.acquireConnection(ctx, c)
 		if pc != nil {
 			time.AfterFunc(slotHoldTimeout, ticket.Release)
--- a/internal/fleet/relay/message.go
+++ b/internal/fleet/relay/message.go
@@ -8,6 +8,7 @@
 
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/statement"
+	"tanagercross/internal/fleet/evacuation"
 	"tanagercross/internal/fleet/view"
 	relayv1 "tanagercross/internal/genproto/relay/v1"
 )
@@ -237,12 +238,25 @@
 	return out
 }
 
+func encodeEvacuation(r evacuation.Row) *relayv1.Evacuation {
+	return &relayv1.Evacuation{Place: r.Place, Version: view.Version(r.Generation, r.Version), Ended: r.Ended}
+}
+
+func decodeEvacuation(r *relayv1.Evacuation) evacuation.Row {
+	return evacuation.Row{
+		Place: r.GetPlace(), Generation: view.Generation(r.GetVersion()), Version: view.RowVersion(r.GetVersion()), Ended: r.GetEnded(),
+	}
+}
+
 func encodeState(b view.State, now time.Duration) *relayv1.Beliefs {
 	out := &relayv1.Beliefs{
 		ConfigurationVersion: b.ConfigurationVersion, ServersVersion: b.ServersVersion, MembersVersion: b.MembersVersion,
 		Configuration: encodeRows(b.Configuration, now), Servers: encodeRows(b.Servers, now),
 		Members: encodeRows(b.Members, now),
 	}
+	for _, r := range b.Evacuations {
+		out.Evacuations = append(out.Evacuations, encodeEvacuation(r))
+	}
 	for _, l := range b.Leaders {
 		out.Leaders = append(out.Leaders, encodeLeader(l))
 	}
@@ -263,6 +277,9 @@
 		MembersVersion: b.GetMembersVersion(), Configuration: decodeRows(b.GetConfiguration(), now),
 		Servers: decodeRows(b.GetServers(), now), Members: decodeRows(b.GetMembers(), now),
 	}
+	for _, r := range b.GetEvacuations() {
+		out.Evacuations = append(out.Evacuations, decodeEvacuation(r))
+	}
 	for _, l := range b.GetLeaders() {
 		out.Leaders = append(out.Leaders, decodeLeader(l))
 	}
--- a/internal/fleet/view/presence.go
+++ b/internal/fleet/view/presence.go
@@ -193,6 +193,7 @@
 	defer t.mu.RUnlock()
 	b := State{ConfigurationVersion: t.configurationVersion(), ServersVersion: t.serverRows.Version, MembersVersion: t.memberRows.Version}
 	b.Configuration.ReadAt, b.Servers.ReadAt, b.Members.ReadAt = t.configurationRows.ReadAt, t.serverRows.ReadAt, t.memberRows.ReadAt
+	b.Evacuations = t.evacuations.Rows()
 	sameRegion, samePlace := t.regions.Same(place, t.self.Place), place == t.self.Place
 	// needs reports whether rows are worth their bytes. Every region reads the store, so that one with recent rows will have
 	// the newer ones soon.
@@ -292,6 +293,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.setEvacuations(now, t.evacuations.Merge(b.Evacuations))
 	for _, l := range b.Leaders {
 		t.reportLeader(now, l)
 	}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"tanagercross/internal/fleet/catalog"
+	"tanagercross/internal/fleet/evacuation"
 	"tanagercross/internal/fleet/roster"
 )
 
@@ -94,6 +95,7 @@
 	Leaders              []Leader
 	Presences            []Presence
 	Demands              []Demand
+	Evacuations          []evacuation.Row
 }
 
 // DemandOf returns the demand of a place in the state, the zero value if it has none.
@@ -120,6 +122,7 @@
 	ServersChanged(before, after catalog.Servers, readAt time.Duration)
 	LeaderChanged(before, after Leader)
 	RowIgnored(key string, err error)
+	EvacuationsChanged(before, after evacuation.Set)
 }
 
 // Table is the view of one instance. It is safe for concurrent use.
@@ -144,6 +147,9 @@
 	rejected          map[string]rejection // by group
 	presences         map[string]Presence  // other instances, by name
 	demands           map[string]Demand    // by place
+	evacuations       evacuation.Set
+	evacuatedSince    map[string]time.Duration // by place, for those that are evacuated
+	coldUntil         map[string]coldServer    // by server id
 	suspectedUntil    map[string]time.Duration
 	changed           chan struct{} // closed and replaced at each change of configuration, servers or leaders
 }
@@ -153,7 +159,7 @@
 	t := &Table{
 		self: self, regions: r, decoder: d, observer: o, leaders: map[string]Leader{},
 		missingServers: map[string]missingServer{}, rejected: map[string]rejection{}, presences: map[string]Presence{}, demands: map[string]Demand{},
-		suspectedUntil: map[string]time.Duration{}, changed: make(chan struct{}),
+		suspectedUntil: map[string]time.Duration{}, changed: make(chan struct{}), coldUntil: map[string]coldServer{},
 	}
 	t.members = roster.New(0, []roster.Member{{Name: self.Name, Address: self.Address, Place: self.Place, Power: self.Power}})
 	return t
@@ -209,7 +215,7 @@
 	return t.configuredAt, t.membersFirstRead
 }
 
-// Changed returns a channel that is closed at the next change of configuration, servers or leaders.
+// Changed returns a channel that is closed at the next change of configuration, servers, leaders or evacuations.
 func (t *Table) Changed() <-chan struct{} {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -294,6 +300,7 @@
 	before := t.servers
 	t.servers, t.serverRows = catalog.NewServers(r.Version, list), r
 	t.updateMissing(before)
+	t.updateCold(r.ReadAt)
 	if !slices.Equal(before.All(), t.servers.All()) {
 		t.observer.ServersChanged(before, t.servers, r.ReadAt)
 		t.adoptReportedRoles()
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -10,6 +10,7 @@
 
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/fleet/catalog"
+	"tanagercross/internal/fleet/evacuation"
 	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/fleet/view"
 )
@@ -45,6 +46,7 @@
 func (*observer) ConfigurationChanged(_, _ catalog.Configuration, _ time.Duration) {}
 func (*observer) ServersChanged(_, _ catalog.Servers, _ time.Duration)             {}
 func (*observer) LeaderChanged(_, _ view.Leader)                                   {}
+func (*observer) EvacuationsChanged(_, _ evacuation.Set)                           {}
 func (o *observer) RowIgnored(key string, _ error)                                 { o.ignored = append(o.ignored, key) }
 
 func table() (*view.Table, *observer) {
--- a/internal/instance/entry/failover.go
+++ b/internal/instance/entry/failover.go
@@ -234,7 +234,7 @@
 		g.leaderlessSince[group] = now
 	}
 	since := g.leaderlessSince[group]
-	if !listed || !s.Leaving {
+	if !listed || !g.departing(s) {
 		delete(g.leavingSince, group)
 	} else if g.leavingSince[group] == 0 {
 		g.leavingSince[group] = now
@@ -247,7 +247,7 @@
 		if now-since > failoverInterval {
 			g.startChange(context.Background(), relay.PrimaryChange{Group: group, Primary: l.Server})
 		}
-	case leavingSince > 0 && now-leavingSince > demoteDelay:
+	case leavingSince > 0 && g.demotionDue(s, now-leavingSince):
 		g.startChange(context.Background(), relay.PrimaryChange{Group: group, Primary: l.Server, Planned: true})
 	}
 }
@@ -277,7 +277,7 @@
 func (g *failover) examine(ctx context.Context, x relay.PrimaryChange) error {
 	e := promotion.Evidence{Primary: x.Primary}
 	s, listed := g.n.table.Servers().Server(x.Primary)
-	e.Listed, e.Leaving = listed, listed && s.Leaving
+	e.Listed, e.Leaving = listed, listed && g.departing(s)
 	g.mu.Lock()
 	if since := g.leaderlessSince[x.Group]; since > 0 {
 		e.LeaderlessFor = g.n.boot() - since
@@ -293,7 +293,7 @@
 		}
 	}
 	decision := promotion.Decide(e)
-	g.n.log.Info("primary examined", "group", x.Group, "primary", x.Primary, "listed", e.Listed, "leaving", e.Leaving,
+	g.n.log.Info("primary examined", "group", x.Group, "primary", x.Primary, "listed", e.Listed, "leaving", e.Leaving, "evacuated", g.evacuated(s),
 		"reached_here", e.ReachedLocally, "reached_there", e.ReachedByPeer, "leads", e.IsLeader,
 		"leaderless_ms", e.LeaderlessFor.Milliseconds(), "verdict", int(decision))
 	switch decision {
--- a/internal/instance/entry/observe.go
+++ b/internal/instance/entry/observe.go
@@ -49,6 +49,9 @@
 		isCoordinator = 1
 	}
 	emit(metric.Steward, isCoordinator)
+	for _, place := range n.table.Evacuations() {
+		emit(metric.Evacuated, 1, metric.Label{Name: "place", Value: place})
+	}
 	for id, g := range n.pools.snapshot() {
 		connections, transactions, load, opened := g.pool.Counts()
 		label := metric.Label{Name: "server", Value: id}
@@ -71,7 +74,9 @@
 func (o *observer) ServersChanged(before, after catalog.Servers, read time.Duration) {
 	age := (o.n.boot() - read).Milliseconds()
 	for _, s := range after.All() {
-		if old, ok := before.Server(s.ID); !ok || old != s {
+		old, ok := before.Server(s.ID)
+		old.ColdFor = s.ColdFor // it shrinks with each row of a cold server
+		if !ok || old != s {
 			o.log.Info("server", "server", s.ID, "group", s.Group, "place", s.Place, "address", s.Address, "role", string(s.Role),
 				"leaving", s.Leaving, "born", s.StartedMS, "new", !ok, "version", after.Version, "age_ms", age)
 		}
--- a/internal/instance/entry/ports.go
+++ b/internal/instance/entry/ports.go
@@ -28,11 +28,11 @@
 
 // Store is the platform's store as an instance uses it.
 type Store interface {
-	// Configuration reads the configuration row.
-	Configuration(ctx context.Context) (view.Rows, error)
-	// AwaitConfiguration waits for a change of the configuration row after a version. It returns the row, or no row if it
-	// did not change within the wait.
-	AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (view.Rows, error)
+	// Configuration reads the configuration row and the evacuations.
+	Configuration(ctx context.Context) (view.OperatorRows, error)
+	// AwaitConfiguration waits for a change of the configuration row or of the evacuations after a version. It returns the
+	// rows that changed, or none if nothing changed within the wait.
+	AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (view.OperatorRows, error)
 	// Servers reads the servers' rows.
 	Servers(ctx context.Context) (view.Rows, error)
 	// Members reads the instances' rows.
--- a/internal/instance/entry/promote.go
+++ b/internal/instance/entry/promote.go
@@ -43,8 +43,8 @@
 		}
 	}
 	candidates := g.candidates(group, old.ID, syncReplicas > 0)
-	if len(candidates) == 0 {
-		return eris.Errorf("no other server of %s", group)
+	if !g.hasSuccessor(group, old.ID) {
+		return eris.Errorf("no other server of %s outside of evacuated data centres", group)
 	}
 	var demotion promotion.Demotion
 	if planned {
@@ -84,10 +84,14 @@
 // promote orders the promotion of the most advanced replica and waits until it is the primary. An order without an answer
 // is repeated while the promotion lease is held.
 func (g *failover) promote(ctx context.Context, c change, claim lease) error {
-	best, ok := promotion.ChoosePrimary(c.reports, c.old.Place)
+	best, ok := promotion.ChoosePrimary(g.promotable(c.reports, c.old.ID), c.old.Place)
 	if !ok {
 		return eris.Errorf("no replica of %s reports", c.group)
 	}
+	if newest, _ := promotion.ChoosePrimary(c.reports, ""); newest.Received.Compare(best.Received) > 0 {
+		g.abandon(ctx, c)
+		return eris.Errorf("%s in an evacuated data centre has commits that %s lacks", newest.Server, best.Server)
+	}
 	claim, err := g.supersede(ctx, c.group, best.Server, claim)
 	if err != nil {
 		g.abandon(ctx, c)
--- a/internal/instance/entry/reader.go
+++ b/internal/instance/entry/reader.go
@@ -182,21 +182,21 @@
 
 // firstConfiguration reads the configuration at a restart, while callers wait for it. It repeats the read every
 // startupRepeatInterval and returns no row if another instance has sent the configuration meanwhile.
-func (n *Node) firstConfiguration(ctx context.Context) (view.Rows, error) {
+func (n *Node) firstConfiguration(ctx context.Context) (view.OperatorRows, error) {
 	ctx, stop := context.WithTimeout(ctx, n.gossip.started+startupRepeatWindow-n.boot())
 	defer stop()
-	return clock.Repeat(ctx, startupRepeatInterval, func(ctx context.Context) (view.Rows, error) {
+	return clock.Repeat(ctx, startupRepeatInterval, func(ctx context.Context) (view.OperatorRows, error) {
 		call, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		if known, _, _ := n.table.ReadTimes(); known > 0 {
-			return view.Rows{}, nil // received from another instance
+			return view.OperatorRows{}, nil // received from another instance
 		}
 		started := n.boot()
 		rows, err := n.options.Store.Configuration(call)
 		if ctx.Err() == nil {
 			n.observer.dependency("store configuration", err)
 		}
-		rows.ReadAt = started
+		rows.Configuration.ReadAt = started
 		return rows, err
 	})
 }
@@ -237,7 +237,7 @@
 // after is 0. It returns the version to continue from, 0 to read the row again.
 func (n *Node) followConfiguration(ctx context.Context, after uint64) (uint64, error) {
 	started := n.boot()
-	var rows view.Rows
+	var rows view.OperatorRows
 	var err error
 	known, _, _ := n.table.ReadTimes()
 	switch {
@@ -245,14 +245,14 @@
 		call, cancel := context.WithTimeout(ctx, configurationPollTimeout+readTimeout/2)
 		defer cancel()
 		rows, err = n.options.Store.AwaitConfiguration(call, after, configurationPollTimeout)
-		rows.ReadAt = started
+		rows.Configuration.ReadAt = started
 	case known == 0 && !n.settings.FirstStart && n.boot() < n.gossip.started+startupRepeatWindow:
 		rows, err = n.firstConfiguration(ctx)
 	default:
 		call, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		rows, err = n.options.Store.Configuration(call)
-		rows.ReadAt = started
+		rows.Configuration.ReadAt = started
 	}
 	if errors.Is(err, ErrCompacted) {
 		return 0, nil
@@ -260,8 +260,9 @@
 	if err != nil {
 		return 0, err
 	}
-	n.table.SetConfiguration(rows)
-	return max(after, rows.Version), nil
+	n.table.SetConfiguration(rows.Configuration)
+	n.table.SetEvacuations(n.boot(), rows.Evacuations)
+	return max(after, rows.Configuration.Version), nil
 }
 
 // readServers reads the server rows periodically while shouldRead says so, and at once when the failover coordinator
--- a/internal/instance/entry/reader_test.go
+++ b/internal/instance/entry/reader_test.go
@@ -60,10 +60,10 @@
 	calls *atomic.Int64
 }
 
-func (s silentStore) Configuration(ctx context.Context) (view.Rows, error) {
+func (s silentStore) Configuration(ctx context.Context) (view.OperatorRows, error) {
 	s.calls.Add(1)
 	<-ctx.Done()
-	return view.Rows{}, ctx.Err()
+	return view.OperatorRows{}, ctx.Err()
 }
 
 // Guards against an instance that keeps repeating its first read at a high rate while the store does not answer: each call
--- a/internal/instance/entry/replicas.go
+++ b/internal/instance/entry/replicas.go
@@ -12,21 +12,27 @@
 	"tanagercross/internal/instance/clock"
 )
 
-// candidates returns the servers that may be promoted: those that are not leaving, if there are any. With synchronous
-// replicas, leaving ones are included, because one of them may be the only server with the last commits.
+// candidates returns the servers that report in a change of primary: those that are not leaving, if there are any. With
+// synchronous replicas, leaving and evacuated ones are included, because one of them may be the only server with the last
+// commits. Evacuated ones are not promoted.
 func (g *failover) candidates(group, old string, synchronous bool) []catalog.Server {
-	var staying, leaving []catalog.Server
+	var staying, leaving, evacuated []catalog.Server
 	for _, s := range g.n.table.Servers().InGroup(group) {
 		switch {
 		case s.ID == old:
+		case g.evacuated(s):
+			evacuated = append(evacuated, s)
 		case s.Leaving:
 			leaving = append(leaving, s)
 		default:
 			staying = append(staying, s)
 		}
 	}
-	if synchronous || len(staying) == 0 {
-		return append(staying, leaving...)
+	switch {
+	case synchronous:
+		return slices.Concat(staying, leaving, evacuated)
+	case len(staying) == 0:
+		return leaving
 	}
 	return staying
 }
@@ -80,7 +86,7 @@
 func (g *failover) awaitLogEnd(ctx context.Context, candidates []catalog.Server, logEnd driver.Position) []promotion.Report {
 	reports := g.queryServers(ctx, candidates, statement.Status{})
 	for end := g.n.boot() + catchUpTimeout; g.n.boot() < end; {
-		if best, ok := promotion.ChoosePrimary(reports, ""); ok && best.Received.Compare(logEnd) >= 0 {
+		if best, ok := promotion.ChoosePrimary(g.promotable(reports, ""), ""); ok && best.Received.Compare(logEnd) >= 0 {
 			return reports
 		}
 		clock.Sleep(ctx, catchUpPollInterval)
@@ -110,7 +116,7 @@
 				results <- nil
 				return
 			}
-			results <- &promotion.Report{Server: s.ID, Place: s.Place, Leaving: s.Leaving, Report: r}
+			results <- &promotion.Report{Server: s.ID, Place: s.Place, Leaving: s.Leaving || g.evacuated(s), Report: r}
 		}()
 	}
 	var reports []promotion.Report
@@ -132,6 +138,15 @@
 	}
 }
 
+// promotable returns the reports of servers outside of the evacuated places, and that of the old primary, which may lead
+// again.
+func (g *failover) promotable(reports []promotion.Report, old string) []promotion.Report {
+	return slices.DeleteFunc(slices.Clone(reports), func(r promotion.Report) bool {
+		_, evacuated := g.n.table.Evacuated(r.Place)
+		return evacuated && r.Server != old
+	})
+}
+
 // reported returns the candidates that gave a report, without the given server.
 func reported(candidates []catalog.Server, reports []promotion.Report, without string) []catalog.Server {
 	var servers []catalog.Server
--- a/internal/instance/entry/servers.go
+++ b/internal/instance/entry/servers.go
@@ -42,6 +42,7 @@
 	// laggingUntil holds the replicas that did not catch up during the retries of a read. Until the moment given, reads
 	// on them are not retried.
 	laggingUntil map[string]time.Duration
+	cold         coldServers
 }
 
 // openPool is the connection pool of a server, with the server's row from the time at which the pool was opened.
@@ -121,6 +122,8 @@
 	for clock.Sleep(ctx, poolInterval) {
 		now := g.n.boot()
 		g.n.dispatcher.PruneLoadReports()
+		g.maintainEvacuations(now)
+		g.cold.retain(func(server string) bool { return g.n.table.Cold(now, server) })
 		for id, o := range g.snapshot() {
 			o.pool.Sweep()
 			o.pool.SetConnections(g.connectionLimit(now, o.server))
@@ -191,6 +194,13 @@
 // execute runs a statement on a server through a pool of this instance. A read with an age bound on a replica first gets
 // the position that the replica must have received.
 func (g *pools) execute(ctx context.Context, server string, c statement.Call) statement.Answer {
+	s, listed := g.n.table.Servers().Server(server)
+	if refusal, evacuated := g.refuseEvacuated(s, c); listed && evacuated {
+		return refusal
+	}
+	if refusal, admitted := g.admitCold(ctx, s, c); listed && !admitted {
+		return refusal
+	}
 	pool := g.pool(server)
 	if pool == nil {
 		return statement.Refused(statement.WrongServer, "the server is not known")
@@ -247,9 +257,19 @@
 
 // leaderPosition returns a log position that a server confirmed while it was the leader.
 func (g *pools) leaderPosition(ctx context.Context, server string) (readindex.Index, bool) {
+	s, listed := g.n.table.Servers().Server(server)
+	if _, evacuated := g.n.table.Evacuated(s.Place); !listed || evacuated {
+		return readindex.Index{}, false
+	}
 	pool := g.pool(server)
 	if pool == nil {
 		return readindex.Index{}, false
 	}
+	if index, ok := pool.LastReadIndex(); ok && g.n.boot()-index.RequestedAt <= positionCacheAge {
+		return index, true
+	}
+	if _, admitted := g.admitCold(ctx, s, statement.Call{}); !admitted {
+		return readindex.Index{}, false
+	}
 	return pool.ReadIndex(ctx, positionCacheAge, g.n.firstOrganisation())
 }
--- a/internal/instance/metric/entry.go
+++ b/internal/instance/metric/entry.go
@@ -16,6 +16,9 @@
 	LeaderChanges    CounterName = "tanagercross_leader_changes_total"
 	Panics           CounterName = "tanagercross_panics_total"
 	DependencyErrors CounterName = "tanagercross_dependency_errors_total" // by dependency
+	// EvacuationsStarted counts the data centres whose evacuation the instance has learnt of.
+	EvacuationsStarted  CounterName = "tanagercross_evacuations_total"
+	EvacuationRollbacks CounterName = "tanagercross_evacuation_rollbacks_total" // transactions
 )
 
 // StatementDuration is the histogram of statements as callers see them.
@@ -32,6 +35,7 @@
 	ServerOpened         GaugeName = "tanagercross_server_connections_opened"
 	ServerReplaced       GaugeName = "tanagercross_server_connections_replaced" // by server and reason
 	Steward              GaugeName = "tanagercross_steward"
+	Evacuated            GaugeName = "tanagercross_evacuated" // by place
 )
 
 // Count adds one to a counter. Label values must come from small sets.
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -127,10 +127,10 @@
 // attempt runs a call once on a server. It tries the instances that hold connections to the server, best first, and goes
 // on to the next one only if the answer proves that the statement did not reach the server. It returns the answer and the
 // instance that gave it.
-func (d *Dispatcher) attempt(ctx context.Context, s catalog.Server, c statement.Call) (statement.Answer, roster.Member) {
+func (d *Dispatcher) attempt(ctx context.Context, e eligibility, s catalog.Server, c statement.Call) (statement.Answer, roster.Member) {
 	unreachable := statement.Refused(statement.WrongServer, "no instance reaches the server")
 	attempts := 0
-	for m := range d.table.Holders(d.options.Boot(), s.ID, s.Place) {
+	for m := range e.relays(d.table.Holders(d.options.Boot(), s.ID, s.Place)) {
 		if attempts++; attempts > maxHolders {
 			break
 		}
@@ -157,13 +157,18 @@
 // maxHolders is the number of instances that one attempt tries.
 const maxHolders = 3
 
-// waitForLeader returns the server that leads a group. If none is known, it waits for one until the context ends.
-func (d *Dispatcher) waitForLeader(ctx context.Context, group string) (catalog.Server, view.Leader, bool) {
+// waitForLeader returns the server that leads a group. If none is known, or its place is evacuated, it waits for another one
+// until the context ends. It does not wait while the leader is outside of the home regions.
+func (d *Dispatcher) waitForLeader(ctx context.Context, e eligibility, group string) (catalog.Server, view.Leader, bool) {
 	for {
 		changed := d.table.Changed()
 		l, ok := d.table.Leader(group)
 		if ok {
-			if s, listed := d.table.Servers().Server(l.Server); listed {
+			s, listed := d.table.Servers().Server(l.Server)
+			switch {
+			case listed && !e.atHome(s):
+				return s, l, false
+			case listed && e.permits(s):
 				return s, l, true
 			}
 		}
@@ -200,16 +205,23 @@
 	defer cancel()
 	serverWait, cancelWait := context.WithTimeout(ctx, serverWaitTimeout(db))
 	defer cancelWait()
-	answer := statement.Refused(statement.Busy, "no primary is known")
+	e := d.eligibility(db, c)
+	if refusal, excluded := e.excludes(db.Group); excluded {
+		return refusal
+	}
+	var answer statement.Answer
 	for n := range maxAttempts {
-		s, l, ok := d.waitForLeader(serverWait, db.Group)
+		s, l, ok := d.waitForLeader(serverWait, e, db.Group)
+		if !ok && n == 0 {
+			return e.refusal(db.Group)
+		}
 		if !ok {
 			return answer
 		}
 		if n > 0 {
 			d.options.Observer.Retried(string(answer.Code))
 		}
-		answer, _ = d.attempt(ctx, s, c)
+		answer, _ = d.attempt(ctx, e, s, c)
 		if !d.retryable(l, answer) || !clock.Sleep(serverWait, retryPause<<n) {
 			return answer
 		}
@@ -226,10 +238,17 @@
 	defer cancelWait()
 	c.Step = statement.First
 	replica := c.ReadOnly && db.Consistency != catalog.PrimaryOnly
-	answer := statement.Refused(statement.Busy, "no primary is known")
+	e := d.eligibility(db, c)
+	if refusal, excluded := e.excludes(db.Group); excluded {
+		return refusal, nil
+	}
+	var answer statement.Answer
 	var tried []string
 	for n := range maxAttempts {
-		s, ok := d.chooseServer(serverWait, db, replica, tried)
+		s, ok := d.chooseServer(serverWait, e, db, replica, tried)
+		if !ok && n == 0 {
+			return e.refusal(db.Group), nil
+		}
 		if !ok {
 			return answer, nil
 		}
@@ -243,7 +262,7 @@
 			d.options.Observer.Retried(string(answer.Code))
 		}
 		var instance roster.Member
-		answer, instance = d.executeFirst(ctx, s, c)
+		answer, instance = d.executeFirst(ctx, e, s, c)
 		if answer.OK() {
 			return answer, &Pin{Server: s.ID, Instance: instance, Transaction: answer.Transaction, Scope: c.Scope}
 		}
@@ -262,10 +281,10 @@
 }
 
 // executeFirst runs the first statement of a transaction within openTimeout.
-func (d *Dispatcher) executeFirst(ctx context.Context, s catalog.Server, c statement.Call) (statement.Answer, roster.Member) {
+func (d *Dispatcher) executeFirst(ctx context.Context, e eligibility, s catalog.Server, c statement.Call) (statement.Answer, roster.Member) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	return d.attempt(ctx, s, c)
+	return d.attempt(ctx, e, s, c)
 }
 
 // rollback rolls a transaction back without waiting for the answer.
--- a/internal/request/dispatch/read.go
+++ b/internal/request/dispatch/read.go
@@ -13,16 +13,16 @@
 
 // chooseServer returns the next server for a read. If replica is set, that is the best server that was not tried yet;
 // otherwise, or if all were tried, it is the leader, for which it waits until the context ends.
-func (d *Dispatcher) chooseServer(ctx context.Context, db catalog.Database, replica bool, tried []string) (catalog.Server, bool) {
+func (d *Dispatcher) chooseServer(ctx context.Context, e eligibility, db catalog.Database, replica bool, tried []string) (catalog.Server, bool) {
 	if replica {
 		l, _ := d.table.Leader(db.Group)
 		now := d.options.Boot()
 		loadReport := func(server string) LoadReport { return d.loadReports.report(now, server) }
-		if s, ok := Candidate(d.table.Servers().InGroup(db.Group), l.Server, d.table.Self().Place, tried, loadReport); ok {
+		if s, ok := Candidate(e.servers(db.Group), l.Server, d.table.Self().Place, tried, loadReport); ok {
 			return s, true
 		}
 	}
-	s, _, ok := d.waitForLeader(ctx, db.Group)
+	s, _, ok := d.waitForLeader(ctx, e, db.Group)
 	return s, ok
 }
 
@@ -30,6 +30,7 @@
 type hedgedRead struct {
 	d       *Dispatcher
 	db      catalog.Database
+	allowed eligibility
 	call    statement.Call
 	ctx     context.Context // of the attempts
 	results chan attemptResult
@@ -46,7 +47,7 @@
 
 // startAttempt sends the read to the next server. It returns false if no server is known before the context ends.
 func (r *hedgedRead) startAttempt(serverWait context.Context) bool {
-	s, ok := r.d.chooseServer(serverWait, r.db, r.call.Scope == statement.Replica, r.tried)
+	s, ok := r.d.chooseServer(serverWait, r.allowed, r.db, r.call.Scope == statement.Replica, r.tried)
 	if !ok {
 		return false
 	}
@@ -65,7 +66,7 @@
 		result := attemptResult{answer: statement.NoAnswer("internal error"), leader: view.Leader{Group: s.Group, Server: s.ID, Term: l.Term}}
 		defer func() { r.results <- result }()
 		defer recovery.Catch(func(p recovery.Panic) { r.d.options.Observer.Panicked("read", p) })
-		result.answer, _ = r.d.attempt(r.ctx, s, c)
+		result.answer, _ = r.d.attempt(r.ctx, r.allowed, s, c)
 	}()
 	return true
 }
@@ -73,16 +74,20 @@
 // read sends a read to one server after the other until one answers it. The next attempt starts when the one before
 // fails, and once when no answer has arrived after hedgeDelay.
 func (d *Dispatcher) read(ctx context.Context, db catalog.Database, c statement.Call) statement.Answer {
+	e := d.eligibility(db, c)
+	if refusal, excluded := e.excludes(db.Group); excluded {
+		return refusal
+	}
 	limit := Timeout(db)
 	// Attempts that are still running when another one has answered go on until the statement's timeout: to cancel one
 	// would close its connection.
 	running, cancelRunning := context.WithTimeout(context.Background(), limit)
 	serverWait, cancelWait := context.WithTimeout(ctx, serverWaitTimeout(db))
 	defer cancelWait()
-	r := &hedgedRead{d: d, db: db, call: c, ctx: running, results: make(chan attemptResult, maxAttempts)}
+	r := &hedgedRead{d: d, db: db, allowed: e, call: c, ctx: running, results: make(chan attemptResult, maxAttempts)}
 	defer func() { go r.drain(cancelRunning) }()
 	if !r.startAttempt(serverWait) {
-		return statement.Refused(statement.Busy, "no primary is known")
+		return e.refusal(db.Group)
 	}
 	hedge := time.NewTimer(hedgeDelay)
 	defer hedge.Stop()
@@ -100,7 +105,7 @@
 			}
 		case <-hedge.C:
 			if r.started < maxAttempts {
-				r.startAttempt(serverWait)
+				r.hedge(serverWait)
 			}
 		case <-running.Done():
 			return statement.NoAnswer("no server answered in time")
@@ -110,6 +115,19 @@
 	}
 }
 
+// hedge sends the read to another server too. It does not wait for the leader while the known one may not run the read, so
+// that the answer of the running attempt is taken at once.
+func (r *hedgedRead) hedge(serverWait context.Context) {
+	l, known := r.d.table.Leader(r.db.Group)
+	s, listed := r.d.table.Servers().Server(l.Server)
+	if known && listed && !r.allowed.permits(s) {
+		ended, cancel := context.WithCancel(serverWait)
+		cancel()
+		serverWait = ended
+	}
+	r.startAttempt(serverWait)
+}
+
 // retry starts the next attempt after a failed one. It returns false if there is none, because the attempts or the time
 // for them are used up.
 func (r *hedgedRead) retry(serverWait context.Context, result attemptResult) bool {
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -49,8 +49,10 @@
 	lag      time.Duration // of what a replica applies
 	cut      map[string]bool
 	lose     int // answers to lose
-	conns    map[*conn]bool
-	busy     int
+	// statements is the number of statements of callers that the server has received.
+	statements int
+	conns      map[*conn]bool
+	busy       int
 
 	refuseStatus, refuseDemotion bool // these commands are answered Busy
 }
@@ -64,6 +66,7 @@
 	version       uint64
 	configuration catalog.Configuration
 	configured    uint64 // row version
+	evacuations   evacuations
 	members       map[string]member
 	duties        map[string]dutyRow
 	storeDown     bool
@@ -87,6 +90,7 @@
 		boot: boot, servers: map[string]*Server{}, members: map[string]member{}, duties: map[string]dutyRow{},
 		turnedAway: map[string]bool{}, tokens: map[string]uint64{}, holders: map[uint64]string{},
 		runs: map[string]int{}, rolledBack: map[commit]bool{}, synchronous: map[string]bool{}, changed: make(chan struct{}), version: 1,
+		evacuations: evacuations{written: map[string]uint64{}, removed: map[string]uint64{}},
 	}
 }
 
--- a/internal/standin/cluster/conn.go
+++ b/internal/standin/cluster/conn.go
@@ -196,6 +196,7 @@
 	case statement.CloseTransaction:
 		k.open, k.failed, k.writes, k.ids = false, false, nil, nil
 	case statement.Forward:
+		s.statements++
 		before := len(s.log)
 		a = k.forward(command)
 		if s.lose > 0 {
--- a/internal/standin/cluster/store.go
+++ b/internal/standin/cluster/store.go
@@ -50,27 +50,33 @@
 }
 
 // Configuration implements entry.Store.
-func (s Store) Configuration(context.Context) (rows view.Rows, err error) {
-	err = s.call(func(c *Cluster) error { rows = c.configurationRow(0); return nil })
+func (s Store) Configuration(context.Context) (rows view.OperatorRows, err error) {
+	err = s.call(func(c *Cluster) error { rows = c.operatorRows(0); return nil })
 	return rows, err
 }
 
-func (c *Cluster) configurationRow(after uint64) view.Rows {
+func (c *Cluster) operatorRows(after uint64) view.OperatorRows {
 	rows := view.Rows{Version: c.version}
 	if c.configured > after {
 		rows.Rows = []view.Row{{Key: "configuration", Version: c.configured}}
 	}
-	return rows
+	return view.OperatorRows{Configuration: rows, Evacuations: c.reading(after)}
 }
 
 // AwaitConfiguration implements entry.Store.
-func (s Store) AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (rows view.Rows, err error) {
+func (s Store) AwaitConfiguration(ctx context.Context, after uint64, wait time.Duration) (rows view.OperatorRows, err error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		var changed chan struct{}
-		err = s.call(func(c *Cluster) error { rows, changed = c.configurationRow(after), c.changed; return nil })
-		if err != nil || len(rows.Rows) > 0 {
+		err = s.call(func(c *Cluster) error {
+			if view.Generation(after) != view.Generation(c.version) {
+				return entry.ErrCompacted
+			}
+			rows, changed = c.operatorRows(after), c.changed
+			return nil
+		})
+		if err != nil || len(rows.Configuration.Rows)+len(rows.Evacuations.Rows) > 0 {
 			return rows, err
 		}
 		select {
--- a/layout_test.go
+++ b/layout_test.go
@@ -30,6 +30,7 @@
 	"internal/instance/clock", "internal/instance/event",
 	"internal/database/statement", "internal/database/readindex", "internal/database/promotion",
 	"internal/database/correlation", "internal/fleet/catalog", "internal/fleet/view",
+	"internal/fleet/evacuation", "internal/fleet/residence",
 }
 
 // platformImporters may know the adapter to the users' platform.
