--- a/internal/instance/entry/evacuate_test.go
+++ b/internal/instance/entry/evacuate_test.go
@@ -1,12 +1,15 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
 	"time"
 
 	"tanagercross/internal/database/statement"
+	"tanagercross/internal/fleet/relay"
+	"tanagercross/internal/instance/clock"
 )
 
 // learns waits until instances know that a place is evacuated, or that it is not.
@@ -63,7 +66,7 @@
 	s := f.session(0, "bookings")
 	f.eventually("a write", func() bool { return s.write("plates", "1").OK() })
 	f.cluster.Evacuate("agreste")
-	f.eventuallyWithin(5*time.Second, "another primary", func() bool { return f.cluster.Primary("meals") != "meals-agreste" })
+	f.eventuallyWithin(2500*time.Millisecond, "another primary", func() bool { return f.cluster.Primary("meals") != "meals-agreste" })
 	f.eventually("a write at the new primary", func() bool { return s.write("plates", "2").OK() })
 	f.sendsNothing("meals-agreste", 300*time.Millisecond)
 	if n := f.cluster.Promotions(); n != 1 {
@@ -71,6 +74,20 @@
 	}
 }
 
+// Guards against a holder that sends what an instance without knowledge of the evacuation relays to it.
+func TestHolderRefusesRelayedStatement(t *testing.T) {
+	f := newFleet(t, "agreste")
+	f.cluster.Evacuate("sertao")
+	f.learns("sertao", true, 0)
+	client := relay.NewClient(clock.Boot)
+	defer client.Close()
+	c := statement.Call{Organisation: "coop", Session: "s1", ID: "s1/1", Body: statement.Read{Arguments: "plates"}, Scope: statement.Replica, Timeout: time.Second}
+	a, err := client.Execute(context.Background(), f.nodes[0].Table().Self().Address, "meals-sertao", c)
+	if err != nil || a.Code != statement.Busy || a.Delivery != statement.NotSent || f.cluster.Statements("meals-sertao") != 0 {
+		t.Errorf("%+v, %v; want busy and not sent", a, err)
+	}
+}
+
 // Guards against a promotion to a server that is evacuated too.
 func TestNoEvacuatedServerIsPromoted(t *testing.T) {
 	f := newFleet(t, "agreste", "sertao", "litoral")
