Bound open transactions by the age of an evacuation, and describe evacuations

An instance whose reader is cut off learns of an evacuation up to 3.6 s late, and its open transactions would go on until 6.6 s after the row was acknowledged. They now end 4.8 s after the last confirmation that there was no row, and have at least a fifth of the timeout.

--- a/internal/fleet/evacuation/evacuation.go
+++ b/internal/fleet/evacuation/evacuation.go
@@ -6,7 +6,7 @@
 //	set = set.WithReading(reading)    // a read of the table, or a page of its changes
 //	set = set.Merge(received)         // the rows of another instance
 //	if set.Contains(server.Place) {
-//		end := since + evacuation.TransactionTime(timeout)
+//		end := evacuation.TransactionsEnd(learnt, confirmed, timeout)
 //	}
 //
 // Each writing of a row is one evacuation. It is identified by its place and version and ends once. Instances exchange
@@ -26,16 +26,27 @@
 // DefaultTimeout is the time to the last statement at the servers of an evacuated place, if the settings name none.
 const DefaultTimeout = 5 * time.Second
 
+// usualConfirmationAge is the age of the last confirmation while reads succeed: two polls of the feed, of which a row ends the
+// second one at once, and an exchange within the place.
+const usualConfirmationAge = 2700 * time.Millisecond
+
 // maxEnded bounds the ended evacuations that are kept. They are sent with each exchange of state.
 const maxEnded = 32
 
-// TransactionTime returns how long an open transaction may go on after the instance has learnt of the evacuation. The rest
-// of the timeout is left for reading the row, for gossip and for the rollback.
-func TransactionTime(timeout time.Duration) time.Duration {
+// TransactionsEnd returns when the open transactions on the servers of a place are rolled back. They have three fifths of the
+// timeout from the moment at which the instance learnt of the evacuation. If it was last confirmed more than
+// usualConfirmationAge before that there was none, the row may be old, and they have less, so that they end within the
+// timeout of the row, but at least a fifth. A zero confirmed stands for an instance that has not read the rows before.
+func TransactionsEnd(learnt, confirmed, timeout time.Duration) time.Duration {
 	if timeout <= 0 {
 		timeout = DefaultTimeout
 	}
-	return timeout * 3 / 5
+	end := learnt + timeout*3/5
+	if confirmed == 0 || learnt-confirmed <= usualConfirmationAge {
+		return end
+	}
+	rollback := timeout / 25 // time for the rollback
+	return min(end, max(confirmed+timeout-rollback, learnt+timeout/5))
 }
 
 // Row is one evacuation.
--- a/internal/fleet/evacuation/evacuation_test.go
+++ b/internal/fleet/evacuation/evacuation_test.go
@@ -153,11 +153,20 @@
 	}
 }
 
-// Guards against a transaction that leaves no time for reading the row, for gossip and for the rollback.
-func TestTransactionTime(t *testing.T) {
-	for timeout, want := range map[time.Duration]time.Duration{0: 3 * time.Second, 5 * time.Second: 3 * time.Second, time.Second: 600 * time.Millisecond} {
-		if got := evacuation.TransactionTime(timeout); got != want {
-			t.Errorf("timeout %v: %v, want %v", timeout, got, want)
+// Guards against a transaction that goes on after the timeout of the row because the instance learnt of it late, and against
+// one that is cut off at once.
+func TestTransactionsEnd(t *testing.T) {
+	const learnt = 100 * time.Second
+	for _, c := range []struct{ confirmedBefore, timeout, want time.Duration }{
+		{time.Second, 0, 3 * time.Second},
+		{2700 * time.Millisecond, 5 * time.Second, 3 * time.Second},
+		{3500 * time.Millisecond, 5 * time.Second, 1300 * time.Millisecond},
+		{20 * time.Second, 5 * time.Second, time.Second},
+		{learnt, 5 * time.Second, 3 * time.Second},
+		{100 * time.Millisecond, time.Second, 600 * time.Millisecond},
+	} {
+		if got := evacuation.TransactionsEnd(learnt, learnt-c.confirmedBefore, c.timeout) - learnt; got != c.want {
+			t.Errorf("%+v: %v", c, got)
 		}
 	}
 }
--- a/internal/fleet/view/evacuation.go
+++ b/internal/fleet/view/evacuation.go
@@ -17,38 +17,44 @@
 // Regions returns the regions of the places.
 func (t *Table) Regions() roster.Regions { return t.regions }
 
-// SetEvacuations applies the evacuations of a read.
+// Evacuation is what this instance knows about the time of an evacuation.
+type Evacuation struct {
+	Learnt    time.Duration // when this instance learnt of it
+	Confirmed time.Duration // when it was last confirmed before that there was none; 0 if never
+}
+
+// SetEvacuations applies the evacuations of a read. The configuration of the same read is applied after them.
 func (t *Table) SetEvacuations(now time.Duration, r evacuation.Reading) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.setEvacuations(now, t.evacuations.WithReading(r))
+	t.setEvacuations(Evacuation{now, t.configurationRows.ReadAt}, t.evacuations.WithReading(r))
 }
 
 // setEvacuations replaces the evacuations. The caller holds the lock.
-func (t *Table) setEvacuations(now time.Duration, after evacuation.Set) {
+func (t *Table) setEvacuations(added Evacuation, after evacuation.Set) {
 	before := t.evacuations
 	t.evacuations = after
 	if slices.Equal(before.Places(), after.Places()) {
 		return
 	}
-	since := map[string]time.Duration{}
+	evacuated := map[string]Evacuation{}
 	for _, place := range after.Places() {
-		since[place] = now
-		if known, ok := t.evacuatedSince[place]; ok {
-			since[place] = known
+		evacuated[place] = added
+		if known, ok := t.evacuated[place]; ok {
+			evacuated[place] = known
 		}
 	}
-	t.evacuatedSince = since
+	t.evacuated = evacuated
 	t.observer.EvacuationsChanged(before, after)
 	t.notifyChange()
 }
 
-// Evacuated returns whether a place is evacuated, and the moment at which this instance learnt of it.
-func (t *Table) Evacuated(place string) (since time.Duration, ok bool) {
+// Evacuated returns the evacuation of a place, or false if there is none.
+func (t *Table) Evacuated(place string) (Evacuation, bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	since, ok = t.evacuatedSince[place]
-	return since, ok
+	e, ok := t.evacuated[place]
+	return e, ok
 }
 
 // Evacuations returns the evacuated places in alphabetical order.
--- a/internal/fleet/view/presence.go
+++ b/internal/fleet/view/presence.go
@@ -279,6 +279,7 @@
 func (t *Table) Merge(now time.Duration, b State) {
 	// Rows, or a version equal to the own one, show that the own rows were current at the sender's read time.
 	mine := t.Versions()
+	confirmed := mine.Configuration.ReadAt
 	if len(b.Configuration.Rows) > 0 || b.ConfigurationVersion == mine.ConfigurationVersion {
 		t.SetConfiguration(b.Configuration)
 	}
@@ -293,7 +294,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.setEvacuations(now, t.evacuations.Merge(b.Evacuations))
+	t.setEvacuations(Evacuation{now, confirmed}, t.evacuations.Merge(b.Evacuations))
 	for _, l := range b.Leaders {
 		t.reportLeader(now, l)
 	}
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -148,8 +148,8 @@
 	presences         map[string]Presence  // other instances, by name
 	demands           map[string]Demand    // by place
 	evacuations       evacuation.Set
-	evacuatedSince    map[string]time.Duration // by place, for those that are evacuated
-	coldUntil         map[string]coldServer    // by server id
+	evacuated         map[string]Evacuation // by place
+	coldUntil         map[string]coldServer // by server id
 	suspectedUntil    map[string]time.Duration
 	changed           chan struct{} // closed and replaced at each change of configuration, servers or leaders
 }
--- a/internal/instance/entry/evacuate.go
+++ b/internal/instance/entry/evacuate.go
@@ -40,8 +40,8 @@
 
 // transactionsEnd returns when open transactions on the servers of a place are rolled back, if it is evacuated.
 func (n *Node) transactionsEnd(place string) (time.Duration, bool) {
-	since, ok := n.table.Evacuated(place)
-	return since + evacuation.TransactionTime(n.settings.EvacuationTimeout), ok
+	e, ok := n.table.Evacuated(place)
+	return evacuation.TransactionsEnd(e.Learnt, e.Confirmed, n.settings.EvacuationTimeout), ok
 }
 
 // evacuate closes what the pools of evacuated servers no longer need, and readmits the others.
@@ -107,8 +107,8 @@
 	for _, group := range g.n.table.Configuration().Groups() {
 		l, known := g.n.table.Leader(group)
 		s, listed := g.n.table.Servers().Server(l.Server)
-		since, evacuated := g.n.table.Evacuated(s.Place)
-		if !known || !listed || !evacuated || now-since < demoteDelay || !g.n.failover.departing(s) || g.hasTransactions(s.ID) {
+		e, evacuated := g.n.table.Evacuated(s.Place)
+		if !known || !listed || !evacuated || now-e.Learnt < demoteDelay || !g.n.failover.departing(s) || g.hasTransactions(s.ID) {
 			continue
 		}
 		if m, ok := g.n.table.FirstHolder(now, s.ID, s.Place); ok && m.Name == g.n.settings.Name {
--- a/internal/instance/entry/reader.go
+++ b/internal/instance/entry/reader.go
@@ -260,8 +260,8 @@
 	if err != nil {
 		return 0, err
 	}
-	n.table.SetConfiguration(rows.Configuration)
 	n.table.SetEvacuations(n.boot(), rows.Evacuations)
+	n.table.SetConfiguration(rows.Configuration)
 	return max(after, rows.Configuration.Version), nil
 }
 
