Begin with a slow start at servers that start, return, are promoted or were evacuated

A server that has just started got all waiting callers at once. A window at the holder now limits what runs there and what is opened, from 1 up to the slots, by the latencies of its answers.

Enabled by priority scheduling, cold fields or after an evacuation; otherwise unchanged.

--- a/internal/database/serverpool/evacuation.go
+++ b/internal/database/serverpool/evacuation.go
@@ -35,10 +35,13 @@
 	return rolledBack
 }
 
-// Readmit ends an evacuation.
+// Readmit ends an evacuation, with a slow start if there was one.
 func (p *Pool) Readmit() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.evacuatedUntil > 0 {
+		p.BeginSlowStart("evacuation", false)
+	}
 	p.evacuatedUntil = 0
 }
 
@@ -49,11 +52,16 @@
 	return p.evacuatedUntil > 0
 }
 
-// evacuationOver reports whether open transactions are refused as well.
-func (p *Pool) evacuationOver() bool {
+// endEvacuated ends a transaction, and returns the refusal of its statement, if the server is evacuated and the time of open
+// transactions is over. The caller holds t.mu.
+func (p *Pool) endEvacuated(id uint64, t *transaction) (statement.Answer, bool) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.evacuatedUntil > 0 && p.options.Boot() >= p.evacuatedUntil
+	over := p.evacuatedUntil > 0 && p.options.Boot() >= p.evacuatedUntil
+	p.mu.Unlock()
+	if over {
+		p.finish(id, t, false)
+	}
+	return statement.Refused(statement.Aborted, "the server is evacuated"), over
 }
 
 // refuseEvacuated returns the refusal of a new statement at an evacuated server.
--- a/internal/database/serverpool/run.go
+++ b/internal/database/serverpool/run.go
@@ -155,7 +155,10 @@
 	if t.finished {
 		return statement.Refused(statement.Aborted, "the transaction has ended")
 	}
-	if _, ok := c.Body.(statement.Rollback); ok && !p.evacuationOver() {
+	if refusal, over := p.endEvacuated(c.Transaction, t); over {
+		return refusal
+	}
+	if _, ok := c.Body.(statement.Rollback); ok {
 		return p.rollback(ctx, c.Transaction, t)
 	}
 	ticket, err := p.scheduler.Acquire(ctx, c.Organisation, c.Session)
@@ -165,9 +168,8 @@
 	}
 	defer ticket.Release()
 	time.AfterFunc(slotHoldTimeout, ticket.Release)
-	if p.evacuationOver() {
-		p.finish(c.Transaction, t, false)
-		return statement.Refused(statement.Aborted, "the server is evacuated")
+	if refusal, over := p.endEvacuated(c.Transaction, t); over {
+		return refusal
 	}
 	if refusal, _ := p.prepareConnection(ctx, t.pooledConn, c, nil); refusal != nil {
 		p.finish(c.Transaction, t, false)
@@ -278,6 +280,7 @@
 		return readindex.Index{}, false
 	}
 	defer ticket.Release()
+	defer p.abandonTurn(pc.turn, nil)
 	index, ok := p.confirmIndex(ctx, pc)
 	if !ok && p.distrusts() && p.replace(ctx, pc) == nil {
 		index, ok = p.confirmIndex(ctx, pc)
--- a/internal/database/serverpool/serverpool.go
+++ b/internal/database/serverpool/serverpool.go
@@ -24,6 +24,7 @@
 	"sync"
 	"time"
 
+	"tanagercross/internal/database/pace"
 	"tanagercross/internal/database/readindex"
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/instance/clock"
@@ -60,6 +61,10 @@
 	Connections     int
 	TransactionIdle time.Duration        // longest pause inside a transaction; 0 for no limit
 	Boot            func() time.Duration // clock that counts suspended time; nil for the machine's own
+	// SlowStart makes the pool begin a slow start when the server answers after failures, and record its latencies.
+	SlowStart   bool
+	Latencies   *pace.Latencies // of the servers of the group; may be nil
+	OnSlowStart func(SlowStart) // called with the pool locked; may be nil
 }
 
 // WithDefaults returns a copy in which zero fields have their defaults.
@@ -87,6 +92,7 @@
 	// unprovenSetup is set while it is not proven that the server has the session values and prepared statements above.
 	unprovenSetup bool
 	strays        int  // stray answers that are accounted for
+	turn          turn // of the statement that runs on the connection
 	opened        bool // a transaction of the instance's own may be open
 }
 
@@ -105,6 +111,7 @@
 	dialer    statement.Dialer
 	options   Options
 	scheduler *fairness.Scheduler[string]
+	pacer     pacer
 
 	mu                sync.Mutex
 	connections       int // open or being opened
@@ -210,10 +217,14 @@
 		return refusal
 	}
 	defer ticket.Release()
+	t, answer := pc.turn, statement.NoAnswer("internal error")
+	defer func() { p.endTurn(t, c, answer) }()
 	if c.Step == statement.First {
-		return p.startTransaction(ctx, pc, c)
+		answer = p.startTransaction(ctx, pc, c)
+		return answer
 	}
-	answer, clean := p.runSingle(ctx, pc, c)
+	var clean bool
+	answer, clean = p.runSingle(ctx, pc, c)
 	if clean {
 		p.release(pc)
 	} else {
@@ -238,11 +249,19 @@
 			ticket.Release()
 			return nil, nil, refuseEvacuated()
 		}
+		t, ok := p.awaitTurn(ctx)
+		if !ok {
+			ticket.Release()
+			return nil, nil, statement.Refused(statement.Busy, "queue: slow start")
+		}
 		pc, wait, err := p.acquireConnection(ctx, c)
 		if pc != nil {
+			t.sent = p.options.Boot()
+			pc.turn = t
 			time.AfterFunc(slotHoldTimeout, ticket.Release)
 			return ticket, pc, statement.Answer{}
 		}
+		p.abandonTurn(t, err)
 		ticket.Release()
 		if err != nil {
 			return nil, nil, refuseDial(err)
@@ -271,6 +290,9 @@
 
 // recordAnswerLocked records that the server answered. The caller holds p.mu.
 func (p *Pool) recordAnswerLocked() {
+	if p.options.SlowStart && p.health.Failures >= closeIdleAfterFailures {
+		p.BeginSlowStart("return", false)
+	}
 	p.health.Failures, p.health.Refused, p.health.LastAnswer = 0, false, p.options.Boot()
 }
 
@@ -309,6 +331,7 @@
 // Close closes the connections. Queued statements are refused, and those that a server has not answered are given up.
 func (p *Pool) Close() {
 	p.scheduler.Stop(outcome.ServerLeaving)
+	p.pacer.stop()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -16,7 +16,8 @@
 // from other places, servers.go executes statements on servers, positions.go keeps positions of leaders, failover.go
 // examines primaries, promote.go promotes replicas, replicas.go sends commands to them, promotion_lease.go claims the
 // lease for that, settle.go ends what changes that were given up have left, observe.go writes logs and metrics,
-// ports.go declares the interfaces of the platform.
+// evacuate.go applies evacuations, cold.go limits statements to cold servers, slowstart.go begins slow starts, ports.go
+// declares the interfaces of the platform.
 package entry
 
 import (
--- a/internal/instance/entry/evacuate.go
+++ b/internal/instance/entry/evacuate.go
@@ -22,6 +22,7 @@
 	for _, place := range before.Places() {
 		if !after.Contains(place) {
 			o.log.Info("evacuation withdrawn", "place", place)
+			go o.n.evacuationEnded(place)
 		}
 	}
 	go o.n.evacuationsChanged()
--- a/internal/instance/entry/export_test.go
+++ b/internal/instance/entry/export_test.go
@@ -4,3 +4,12 @@
 
 // Table returns the view of an instance.
 func (n *Node) Table() *view.Table { return n.table }
+
+// SlowStart returns the cause of the slow start that a pool for the server would begin with, empty if it would not.
+func (n *Node) SlowStart(server string) string {
+	e, ok := n.pools.starts.recent(server, n.boot())
+	if !ok {
+		return ""
+	}
+	return e.cause
+}
--- a/internal/instance/entry/observe.go
+++ b/internal/instance/entry/observe.go
@@ -59,6 +59,9 @@
 		emit(metric.ServerTransactions, float64(transactions), label)
 		emit(metric.ServerLoad, float64(load), label)
 		emit(metric.ServerOpened, float64(opened), label)
+		if window, paced := g.pool.Window(); paced {
+			emit(metric.ServerWindow, float64(window), label)
+		}
 		replaced := g.pool.Replacements()
 		emit(metric.ServerReplaced, float64(replaced.Unproven), label, metric.Label{Name: "reason", Value: "unproven"})
 		emit(metric.ServerReplaced, float64(replaced.OutOfStep), label, metric.Label{Name: "reason", Value: "out_of_step"})
@@ -72,6 +75,7 @@
 
 // ServersChanged implements view.Observer.
 func (o *observer) ServersChanged(before, after catalog.Servers, read time.Duration) {
+	go o.n.serversStarted(before, after)
 	age := (o.n.boot() - read).Milliseconds()
 	for _, s := range after.All() {
 		old, ok := before.Server(s.ID)
@@ -96,6 +100,7 @@
 		go o.n.failover.requestRefresh()
 		return
 	}
+	go o.n.leaderPromoted(after)
 	if after.Term > 0 {
 		go o.n.gossip.notifyPlace()
 	}
--- a/internal/instance/entry/servers.go
+++ b/internal/instance/entry/servers.go
@@ -43,6 +43,7 @@
 	// on them are not retried.
 	laggingUntil map[string]time.Duration
 	cold         coldServers
+	starts       slowStarts
 }
 
 // openPool is the connection pool of a server, with the server's row from the time at which the pool was opened.
@@ -76,7 +77,9 @@
 		target := statement.Target{Server: s.ID, Group: s.Group, Address: s.Address}
 		o = &openPool{server: s, pool: serverpool.New(target, g.n.options.Dialer, serverpool.Options{
 			Slots: s.Slots, Connections: g.connectionLimit(now, s), TransactionIdle: configuration.TransactionIdle, Boot: g.n.boot,
+			SlowStart: g.n.slowStartEnabled(s.Group), Latencies: g.starts.latenciesOf(s.Group), OnSlowStart: g.n.observer.slowStartChanged,
 		})}
+		g.beginSlowStart(o.pool, now)
 		g.byServer[server] = o
 	}
 	o.lastUsed = now
--- a/internal/instance/metric/entry.go
+++ b/internal/instance/metric/entry.go
@@ -18,6 +18,7 @@
 	DependencyErrors CounterName = "tanagercross_dependency_errors_total" // by dependency
 	// EvacuationsStarted counts the data centres whose evacuation the instance has learnt of.
 	EvacuationsStarted  CounterName = "tanagercross_evacuations_total"
+	SlowStarts          CounterName = "tanagercross_slow_starts_total"          // by cause
 	EvacuationRollbacks CounterName = "tanagercross_evacuation_rollbacks_total" // transactions
 )
 
@@ -35,7 +36,8 @@
 	ServerOpened         GaugeName = "tanagercross_server_connections_opened"
 	ServerReplaced       GaugeName = "tanagercross_server_connections_replaced" // by server and reason
 	Steward              GaugeName = "tanagercross_steward"
-	Evacuated            GaugeName = "tanagercross_evacuated" // by place
+	ServerWindow         GaugeName = "tanagercross_server_window" // by server in a slow start
+	Evacuated            GaugeName = "tanagercross_evacuated"     // by place
 )
 
 // Count adds one to a counter. Label values must come from small sets.
--- a/layout_test.go
+++ b/layout_test.go
@@ -29,7 +29,7 @@
 	"internal/service/store", "internal/request/retry", "internal/request/execution",
 	"internal/instance/clock", "internal/instance/event",
 	"internal/database/statement", "internal/database/readindex", "internal/database/promotion",
-	"internal/database/correlation", "internal/fleet/catalog", "internal/fleet/view",
+	"internal/database/correlation", "internal/database/pace", "internal/fleet/catalog", "internal/fleet/view",
 	"internal/fleet/evacuation", "internal/fleet/residence",
 }
 
