Test evacuations with a reader that is turned away and with replicas that lack commits

Drops two lines of which no test depended: the end of an equal evacuation of an earlier generation, and the end of the slow start at the close of a pool.

--- a/internal/database/serverpool/evacuation_test.go
+++ b/internal/database/serverpool/evacuation_test.go
@@ -64,3 +64,21 @@
 		t.Errorf("%d transactions rolled back, %d connections; want one and none", n, c.Connections(primary))
 	}
 }
+
+// Guards against a command to an evacuated server when a caller rolls its transaction back after its time: the connection is
+// closed at once.
+func TestRollbackAfterTheTimeOfATransaction(t *testing.T) {
+	now := time.Second
+	c, pool := start(t, primary, serverpool.Options{Boot: func() time.Duration { return now }})
+	first := write("s1", 1)
+	first.Step = statement.First
+	opened := pool.Execute(context.Background(), first)
+	end := now + time.Second
+	pool.Evacuate(end)
+	now = end
+	rollback := first
+	rollback.Step, rollback.Body, rollback.Transaction = statement.End, statement.Rollback{}, opened.Transaction
+	if a := pool.Execute(context.Background(), rollback); a.Code != statement.Aborted || c.Connections(primary) != 0 {
+		t.Errorf("%+v, %d connections; want aborted and none", a, c.Connections(primary))
+	}
+}
--- a/internal/database/serverpool/pace.go
+++ b/internal/database/serverpool/pace.go
@@ -105,14 +105,6 @@
 	g.wake()
 }
 
-// stop ends a slow start without a report, so that nobody waits at a closed pool.
-func (g *pacer) stop() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.window = pace.Window{}
-	g.wake()
-}
-
 // wake lets as many waiters go on as the window has room for. The caller holds g.mu.
 func (g *pacer) wake() {
 	room := g.window.Size() - g.running
--- a/internal/database/serverpool/serverpool.go
+++ b/internal/database/serverpool/serverpool.go
@@ -331,7 +331,6 @@
 // Close closes the connections. Queued statements are refused, and those that a server has not answered are given up.
 func (p *Pool) Close() {
 	p.scheduler.Stop(outcome.ServerLeaving)
-	p.pacer.stop()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
--- a/internal/fleet/evacuation/evacuation.go
+++ b/internal/fleet/evacuation/evacuation.go
@@ -142,11 +142,10 @@
 	return slices.ContainsFunc(s.rows, func(k Row) bool { return k.Place == place && k.Generation == generation })
 }
 
-// endEarlier ends the evacuations of the row's place that the row was written over. One of an earlier generation with the
-// same version is the same row.
+// endEarlier ends the evacuations of the row's place that the row replaces.
 func (s *Set) endEarlier(row Row) {
 	for n, k := range s.rows {
-		if k.Place == row.Place && compare(k, row) < 0 && k.Version != row.Version {
+		if k.Place == row.Place && compare(k, row) < 0 {
 			s.rows[n].Ended = true
 		}
 	}
--- a/internal/instance/entry/evacuate_test.go
+++ b/internal/instance/entry/evacuate_test.go
@@ -238,3 +238,47 @@
 	f.eventuallyWithin(8*time.Second, "the server elsewhere leads", func() bool { return f.cluster.Primary("meals") == "meals-sertao" })
 	s.awaitReadOne()
 }
+
+// Guards against a promotion of an evacuated replica, and of one that lacks an acknowledged commit, when the primary crashes
+// and only the evacuated replica has received the commit.
+func TestCrashWhileTheNewestReplicaIsEvacuated(t *testing.T) {
+	f := newFleet(t, "agreste", "sertao", "litoral")
+	f.replicateOnlyToLitoral()
+	s := f.session(1, "bookings")
+	s.mustWriteOne()
+	f.cluster.Evacuate("litoral")
+	f.learns("litoral", true, 0, 1, 2)
+	f.cluster.Crash("meals-agreste")
+	time.Sleep(2500 * time.Millisecond)
+	if n := f.cluster.Promotions(); n != 0 {
+		t.Errorf("%d promotions, and %s leads; want none", n, f.cluster.Primary("meals"))
+	}
+	f.cluster.WithdrawEvacuation("litoral")
+	f.eventuallyWithin(8*time.Second, "the replica with the commit leads", func() bool { return f.cluster.Primary("meals") == "meals-litoral" })
+	s.awaitReadOne()
+}
+
+// Guards against a transaction that goes on for more than 5 s after the row was written, because the instance that reads for
+// the others is turned away by the store and they learn late.
+func TestEvacuationWhileTheReaderIsTurnedAway(t *testing.T) {
+	f := newFleet(t, "agreste", "agreste")
+	reader, other := 0, 1
+	if f.nodes[other].IsCoordinator() {
+		reader, other = other, reader
+	}
+	s := f.session(other, "bookings")
+	s.do(statement.Begin{})
+	if a := s.write("plates", "1"); !a.OK() {
+		t.Fatalf("write: %+v", a)
+	}
+	f.cluster.TurnAway(f.nodes[reader].Table().Self().Name, true)
+	f.cluster.Evacuate("agreste")
+	written := time.Now()
+	for a := s.read("plates"); a.OK(); a = s.read("plates") {
+		if took := time.Since(written); took > 5*time.Second {
+			t.Fatalf("a statement of the transaction ran %v after the row was written", took)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	f.eventuallyWithin(5*time.Second-time.Since(written), "no connection", func() bool { return f.cluster.Connections("meals-agreste") == 0 })
+}
