Report evacuated primaries without a successor, and describe what the tests guard

Operators saw nothing when no server outside of the evacuated data centres could follow a primary. Its first holder now logs that once. A row of a new generation of the store is compared with ended ones only in the first read of the generation, and only if no other instance has sent it before. The new cases fail without these conditions.

--- a/internal/fleet/evacuation/evacuation.go
+++ b/internal/fleet/evacuation/evacuation.go
@@ -114,7 +114,8 @@
 			continue
 		}
 		present[row.Place] = true
-		row.Ended = next.isOld(row)
+		// Later reads of a generation show only rows that are known or new.
+		row.Ended = r.Generation > s.generation && !next.knows(row) && next.isOld(row)
 		if !row.Ended {
 			next.endEarlier(row)
 		}
@@ -130,6 +131,12 @@
 	return next.pruned()
 }
 
+// knows reports whether a row is known, ended or not.
+func (s Set) knows(row Row) bool {
+	_, known := slices.BinarySearchFunc(s.rows, row, compare)
+	return known
+}
+
 // isOld reports whether a row of a copy is that of an evacuation that ended in an earlier generation.
 func (s Set) isOld(row Row) bool {
 	return slices.ContainsFunc(s.rows, func(k Row) bool {
@@ -180,7 +187,7 @@
 	next := s
 	next.rows = slices.Clone(s.rows)
 	for _, row := range rows {
-		if _, known := slices.BinarySearchFunc(next.rows, row, compare); !known {
+		if !next.knows(row) {
 			row.Ended = row.Ended || row.Generation == s.generation && row.Version <= s.version
 		}
 		next.add(row)
--- a/internal/fleet/evacuation/evacuation_test.go
+++ b/internal/fleet/evacuation/evacuation_test.go
@@ -38,12 +38,16 @@
 		readings []evacuation.Reading
 		want     []string
 	}{
-		"written":                           {[]evacuation.Reading{whole(0, 10), changes(0, 12, row("x", 0, 12))}, []string{"x"}},
-		"removed by a change":               {[]evacuation.Reading{whole(0, 10, row("x", 0, 9)), changes(0, 12, removed("x", 0, 12))}, nil},
-		"removed before a whole read":       {[]evacuation.Reading{whole(0, 10, row("x", 0, 9)), whole(0, 12)}, nil},
-		"older read":                        {[]evacuation.Reading{whole(0, 10, row("x", 0, 9)), whole(0, 8)}, []string{"x"}},
-		"older read with a row":             {[]evacuation.Reading{whole(0, 10), whole(0, 8, row("x", 0, 7))}, nil},
-		"read of an earlier generation":     {[]evacuation.Reading{whole(1, 5), whole(0, 100, row("x", 0, 90))}, nil},
+		"written":                       {[]evacuation.Reading{whole(0, 10), changes(0, 12, row("x", 0, 12))}, []string{"x"}},
+		"removed by a change":           {[]evacuation.Reading{whole(0, 10, row("x", 0, 9)), changes(0, 12, removed("x", 0, 12))}, nil},
+		"removed before a whole read":   {[]evacuation.Reading{whole(0, 10, row("x", 0, 9)), whole(0, 12)}, nil},
+		"older read":                    {[]evacuation.Reading{whole(0, 10, row("x", 0, 9)), whole(0, 8)}, []string{"x"}},
+		"older read with a row":         {[]evacuation.Reading{whole(0, 10), whole(0, 8, row("x", 0, 7))}, nil},
+		"read of an earlier generation": {[]evacuation.Reading{whole(1, 5), whole(0, 100, row("x", 0, 90))}, nil},
+		"copy without an ended one, written at its version": {
+			[]evacuation.Reading{whole(0, 10, row("x", 0, 5)), whole(0, 12), whole(1, 4), changes(1, 5, row("x", 1, 5)), whole(1, 6, row("x", 1, 5))},
+			[]string{"x"},
+		},
 		"two copies with it":                {[]evacuation.Reading{whole(0, 10, row("x", 0, 5)), whole(1, 7, row("x", 1, 5)), whole(2, 6, row("x", 2, 5))}, []string{"x"}},
 		"changes of another place":          {[]evacuation.Reading{whole(0, 10, row("x", 0, 9)), changes(0, 12, row("y", 0, 12))}, []string{"x", "y"}},
 		"copy without it":                   {[]evacuation.Reading{whole(0, 10, row("x", 0, 9)), whole(1, 7), whole(1, 12)}, []string{"x"}},
@@ -92,6 +96,16 @@
 	}
 }
 
+// Guards against an instance that hears of a row from another one before it reads the store's new generation itself, and takes
+// the row for one of the copy.
+func TestRowOfANewGenerationIsHeardOfFirst(t *testing.T) {
+	s := evacuation.Set{}.WithReading(whole(0, 10, row("x", 0, 5))).WithReading(whole(0, 12))
+	s = s.Merge([]evacuation.Row{row("x", 1, 5)}).WithReading(whole(1, 7, row("x", 1, 5)))
+	if !s.Contains("x") {
+		t.Error("the evacuation has ended")
+	}
+}
+
 // Guards against instances that disagree for ever: readers at different times and instances that only hear from others
 // agree with the table once all have exchanged their rows. The table and the exchanges are drawn from seeds.
 func TestInstancesAgree(t *testing.T) {
--- a/internal/instance/entry/cold.go
+++ b/internal/instance/entry/cold.go
@@ -23,8 +23,8 @@
 	limiters map[string]*rate.Limiter // by server
 }
 
-// limiter returns the limiter of a server with a rate, for the start that it has now.
-func (c *coldServers) limiter(server string, perSecond float64) *rate.Limiter {
+// limiter returns the limiter of a server, with the rate that its group has now.
+func (c *coldServers) limiter(server string, perSecond float64, now time.Time) *rate.Limiter {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.limiters[server]
@@ -36,8 +36,8 @@
 		c.limiters[server] = l
 	}
 	if l.Limit() != rate.Limit(perSecond) {
-		l.SetLimit(rate.Limit(perSecond))
-		l.SetBurst(max(1, int(perSecond*coldBurst)))
+		l.SetLimitAt(now, rate.Limit(perSecond))
+		l.SetBurstAt(now, max(1, int(perSecond*coldBurst)))
 	}
 	return l
 }
@@ -67,8 +67,8 @@
 	if !cold {
 		return statement.Answer{}, true
 	}
-	l := g.cold.limiter(s.ID, perSecond)
 	now := g.n.boot()
+	l := g.cold.limiter(s.ID, perSecond, coldTime(now))
 	if c.Step == statement.Next || c.Step == statement.End {
 		turn := l.ReserveN(coldTime(now), 1)
 		clock.Sleep(ctx, min(turn.DelayFrom(coldTime(now)), c.Timeout/2))
--- a/internal/instance/entry/evacuate.go
+++ b/internal/instance/entry/evacuate.go
@@ -109,15 +109,34 @@
 		l, known := g.n.table.Leader(group)
 		s, listed := g.n.table.Servers().Server(l.Server)
 		e, evacuated := g.n.table.Evacuated(s.Place)
-		if !known || !listed || !evacuated || now-e.Learnt < demoteDelay || !g.n.failover.departing(s) || g.hasTransactions(s.ID) {
+		if !known || !listed || !evacuated || now-e.Learnt < demoteDelay {
 			continue
 		}
-		if m, ok := g.n.table.FirstHolder(now, s.ID, s.Place); ok && m.Name == g.n.settings.Name {
+		if m, ok := g.n.table.FirstHolder(now, s.ID, s.Place); !ok || m.Name != g.n.settings.Name {
+			continue
+		}
+		departing := g.n.failover.departing(s)
+		g.noteStranded(s, !departing)
+		if departing && !g.hasTransactions(s.ID) {
 			g.n.failover.report(now, relay.PrimaryChange{Group: group, Primary: s.ID, Planned: true})
 		}
 	}
 }
 
+// noteStranded logs when an evacuated primary has no server elsewhere that can follow it.
+func (g *pools) noteStranded(s catalog.Server, stranded bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if stranded && !g.stranded[s.ID] {
+		g.n.log.Warn("evacuated primary has no successor", "group", s.Group, "server", s.ID, "place", s.Place)
+	}
+	if stranded {
+		g.stranded[s.ID] = true
+		return
+	}
+	delete(g.stranded, s.ID)
+}
+
 // hasTransactions reports whether a server has an open transaction here.
 func (g *pools) hasTransactions(server string) bool {
 	g.mu.Lock()
--- a/internal/instance/entry/servers.go
+++ b/internal/instance/entry/servers.go
@@ -42,6 +42,7 @@
 	// laggingUntil holds the replicas that did not catch up during the retries of a read. Until the moment given, reads
 	// on them are not retried.
 	laggingUntil map[string]time.Duration
+	stranded     map[string]bool // evacuated primaries that no server can follow, by id
 	cold         coldServers
 	starts       slowStarts
 }
@@ -54,7 +55,7 @@
 }
 
 func newPools(n *Node) *pools {
-	return &pools{n: n, byServer: map[string]*openPool{}, laggingUntil: map[string]time.Duration{}}
+	return &pools{n: n, byServer: map[string]*openPool{}, laggingUntil: map[string]time.Duration{}, stranded: map[string]bool{}}
 }
 
 // pool returns the connection pool of a server. It opens one at the first use, and anew when the server restarted or has
