Grant turns of a slow start in order of arrival

A caller that was woken could lose its place to one that came later, and then waited behind all others. Room in the window is now handed over with the wake-up, and goes on to the next one if its caller has given up; the test for that fails without it.

--- a/internal/database/serverpool/pace.go
+++ b/internal/database/serverpool/pace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,8 +30,8 @@
 	began     time.Duration
 	reported  int // window of the last report
 	running   int
-	waiters   []chan struct{} // oldest first
-	reference [4]reference    // by kind, where no usual latency is known
+	waiters   []*waiter    // oldest first
+	reference [4]reference // by kind, where no usual latency is known
 }
 
 // reference is the mean latency while the window was 1.
@@ -39,6 +40,12 @@
 	sum     time.Duration
 }
 
+// waiter is a statement that waits for a turn. The turn is set when the channel is closed.
+type waiter struct {
+	granted chan struct{}
+	turn    turn
+}
+
 // turn is the permission to open a connection and to run one statement. The zero value is not limited.
 type turn struct {
 	paced bool
@@ -68,52 +75,56 @@
 	return p.pacer.window.Size(), !p.pacer.window.Ended()
 }
 
-// awaitTurn waits until the window has room. It returns false if the context ends before.
+// awaitTurn waits until the window has room, in order of arrival. It returns false if the context ends before.
 func (p *Pool) awaitTurn(ctx context.Context) (turn, bool) {
 	g := &p.pacer
 	g.mu.Lock()
-	for !g.window.Ended() && g.running >= g.window.Size() {
-		wait := make(chan struct{})
-		g.waiters = append(g.waiters, wait)
-		g.mu.Unlock()
-		select {
-		case <-wait:
-			g.mu.Lock()
-		case <-ctx.Done():
-			g.mu.Lock()
-			g.cancelWait(wait)
-			g.mu.Unlock()
-			return turn{}, false
-		}
+	if g.window.Ended() || len(g.waiters) == 0 && g.running < g.window.Size() {
+		defer g.mu.Unlock()
+		return g.grant(), true
+	}
+	w := &waiter{granted: make(chan struct{})}
+	g.waiters = append(g.waiters, w)
+	g.mu.Unlock()
+	select {
+	case <-w.granted:
+		return w.turn, true
+	case <-ctx.Done():
+		g.cancel(w)
+		return turn{}, false
 	}
-	defer g.mu.Unlock()
+}
+
+// grant returns the permission for the next statement. The caller holds g.mu.
+func (g *pacer) grant() turn {
 	if g.window.Ended() {
-		return turn{}, true
+		return turn{}
 	}
 	g.running++
-	return turn{paced: true, epoch: g.window.Epoch()}, true
+	return turn{paced: true, epoch: g.window.Epoch()}
 }
 
-// cancelWait removes a waiter. If it was woken already, the next one is woken instead. The caller holds g.mu.
-func (g *pacer) cancelWait(wait chan struct{}) {
-	for n, w := range g.waiters {
-		if w == wait {
-			g.waiters = append(g.waiters[:n:n], g.waiters[n+1:]...)
-			return
-		}
+// cancel removes a waiter that gave up. A turn that it was granted meanwhile goes to the next one.
+func (g *pacer) cancel(w *waiter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if n := slices.Index(g.waiters, w); n >= 0 {
+		g.waiters = slices.Delete(g.waiters, n, n+1)
+		return
+	}
+	if w.turn.paced {
+		g.running--
+		g.wake()
 	}
-	g.wake()
 }
 
-// wake lets as many waiters go on as the window has room for. The caller holds g.mu.
+// wake grants turns to as many waiters as the window has room for. The caller holds g.mu.
 func (g *pacer) wake() {
-	room := g.window.Size() - g.running
-	if g.window.Ended() {
-		room = len(g.waiters)
-	}
-	for ; room > 0 && len(g.waiters) > 0; room-- {
-		close(g.waiters[0])
+	for len(g.waiters) > 0 && (g.window.Ended() || g.running < g.window.Size()) {
+		w := g.waiters[0]
 		g.waiters = g.waiters[1:]
+		w.turn = g.grant()
+		close(w.granted)
 	}
 }
 
--- a/internal/database/serverpool/pace_test.go
+++ b/internal/database/serverpool/pace_test.go
@@ -183,3 +183,26 @@
 		t.Error("a slow start began without an evacuation")
 	}
 }
+
+// Guards against room in the window that is lost when callers give up their wait for it: the server would stay idle.
+func TestCallersThatGiveUpLeaveTheWindow(t *testing.T) {
+	_, pool, l, _ := pacedPool(t, 4)
+	l.took = 5 * time.Millisecond
+	for round := range 20 {
+		pool.BeginSlowStart("start", false)
+		var callers sync.WaitGroup
+		for n := range 12 {
+			callers.Go(func() {
+				c := read(fmt.Sprintf("s%d", n), round)
+				c.Scope, c.Timeout = statement.Replica, time.Duration(1+n)*3*time.Millisecond
+				pool.Execute(context.Background(), c)
+			})
+		}
+		callers.Wait()
+		c := read("last", round)
+		c.Scope = statement.Replica
+		if a := pool.Execute(context.Background(), c); !a.OK() {
+			t.Fatalf("round %d: %+v", round, a)
+		}
+	}
+}
