Merge home regions, evacuation, cold servers and slow start

The servers that may run a call are filtered by home regions and evacuations before placement and admission control see them; the stand-ins of the dispatch tests are shared.

--- /dev/null
+++ b/internal/database/serverpool/pace.go
@@ -0,0 +1,223 @@
+package serverpool
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"tanagercross/internal/database/pace"
+	"tanagercross/internal/database/statement"
+)
+
+// SlowStart is the state of a slow start, as it is reported when it begins, when the window has changed by half, and at its
+// end.
+type SlowStart struct {
+	Server string
+	Cause  string
+	Window int
+	Slots  int
+	Began  bool // this is the first report
+	Ended  bool
+	Took   time.Duration // since the beginning
+}
+
+// pacer holds the window of a slow start and those who wait for it. Without a slow start it limits nothing.
+type pacer struct {
+	mu        sync.Mutex
+	window    pace.Window
+	cause     string
+	began     time.Duration
+	reported  int // window of the last report
+	running   int
+	waiters   []*waiter    // oldest first
+	reference [4]reference // by kind, where no usual latency is known
+}
+
+// reference is the mean latency while the window was 1.
+type reference struct {
+	answers int
+	sum     time.Duration
+}
+
+// waiter is a statement that waits for a turn. The turn is set when the channel is closed.
+type waiter struct {
+	granted chan struct{}
+	turn    turn
+}
+
+// turn is the permission to open a connection and to run one statement. The zero value is not limited.
+type turn struct {
+	paced bool
+	epoch uint64
+	sent  time.Duration // when the connection was there
+}
+
+// BeginSlowStart limits what runs at the server and widens the limit by its answers. takeOver means that another holder may
+// have begun it.
+func (p *Pool) BeginSlowStart(cause string, takeOver bool) {
+	w := pace.Begin(p.options.Slots)
+	if takeOver {
+		w = pace.TakeOver(p.options.Slots)
+	}
+	g := &p.pacer
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.window, g.cause, g.began, g.reported = w, cause, p.options.Boot(), 0
+	g.reference = [4]reference{}
+	p.reportSlowStartLocked()
+}
+
+// Window returns the window of a slow start, or false if there is none.
+func (p *Pool) Window() (int, bool) {
+	p.pacer.mu.Lock()
+	defer p.pacer.mu.Unlock()
+	return p.pacer.window.Size(), !p.pacer.window.Ended()
+}
+
+// awaitTurn waits until the window has room, in order of arrival. It returns false if the context ends before.
+func (p *Pool) awaitTurn(ctx context.Context) (turn, bool) {
+	g := &p.pacer
+	g.mu.Lock()
+	if g.window.Ended() || len(g.waiters) == 0 && g.running < g.window.Size() {
+		defer g.mu.Unlock()
+		return g.grant(), true
+	}
+	w := &waiter{granted: make(chan struct{})}
+	g.waiters = append(g.waiters, w)
+	g.mu.Unlock()
+	select {
+	case <-w.granted:
+		return w.turn, true
+	case <-ctx.Done():
+		g.cancel(w)
+		return turn{}, false
+	}
+}
+
+// grant returns the permission for the next statement. The caller holds g.mu.
+func (g *pacer) grant() turn {
+	if g.window.Ended() {
+		return turn{}
+	}
+	g.running++
+	return turn{paced: true, epoch: g.window.Epoch()}
+}
+
+// cancel removes a waiter that gave up. A turn that it was granted meanwhile goes to the next one.
+func (g *pacer) cancel(w *waiter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if n := slices.Index(g.waiters, w); n >= 0 {
+		g.waiters = slices.Delete(g.waiters, n, n+1)
+		return
+	}
+	if w.turn.paced {
+		g.running--
+		g.wake()
+	}
+}
+
+// wake grants turns to as many waiters as the window has room for. The caller holds g.mu.
+func (g *pacer) wake() {
+	for len(g.waiters) > 0 && (g.window.Ended() || g.running < g.window.Size()) {
+		w := g.waiters[0]
+		g.waiters = g.waiters[1:]
+		w.turn = g.grant()
+		close(w.granted)
+	}
+}
+
+// abandonTurn ends a turn for which no connection was found. A connection that could not be opened is a failure.
+func (p *Pool) abandonTurn(t turn, err error) {
+	p.finishTurn(t, func(w pace.Window) pace.Window {
+		if err != nil {
+			return w.WithFailure(t.epoch)
+		}
+		return w
+	})
+}
+
+// endTurn ends a turn with the answer to its statement.
+func (p *Pool) endTurn(t turn, c statement.Call, a statement.Answer) {
+	took := p.options.Boot() - t.sent
+	kind := pace.Read
+	if c.Writes() {
+		kind = pace.Write
+	}
+	failed := a.Delivery == statement.Unanswered || a.Delivery == statement.Answered && (a.Code == statement.Busy || a.Code == statement.TooMany)
+	answered := a.OK()
+	if !t.paced {
+		if answered && p.options.SlowStart && p.options.Latencies != nil {
+			p.options.Latencies.Record(p.target.Server, kind, took)
+		}
+		return
+	}
+	p.finishTurn(t, func(w pace.Window) pace.Window {
+		switch {
+		case failed:
+			return w.WithFailure(t.epoch)
+		case answered:
+			return w.WithAnswer(t.epoch, p.pacer.ratio(p.usual(kind), kind, took))
+		}
+		return w
+	})
+}
+
+// usual returns the usual latency of a kind of statement at this server, 0 if it is not known.
+func (p *Pool) usual(k pace.Kind) time.Duration {
+	if p.options.Latencies == nil {
+		return 0
+	}
+	return p.options.Latencies.Usual(p.target.Server, k)
+}
+
+// ratio returns the ratio of a latency to the usual one, or to that of the window 1 if none is known. The caller holds g.mu.
+func (g *pacer) ratio(usual time.Duration, k pace.Kind, took time.Duration) float64 {
+	r := &g.reference[k]
+	if g.window.Size() == 1 {
+		r.answers++
+		r.sum += took
+	}
+	if usual == 0 && r.answers > 0 {
+		usual = r.sum / time.Duration(r.answers)
+	}
+	if usual <= 0 {
+		return 1
+	}
+	return float64(took) / float64(usual)
+}
+
+// finishTurn applies the result of a turn to the window and lets others go on.
+func (p *Pool) finishTurn(t turn, apply func(pace.Window) pace.Window) {
+	if !t.paced {
+		return
+	}
+	g := &p.pacer
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running--
+	if !g.window.Ended() {
+		g.window = apply(g.window)
+		p.reportSlowStartLocked()
+	}
+	g.wake()
+}
+
+// reportSlowStartLocked reports the beginning and the end of a slow start, and a window that is at least half larger or
+// smaller than that of the last report. The caller holds p.pacer.mu.
+func (p *Pool) reportSlowStartLocked() {
+	g := &p.pacer
+	size := g.window.Size()
+	if !g.window.Ended() && 2*size < 3*g.reported && 2*size > g.reported {
+		return
+	}
+	began := g.reported == 0
+	g.reported = size
+	if p.options.OnSlowStart != nil {
+		p.options.OnSlowStart(SlowStart{
+			Server: p.target.Server, Cause: g.cause, Window: size, Slots: p.options.Slots, Began: began, Ended: g.window.Ended(),
+			Took: p.options.Boot() - g.began,
+		})
+	}
+}
--- a/internal/database/serverpool/serverpool.go
+++ b/internal/database/serverpool/serverpool.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"tanagercross/internal/database/connplan"
+	"tanagercross/internal/database/pace"
 	"tanagercross/internal/database/readindex"
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/instance/clock"
@@ -63,6 +64,10 @@
 	// the answers.
 	PriorityScheduling bool
 	Queue              QueueObserver // may be nil
+	// SlowStart makes the pool begin a slow start when the server answers after failures, and record its latencies.
+	SlowStart   bool
+	Latencies   *pace.Latencies // of the servers of the group; may be nil
+	OnSlowStart func(SlowStart) // called with the pool locked; may be nil
 }
 
 // WithDefaults returns a copy in which zero fields have their defaults.
@@ -93,6 +98,7 @@
 	opened        bool           // a transaction of the instance's own may be open
 	plan          *connplan.Plan // that counts the connection as in use; nil if none does
 	use           connplan.Use
+	turn          turn // of the statement that runs on the connection
 }
 
 // transaction is an open transaction of a caller and the connection that it occupies.
@@ -110,6 +116,7 @@
 	dialer    statement.Dialer
 	options   Options
 	admission admission
+	pacer     pacer
 
 	mu                sync.Mutex
 	connections       int // open or being opened
@@ -129,6 +136,7 @@
 	lastOrganisation  string          // of the newest call
 	lag               lag
 	distrustedUntil   time.Duration // the server has sent answers that belonged to no command
+	evacuatedUntil    time.Duration // end of the open transactions of an evacuated server; 0 if it is not evacuated
 }
 
 // Health describes the server as seen through the pool.
@@ -221,10 +229,14 @@
 		return refusal
 	}
 	defer ticket.Release()
+	t, answer := pc.turn, statement.NoAnswer("internal error")
+	defer func() { p.endTurn(t, c, answer) }()
 	if c.Step == statement.First {
-		return p.startTransaction(ctx, pc, c)
+		answer = p.startTransaction(ctx, pc, c)
+		return answer
 	}
-	answer, clean := p.runSingle(ctx, pc, c)
+	var clean bool
+	answer, clean = p.runSingle(ctx, pc, c)
 	if clean {
 		p.release(pc)
 	} else {
@@ -242,11 +254,23 @@
 		if err != nil {
 			return nil, nil, p.admission.refusal(err)
 		}
+		if p.evacuated() {
+			ticket.Release()
+			return nil, nil, refuseEvacuated()
+		}
+		t, ok := p.awaitTurn(ctx)
+		if !ok {
+			ticket.Release()
+			return nil, nil, statement.Refused(statement.Busy, "queue: slow start")
+		}
 		pc, wait, err := p.acquireConnection(ctx, c)
 		if pc != nil {
+			t.sent = p.options.Boot()
+			pc.turn = t
 			time.AfterFunc(slotHoldTimeout, ticket.Release)
 			return ticket, pc, statement.Answer{}
 		}
+		p.abandonTurn(t, err)
 		if err != nil {
 			ticket.Release()
 			return nil, nil, refuseDial(err)
@@ -276,6 +300,9 @@
 
 // recordAnswerLocked records that the server answered. The caller holds p.mu.
 func (p *Pool) recordAnswerLocked() {
+	if p.options.SlowStart && p.health.Failures >= closeIdleAfterFailures {
+		p.BeginSlowStart("return", false)
+	}
 	p.health.Failures, p.health.Refused, p.health.LastAnswer = 0, false, p.options.Boot()
 }
 
--- a/internal/fleet/view/presence.go
+++ b/internal/fleet/view/presence.go
@@ -193,6 +193,7 @@
 	defer t.mu.RUnlock()
 	b := State{ConfigurationVersion: t.configurationVersion(), ServersVersion: t.serverRows.Version, MembersVersion: t.memberRows.Version}
 	b.Configuration.ReadAt, b.Servers.ReadAt, b.Members.ReadAt = t.configurationRows.ReadAt, t.serverRows.ReadAt, t.memberRows.ReadAt
+	b.Evacuations = t.evacuations.Rows()
 	sameRegion, samePlace := t.regions.Same(place, t.self.Place), place == t.self.Place
 	// needs reports whether rows are worth their bytes. Every region reads the store, so that one with recent rows will have
 	// the newer ones soon.
@@ -278,6 +279,7 @@
 func (t *Table) Merge(now time.Duration, b State) {
 	// Rows, or a version equal to the own one, show that the own rows were current at the sender's read time.
 	mine := t.Versions()
+	confirmed := mine.Configuration.ReadAt
 	if len(b.Configuration.Rows) > 0 || b.ConfigurationVersion == mine.ConfigurationVersion {
 		t.SetConfiguration(b.Configuration)
 	}
@@ -292,6 +294,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.setEvacuations(Evacuation{now, confirmed}, t.evacuations.Merge(b.Evacuations))
 	for _, l := range b.Leaders {
 		t.reportLeader(now, l)
 	}
--- a/internal/instance/entry/observe.go
+++ b/internal/instance/entry/observe.go
@@ -59,6 +59,9 @@
 	}
 	emit(metric.Steward, isCoordinator)
 	o.expectedWaits(emit)
+	for _, place := range n.table.Evacuations() {
+		emit(metric.Evacuated, 1, metric.Label{Name: "place", Value: place})
+	}
 	for id, g := range n.pools.snapshot() {
 		connections, transactions, load, opened := g.pool.Counts()
 		label := metric.Label{Name: "server", Value: id}
@@ -66,6 +69,9 @@
 		emit(metric.ServerTransactions, float64(transactions), label)
 		emit(metric.ServerLoad, float64(load), label)
 		emit(metric.ServerOpened, float64(opened), label)
+		if window, paced := g.pool.Window(); paced {
+			emit(metric.ServerWindow, float64(window), label)
+		}
 		replaced := g.pool.Replacements()
 		emit(metric.ServerReplaced, float64(replaced.Unproven), label, metric.Label{Name: "reason", Value: "unproven"})
 		emit(metric.ServerReplaced, float64(replaced.OutOfStep), label, metric.Label{Name: "reason", Value: "out_of_step"})
@@ -137,9 +143,12 @@
 
 // ServersChanged implements view.Observer.
 func (o *observer) ServersChanged(before, after catalog.Servers, read time.Duration) {
+	go o.n.serversStarted(before, after)
 	age := (o.n.boot() - read).Milliseconds()
 	for _, s := range after.All() {
-		if old, ok := before.Server(s.ID); !ok || old != s {
+		old, ok := before.Server(s.ID)
+		old.ColdFor = s.ColdFor // it shrinks with each row of a cold server
+		if !ok || old != s {
 			o.log.Info("server", "server", s.ID, "group", s.Group, "place", s.Place, "address", s.Address, "role", string(s.Role),
 				"leaving", s.Leaving, "born", s.StartedMS, "new", !ok, "version", after.Version, "age_ms", age)
 		}
@@ -159,6 +168,7 @@
 		go o.n.failover.requestRefresh()
 		return
 	}
+	go o.n.leaderPromoted(after)
 	if after.Term > 0 {
 		go o.n.gossip.notifyPlace()
 	}
--- a/internal/instance/metric/entry.go
+++ b/internal/instance/metric/entry.go
@@ -20,6 +20,10 @@
 	Panics           CounterName = "tanagercross_panics_total"
 	DependencyErrors CounterName = "tanagercross_dependency_errors_total" // by dependency
 	QueueLeft        CounterName = "tanagercross_server_queue_total"      // by priority and outcome
+	// EvacuationsStarted counts the data centres whose evacuation the instance has learnt of.
+	EvacuationsStarted  CounterName = "tanagercross_evacuations_total"
+	SlowStarts          CounterName = "tanagercross_slow_starts_total"          // by cause
+	EvacuationRollbacks CounterName = "tanagercross_evacuation_rollbacks_total" // transactions
 )
 
 // StatementDuration is the histogram of statements as callers see them.
@@ -42,6 +46,8 @@
 	ServerReportedWait   GaugeName = "tanagercross_server_reported_wait_seconds" // by server and priority, as its holder reported it
 	ServerEvicted        GaugeName = "tanagercross_server_connections_evicted"   // by server and reason
 	Steward              GaugeName = "tanagercross_steward"
+	ServerWindow         GaugeName = "tanagercross_server_window" // by server in a slow start
+	Evacuated            GaugeName = "tanagercross_evacuated"     // by place
 )
 
 // Count adds one to a counter. Label values must come from small sets.
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -133,15 +133,19 @@
 	} else {
 		c.Scope, c.MaximumAge = statement.Replica, db.MaximumAge
 	}
-	refusal, trial := d.admit(db, c, d.candidates(db, c.Scope == statement.Replica))
+	e := d.eligibility(db, c)
+	if refusal, excluded := e.excludes(db.Group); excluded {
+		return refusal
+	}
+	refusal, trial := d.admit(db, c, d.candidates(e, db, c.Scope == statement.Replica))
 	if refusal.Code != "" {
 		return refusal
 	}
 	var a statement.Answer
 	if c.Writes() {
-		a = d.write(ctx, db, c)
+		a = d.write(ctx, e, db, c)
 	} else {
-		a = d.read(ctx, db, c, trial)
+		a = d.read(ctx, e, db, c, trial)
 	}
 	return d.scheduling.conclude(a)
 }
@@ -149,10 +153,10 @@
 // attempt runs a call once on a server. It tries the instances that hold connections to the server, best first, and goes
 // on to the next one only if the answer proves that the statement did not reach the server. It returns the answer and the
 // instance that gave it.
-func (d *Dispatcher) attempt(ctx context.Context, s catalog.Server, c statement.Call) (statement.Answer, roster.Member) {
+func (d *Dispatcher) attempt(ctx context.Context, e eligibility, s catalog.Server, c statement.Call) (statement.Answer, roster.Member) {
 	unreachable := statement.Refused(statement.WrongServer, "no instance reaches the server")
 	attempts := 0
-	for m := range d.table.Holders(d.options.Boot(), s.ID, s.Place) {
+	for m := range e.relays(d.table.Holders(d.options.Boot(), s.ID, s.Place)) {
 		if attempts++; attempts > maxHolders {
 			break
 		}
@@ -182,13 +186,18 @@
 // maxHolders is the number of instances that one attempt tries.
 const maxHolders = 3
 
-// waitForLeader returns the server that leads a group. If none is known, it waits for one until the context ends.
-func (d *Dispatcher) waitForLeader(ctx context.Context, group string) (catalog.Server, view.Leader, bool) {
+// waitForLeader returns the server that leads a group. If none is known, or its place is evacuated, it waits for another one
+// until the context ends. It does not wait while the leader is outside of the home regions.
+func (d *Dispatcher) waitForLeader(ctx context.Context, e eligibility, group string) (catalog.Server, view.Leader, bool) {
 	for {
 		changed := d.table.Changed()
 		l, ok := d.table.Leader(group)
 		if ok {
-			if s, listed := d.table.Servers().Server(l.Server); listed {
+			s, listed := d.table.Servers().Server(l.Server)
+			switch {
+			case listed && !e.atHome(s):
+				return s, l, false
+			case listed && e.permits(s):
 				return s, l, true
 			}
 		}
@@ -220,22 +229,25 @@
 }
 
 // write runs a write at the leader. It is sent again only if it has not run.
-func (d *Dispatcher) write(ctx context.Context, db catalog.Database, c statement.Call) statement.Answer {
+func (d *Dispatcher) write(ctx context.Context, e eligibility, db catalog.Database, c statement.Call) statement.Answer {
 	ctx, cancel := context.WithTimeout(ctx, Timeout(db))
 	defer cancel()
 	serverWait, cancelWait := context.WithTimeout(ctx, serverWaitTimeout(db))
 	defer cancelWait()
-	answer := statement.Refused(statement.Busy, "no primary is known")
 	started := d.options.Boot()
+	var answer statement.Answer
 	for n := range maxAttempts {
-		s, l, ok := d.waitForLeader(serverWait, db.Group)
+		s, l, ok := d.waitForLeader(serverWait, e, db.Group)
+		if !ok && n == 0 {
+			return e.refusal(db.Group)
+		}
 		if !ok {
 			return answer
 		}
 		if n > 0 {
 			d.options.Observer.Retried(string(answer.Code))
 		}
-		answer, _ = d.attempt(ctx, s, d.withGoalLeft(c, started))
+		answer, _ = d.attempt(ctx, e, s, d.withGoalLeft(c, started))
 		if !d.retryable(l, answer) || !d.allowRepeat(c, answer, retryPause<<n) || !clock.Sleep(serverWait, retryPause<<n) {
 			return answer
 		}
@@ -252,16 +264,22 @@
 	defer cancelWait()
 	c.Step = statement.First
 	replica := c.ReadOnly && db.Consistency != catalog.PrimaryOnly
-	answer, trial := d.admit(db, c, d.candidates(db, replica))
+	e := d.eligibility(db, c)
+	if refusal, excluded := e.excludes(db.Group); excluded {
+		return refusal, nil
+	}
+	answer, trial := d.admit(db, c, d.candidates(e, db, replica))
 	if answer.Code != "" {
 		return answer, nil
 	}
-	answer = statement.Refused(statement.Busy, "no primary is known")
 	started := d.options.Boot()
 	var tried []string
 	var refused []refusal
 	for n := range maxAttempts {
-		s, ok := d.chooseServer(serverWait, db, choice{replica: replica, tried: tried, priority: c.Priority, trial: trial})
+		s, ok := d.chooseServer(serverWait, e, db, choice{replica: replica, tried: tried, priority: c.Priority, trial: trial})
+		if !ok && n == 0 {
+			return e.refusal(db.Group), nil
+		}
 		if !ok || !d.allowAfter(c, s.ID, refused) {
 			return d.scheduling.conclude(answer), nil
 		}
@@ -275,7 +293,7 @@
 			d.options.Observer.Retried(string(answer.Code))
 		}
 		var instance roster.Member
-		answer, instance = d.executeFirst(ctx, s, d.withGoalLeft(c, started))
+		answer, instance = d.executeFirst(ctx, e, s, d.withGoalLeft(c, started))
 		if answer.OK() {
 			d.scheduling.conclude(answer)
 			return answer, &Pin{Server: s.ID, Instance: instance, Transaction: answer.Transaction, Scope: c.Scope}
@@ -304,10 +322,10 @@
 }
 
 // executeFirst runs the first statement of a transaction within openTimeout.
-func (d *Dispatcher) executeFirst(ctx context.Context, s catalog.Server, c statement.Call) (statement.Answer, roster.Member) {
+func (d *Dispatcher) executeFirst(ctx context.Context, e eligibility, s catalog.Server, c statement.Call) (statement.Answer, roster.Member) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	return d.attempt(ctx, s, c)
+	return d.attempt(ctx, e, s, c)
 }
 
 // rollback rolls a transaction back without waiting for the answer.
--- a/internal/request/dispatch/scheduling.go
+++ b/internal/request/dispatch/scheduling.go
@@ -110,16 +110,15 @@
 }
 
 // candidates returns the servers that may run a call: those of the group if a replica may, otherwise its leader.
-func (d *Dispatcher) candidates(db catalog.Database, replica bool) []catalog.Server {
+func (d *Dispatcher) candidates(e eligibility, db catalog.Database, replica bool) []catalog.Server {
 	if d.scheduling == nil {
 		return nil
 	}
-	servers := d.table.Servers()
 	if replica {
-		return servers.InGroup(db.Group)
+		return e.servers(db.Group)
 	}
 	l, _ := d.table.Leader(db.Group)
-	if s, ok := servers.Server(l.Server); ok {
+	if s, ok := d.table.Servers().Server(l.Server); ok && e.permits(s) {
 		return []catalog.Server{s}
 	}
 	return nil
--- a/internal/request/dispatch/scheduling_test.go
+++ b/internal/request/dispatch/scheduling_test.go
@@ -14,6 +14,7 @@
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/fleet/catalog"
+	"tanagercross/internal/fleet/evacuation"
 	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/request/dispatch"
@@ -21,18 +22,21 @@
 	"tanagercross/internal/service/recovery"
 )
 
-// decoder makes servers of the group "meals", whose place and role are the value of the row.
+// decoder makes servers of the group "meals" from rows "PLACE ROLE", and members from rows "PLACE".
 type decoder struct{}
 
 func (decoder) Configuration([]byte) (catalog.Configuration, error) {
-	return catalog.Configuration{}, nil
+	return catalog.NewConfiguration(1, nil, nil, nil), nil
 }
 
 func (decoder) Server(id string, value []byte) (catalog.Server, error) {
 	place, role, _ := strings.Cut(string(value), " ")
 	return catalog.Server{ID: id, Group: "meals", Place: place, Role: driver.Role(role), Slots: 5}, nil
 }
-func (decoder) Member(string, []byte) (roster.Member, error) { return roster.Member{}, nil }
+
+func (decoder) Member(name string, value []byte) (roster.Member, error) {
+	return roster.Member{Name: name, Place: string(value), Address: name}, nil
+}
 
 // events counts what a dispatcher reports.
 type events struct {
@@ -40,6 +44,8 @@
 	counts map[string]int
 }
 
+func newEvents() *events { return &events{counts: map[string]int{}} }
+
 func (e *events) add(name string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -48,6 +54,7 @@
 func (*events) ConfigurationChanged(_, _ catalog.Configuration, _ time.Duration) {}
 func (*events) ServersChanged(_, _ catalog.Servers, _ time.Duration)             {}
 func (*events) LeaderChanged(_, _ view.Leader)                                   {}
+func (*events) EvacuationsChanged(_, _ evacuation.Set)                           {}
 func (*events) RowIgnored(string, error)                                         {}
 func (*events) LeaderUnreachable(view.Leader)                                    {}
 func (*events) Retried(string)                                                   {}
@@ -79,7 +86,7 @@
 
 // newDispatcher returns a dispatcher of an instance in place "a", with the leader s0 there and replicas in "b" and "c".
 func newDispatcher(scheduling bool, x executor) (*dispatch.Dispatcher, *events) {
-	e := &events{counts: map[string]int{}}
+	e := newEvents()
 	table := view.NewTable(view.Presence{Name: "i1", Address: "i1", Place: "a"}, nil, decoder{}, e)
 	table.SetServers(time.Second, view.Rows{Version: 1, ReadAt: time.Second, Rows: []view.Row{
 		{Key: "s0", Value: []byte("a " + string(driver.Primary))}, {Key: "s1", Value: []byte("b replica")}, {Key: "s2", Value: []byte("c replica")},
--- a/layout_test.go
+++ b/layout_test.go
@@ -30,8 +30,8 @@
 	"internal/request/placement", "internal/request/door",
 	"internal/instance/clock", "internal/instance/event",
 	"internal/database/statement", "internal/database/readindex", "internal/database/promotion",
-	"internal/database/correlation", "internal/database/serverqueue", "internal/database/connplan",
-	"internal/fleet/catalog", "internal/fleet/view",
+	"internal/database/correlation", "internal/database/serverqueue", "internal/database/connplan", "internal/database/pace",
+	"internal/fleet/catalog", "internal/fleet/view", "internal/fleet/evacuation", "internal/fleet/residence",
 }
 
 // platformImporters may know the adapter to the users' platform.
