Shed from organisations over their share only, and test what mutations left green

Cause: with equal work at the server the queue shed from an arbitrary organisation. Without the credit, the age limit of an overtaken item, the uncharged turn and the place for transactions all tests stayed green. Change: an organisation is over its share if its outstanding work is above the mean. Tests for the four.

--- a/internal/database/serverqueue/admission.go
+++ b/internal/database/serverqueue/admission.go
@@ -134,7 +134,7 @@
 }
 
 // displace refuses an item of new work in favour of a more urgent one, and reports whether there was one: the least urgent
-// item of the organisation with the most outstanding work that has one, else one of the least urgent class that waits.
+// item of the organisation most over its share of the outstanding work that has one, else one of the least urgent class.
 func (q *Queue[T]) displace(now time.Duration, i *Item[T]) bool {
 	victim := q.leastUrgent(i)
 	if victim == nil {
@@ -146,8 +146,13 @@
 	return true
 }
 
+// leastUrgent returns the item that gives its place to another one, or nil if there is none.
 func (q *Queue[T]) leastUrgent(i *Item[T]) *Item[T] {
+	share := q.outstanding / time.Duration(max(1, q.byWork.Len()))
 	for _, o := range q.byWork.values[:min(searchedOrganisations, q.byWork.Len())] {
+		if o.outstanding <= share {
+			continue
+		}
 		for c := classes - 1; c >= 0; c-- {
 			if f := o.flows[c]; f != nil && f.items[newWork].length > 0 {
 				if q.yields(f, i) {
--- a/internal/database/serverqueue/queue.go
+++ b/internal/database/serverqueue/queue.go
@@ -10,7 +10,7 @@
 //
 // An item that is expected to end after its deadline or its latency goal is refused as soon as that is expected: when it is
 // pushed, when newer ones overtake it, or when the time at which it had to start has passed. A full queue refuses the
-// least urgent item of the organisation with the most outstanding work in favour of a more urgent one.
+// least urgent item of the organisation most over its share of the outstanding work in favour of a more urgent one.
 //
 // # Usage
 //
@@ -45,6 +45,7 @@
 	classes       [classes]class[T]
 	expiry        indexed[*Item[T]]         // all waiting items by their latest start
 	byWork        indexed[*organisation[T]] // most outstanding work first
+	outstanding   time.Duration             // of all organisations
 	queued        [groups]int
 	running       int
 	runningWork   time.Duration // expected
@@ -130,6 +131,7 @@
 // addWork changes the outstanding work of an organisation.
 func (q *Queue[T]) addWork(o *organisation[T], d time.Duration) {
 	o.outstanding += d
+	q.outstanding += d
 	q.byWork.put(o)
 }
 
--- a/internal/database/serverqueue/queue_test.go
+++ b/internal/database/serverqueue/queue_test.go
@@ -109,6 +109,54 @@
 	}
 }
 
+// Guards against an organisation below its share that loses its turns to a busy one because of one slow statement.
+func TestSlowStatementUsesCredit(t *testing.T) {
+	q, _ := newQueue(Options{InitialEstimate: ms})
+	for range 60 {
+		push(t, q, 0, Request{ID: "busy", Organisation: "busy"})
+	}
+	serveNext := func(want string, cost time.Duration) {
+		t.Helper()
+		i, _ := q.Next(0)
+		if i.Value != want {
+			t.Errorf("served %s, want %s", i.Value, want)
+		}
+		q.Finish(0, i, cost)
+	}
+	for range 30 {
+		serveNext("busy", 10*ms)
+	}
+	for range 2 {
+		push(t, q, 0, Request{ID: "calm", Organisation: "calm"})
+		serveNext("calm", 100*ms)
+	}
+}
+
+// Guards against refusals that come long after the request: an item that waits for long keeps its place, and the new one that
+// would make it late is refused. A fresh one gives way to the new one.
+func TestOnlyFreshItemsGiveWay(t *testing.T) {
+	for _, c := range []struct {
+		at, goal time.Duration
+		refused  string
+	}{{0, 120 * ms, "1"}, {110 * ms, 230 * ms, "new"}} {
+		q, all := newQueue(Options{Slots: 1, MaxInOrder: 2, InitialEstimate: 10 * ms})
+		for n := range 4 {
+			push(t, q, 0, Request{ID: fmt.Sprint(n), Organisation: "a", Goal: c.goal})
+			if n == 0 {
+				q.Next(0)
+			}
+		}
+		_, err := q.Push(c.at, Request{ID: "new", Organisation: "a", Goal: c.at + c.goal}, "new")
+		refused := RefusalOf(err).Request.ID
+		if len(*all) > 0 {
+			refused = (*all)[0].Request.ID
+		}
+		if refused != c.refused {
+			t.Errorf("after %v: refused %q, want %q", c.at, refused, c.refused)
+		}
+	}
+}
+
 // Guards against a lower level that waits for longer than the bound: of any service time T that ends its wait it gets T/20
 // less the cost of one item, for any mix of costs.
 func TestReservedShareBound(t *testing.T) {
@@ -205,11 +253,12 @@
 	push(t, q, 0, Request{ID: "3", Organisation: "e", Priority: 1})
 	push(t, q, 0, Request{ID: "4", Organisation: "f", Priority: 2})
 	_, err := q.Push(0, Request{ID: "5", Organisation: "other", Priority: 2}, "")
+	push(t, q, 0, Request{ID: "6", Organisation: "g", Priority: 2, InTransaction: true})
 	var shed []string
 	for _, r := range *all {
 		shed = append(shed, r.Request.ID+" for "+r.For.ID)
 	}
-	if diff := cmp.Diff([]string{"hot/low for 1", "hot/middle/2 for 2", "hot/middle/1 for 3", "other/low for 4"}, shed); diff != "" {
+	if diff := cmp.Diff([]string{"hot/low for 1", "hot/middle/2 for 2", "hot/middle/1 for 3", "other/low for 4", "4 for 6"}, shed); diff != "" {
 		t.Errorf("displaced (-want +got):\n%s", diff)
 	}
 	if RefusalOf(err).Outcome != Full {
