--- a/internal/database/serverqueue/queue.go
+++ b/internal/database/serverqueue/queue.go
@@ -3,7 +3,8 @@
 // Statements of open transactions and commits go first, because they hold connections and locks. New work follows by the
 // priority of its route, then of its organisation, then by deficit round robin between organisations over measured service
 // time. A lower priority that waits gets at least 5% of the service time: of any service time T during its wait it gets T/20
-// less one item, so that an item whose cost is c and that is the next of its priority starts after at most 20 c.
+// less one item of each priority. An item whose expected cost is c and that is the next of its priority starts after a service
+// time of at most 20 c and one item of each other priority.
 //
 // The items of one organisation and priority are served first in, first out; while more than Options.MaxInOrder wait, the
 // newest is served first, as in package fairness.
--- a/internal/database/serverqueue/strict.go
+++ b/internal/database/serverqueue/strict.go
@@ -6,8 +6,8 @@
 const reservedShare = 20
 
 // strict serves the highest waiting level first, and each lower one at least its reserved share of the service time. While a
-// level waits, of any service time T that ends it gets T/reservedShare less the expected cost of one item: it is served as
-// soon as what it is owed pays for its next item.
+// level waits, of any service time T that ends it gets T/reservedShare less one item of each level: it is served as soon as
+// what it is owed pays for the expected cost of its next item, unless a higher level is owed as well.
 type strict struct {
 	owed [classes]time.Duration
 }
