--- a/internal/database/serverqueue/queue.go
+++ b/internal/database/serverqueue/queue.go
@@ -3,14 +3,15 @@
 // Statements of open transactions and commits go first, because they hold connections and locks. New work follows by the
 // priority of its route, then of its organisation, then by deficit round robin between organisations over measured service
 // time. A lower priority that waits gets at least 5% of the service time: of any service time T during its wait it gets T/20
-// less one item, so that an item whose cost is c and that is the next of its priority starts after at most 20 c.
+// less one item of each priority. An item whose expected cost is c and that is the next of its priority starts after a service
+// time of at most 20 c and one item of each other priority.
 //
 // The items of one organisation and priority are served first in, first out; while more than Options.MaxInOrder wait, the
 // newest is served first, as in package fairness.
 //
 // An item that is expected to end after its deadline or its latency goal is refused as soon as that is expected: when it is
 // pushed, when newer ones overtake it, or when the time at which it had to start has passed. A full queue refuses the
-// least urgent item of the organisation with the most outstanding work in favour of a more urgent one.
+// least urgent item of the organisation most over its share of the outstanding work in favour of a more urgent one.
 //
 // # Usage
 //
@@ -45,6 +46,7 @@
 	classes       [classes]class[T]
 	expiry        indexed[*Item[T]]         // all waiting items by their latest start
 	byWork        indexed[*organisation[T]] // most outstanding work first
+	outstanding   time.Duration             // of all organisations
 	queued        [groups]int
 	running       int
 	runningWork   time.Duration // expected
@@ -130,6 +132,7 @@
 // addWork changes the outstanding work of an organisation.
 func (q *Queue[T]) addWork(o *organisation[T], d time.Duration) {
 	o.outstanding += d
+	q.outstanding += d
 	q.byWork.put(o)
 }
 
