Keep waits out of the service times that weigh servers

A read that had waited was counted as a long service when its answer carried no load, and the residual of a running statement was counted for each statement of a short queue.

--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -40,8 +40,9 @@
 	maxWait = time.Minute
 	// maxUtilisation is the highest utilisation that is kept. The price of a leader reaches its bound long before.
 	maxUtilisation = 100
-	// maxSlots is the largest number of slots of a server's row.
-	maxSlots = 1 << 16
+	// maxSlots is the largest number of slots of a server's row, and maxQueued is above the length of any queue.
+	maxSlots  = 1 << 16
+	maxQueued = 1 << 20
 	// transitWindow is the period over which the lowest duration counts as transit. Two of them are kept.
 	transitWindow = 5 * time.Second
 	// Weights of a new value in moving averages.
@@ -154,7 +155,7 @@
 	for p, wait := range l.Wait {
 		l.Wait[p] = min(max(0, wait), maxWait)
 	}
-	l.Running, l.Queued, l.Slots = max(0, l.Running), max(0, l.Queued), min(max(1, l.Slots), maxSlots)
+	l.Running, l.Queued, l.Slots = max(0, l.Running), min(max(0, l.Queued), maxQueued), min(max(1, l.Slots), maxSlots)
 	utilisation := min(maxUtilisation, (float64(l.Running)+float64(l.Queued))/float64(l.Slots))
 	since := now - r.received
 	switch {
@@ -166,16 +167,17 @@
 		r.interval += time.Duration(intervalWeight * float64(since-r.interval))
 	}
 	if wait := l.Wait[statement.Priorities-1]; l.Queued > 0 && wait > 0 {
-		r.perQueued, r.queuedAt = wait/time.Duration(l.Queued), now
+		// A new statement also waits for the end of a running one.
+		r.perQueued, r.queuedAt = wait/time.Duration(l.Queued+1), now
 	}
 	r.utilisation += utilisationWeight * (utilisation - r.utilisation)
 	r.load, r.received, r.reported = l, now, true
 }
 
-// setLatency updates transit and service time. Beside a report only answers without a wait count, because the report
-// tells the wait of the next statement and not that of the one that was answered.
+// setLatency updates transit and service time. While there are reports, only answers count that report no wait: a report
+// tells the wait of the next statement and not that of the one that was answered, which would count as service.
 func (r *record) setLatency(now time.Duration, a Attempt) {
-	if !a.Answer.OK() || r.hasReport(now) && r.load.Wait[statement.Priorities-1] > 0 {
+	if !a.Answer.OK() || r.hasReport(now) && (a.Answer.Load == nil || r.load.Wait[statement.Priorities-1] > 0) {
 		return
 	}
 	if !r.hasLatency(now) {
