Take no retry budget for instances that were not reached

Such an attempt adds no load to the server. Without the change the new test fails at its fifth call.

--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -160,9 +160,6 @@
 		if attempts++; attempts > maxHolders {
 			break
 		}
-		if attempts > 1 && !d.allowRetry(c) {
-			break
-		}
 		started := time.Now()
 		d.scheduling.sent(d.options.Boot(), s.ID, c)
 		if deadline, ok := ctx.Deadline(); ok {
--- a/internal/request/dispatch/scheduling_test.go
+++ b/internal/request/dispatch/scheduling_test.go
@@ -260,3 +260,26 @@
 		}
 	})
 }
+
+// Guards against calls that are refused because the retry budget is spent on instances that could not be reached, while
+// another instance holds connections to the server.
+func TestUnreachableHolderTakesNoBudget(t *testing.T) {
+	const calls = 100
+	e := newEvents()
+	table := view.NewTable(view.Presence{Name: "i1", Address: "i1", Place: "b"}, nil, decoder{}, e)
+	table.SetMembers(view.Rows{Version: 1, ReadAt: time.Second, Rows: []view.Row{{Key: "i2", Value: []byte("b")}, {Key: "i3", Value: []byte("b")}}})
+	table.SetServers(time.Second, view.Rows{Version: 1, ReadAt: time.Second, Rows: []view.Row{{Key: "s0", Value: []byte("b " + string(driver.Primary))}}})
+	attempts := 0
+	x := executor{answer: func(string, statement.Call) statement.Answer {
+		if attempts++; attempts%2 == 1 {
+			return statement.Refused(statement.WrongServer, "the instance is not reached")
+		}
+		return statement.Answer{Delivery: statement.Answered}
+	}}
+	d := dispatch.New(table, x, dispatch.Options{Boot: func() time.Duration { return time.Second + time.Millisecond }, Observer: e, PriorityScheduling: true})
+	for n := range calls {
+		if a := d.Single(t.Context(), catalog.Database{Group: "meals", Timeout: time.Second}, call(statement.Write{}, 1)); !a.OK() {
+			t.Fatalf("call %d: %+v", n, a)
+		}
+	}
+}
