Let the highest priority wait for half of its time at a server

The queue refused an item whose expected wait was over a third of its time, because more urgent work may come.

--- a/internal/database/serverqueue/admission.go
+++ b/internal/database/serverqueue/admission.go
@@ -1,18 +1,22 @@
 package serverqueue
 
-import "time"
+import (
+	"time"
+
+	"tanagercross/internal/database/statement"
+)
 
 // searchedOrganisations bounds how many organisations are considered for an item to displace, those with the most
 // outstanding work among them.
 const searchedOrganisations = 16
 
-const (
-	// freshFor is the age up to which an item is refused in favour of a newer one of its flow.
-	freshFor = 100 * time.Millisecond
-	// waitMargin is the factor by which an item's time must exceed its expected wait. More urgent work may come while it waits:
-	// in the replays up to 14% of the refusals come later than 100 ms after the request with 2, and at most 10% with 3.
-	waitMargin = 3
-)
+// freshFor is the age up to which an item is refused in favour of a newer one of its flow.
+const freshFor = 100 * time.Millisecond
+
+// waitMargins are the factors, by level, by which an item's time must exceed its expected wait. More urgent work may come
+// while it waits: in the replays up to 14% of the refusals come later than 100 ms after the request with 2 at all levels, and
+// at most 10% with these. Only open transactions go before the highest level, so that it may wait for longer.
+var waitMargins = [statement.Priorities]time.Duration{2, 3, 3}
 
 // admit decides whether an item may wait: it returns Served, or the outcome of a refusal with the wait that was expected.
 func (q *Queue[T]) admit(now time.Duration, i *Item[T]) (Outcome, time.Duration) {
@@ -64,7 +68,7 @@
 // urgent work that comes later.
 func (q *Queue[T]) fits(now time.Duration, i *Item[T], ahead int) (time.Duration, bool) {
 	expected := q.expectedWait(now, i.Request, ahead)
-	return expected, expected <= (i.latestStart-now)/waitMargin
+	return expected, expected <= (i.latestStart-now)/waitMargins[i.Request.Level()]
 }
 
 // flow returns the flow of a request, or nil if there is none.
