Name admission control by its usual term

The package door, its type Door and the log line "refused at the door" become admission, Controller and "call refused for overload".

--- a/internal/instance/entry/admission_metrics_test.go
+++ b/internal/instance/entry/admission_metrics_test.go
@@ -10,7 +10,7 @@
 
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/instance/metric"
-	"tanagercross/internal/request/door"
+	"tanagercross/internal/request/admission"
 	"tanagercross/internal/request/placement"
 )
 
@@ -19,8 +19,8 @@
 	var log bytes.Buffer
 	o := &observer{log: slog.New(slog.NewJSONHandler(&log, nil)), metrics: metric.New()}
 	c := statement.Call{ID: "r1", Organisation: "coop", Priority: 7}
-	o.Admission(c, "meals", door.Verdict{Admitted: true})
-	o.Admission(c, "meals", door.Verdict{
+	o.Admission(c, "meals", admission.Verdict{Admitted: true})
+	o.Admission(c, "meals", admission.Verdict{
 		Limit: 500 * time.Millisecond, Wait: 900 * time.Millisecond, Age: 40 * time.Millisecond, RetryAfter: 410 * time.Millisecond,
 		Reports: []placement.Report{{Server: "s0", Wait: 900 * time.Millisecond, Age: 40 * time.Millisecond}},
 	})
@@ -33,7 +33,7 @@
 		}
 	}
 	for _, want := range []string{
-		`"msg":"refused at the door"`, `"request":"r1"`, `"limit_ms":500`, `"wait_ms":900`, `"age_ms":40`,
+		`"msg":"call refused for overload"`, `"request":"r1"`, `"limit_ms":500`, `"wait_ms":900`, `"age_ms":40`,
 		`"reports":["s0: wait 900 ms, 40 ms old"]`, `"retry_after_ms":410`, `"msg":"retry denied"`, `"reason":"budget"`,
 	} {
 		if !strings.Contains(log.String(), want) {
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -148,7 +148,7 @@
 		RateWait: rateTokenTimeout, HomeWait: 2 * rateTokenTimeout, ByPriority: o.Settings.PriorityScheduling,
 	})
 	n.environment = callersession.Environment{
-		Configuration: n.table.Configuration, ConfigurationFresh: n.configurationFresh, Dispatcher: n.dispatcher, Limiter: admission{n.rates},
+		Configuration: n.table.Configuration, ConfigurationFresh: n.configurationFresh, Dispatcher: n.dispatcher, Limiter: rateLimiter{n.rates},
 		Priorities: o.Settings.PriorityScheduling,
 		Observer:   n.observer, Draining: n.endingSessions.Load, Stopping: n.endsWithin,
 	}
--- a/internal/instance/entry/observe.go
+++ b/internal/instance/entry/observe.go
@@ -15,8 +15,8 @@
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/metric"
 	"tanagercross/internal/organisation/allotment"
+	"tanagercross/internal/request/admission"
 	"tanagercross/internal/request/dispatch"
-	"tanagercross/internal/request/door"
 	"tanagercross/internal/request/placement"
 	"tanagercross/internal/service/recovery"
 	"tanagercross/internal/session/outcome"
@@ -237,11 +237,11 @@
 }
 
 // Admission implements dispatch.Observer.
-func (o *observer) Admission(c statement.Call, database string, v door.Verdict) {
+func (o *observer) Admission(c statement.Call, database string, v admission.Verdict) {
 	outcome := "admitted"
 	if !v.Admitted {
 		outcome = "refused"
-		o.log.Info("refused at the door", "request", c.ID, "session", c.Session, "database", database, "organisation", c.Organisation,
+		o.log.Info("call refused for overload", "request", c.ID, "session", c.Session, "database", database, "organisation", c.Organisation,
 			"priority", c.Priority, "limit_ms", v.Limit.Milliseconds(), "wait_ms", v.Wait.Milliseconds(), "age_ms", v.Age.Milliseconds(),
 			"reports", reportTexts(v.Reports), "refused_fraction", v.Refused, "retry_after_ms", v.RetryAfter.Milliseconds())
 	}
--- a/internal/instance/entry/rates.go
+++ b/internal/instance/entry/rates.go
@@ -387,10 +387,10 @@
 	return g
 }
 
-// admission adapts rates to callersession.Limiter.
-type admission struct{ r *rates }
+// rateLimiter adapts rates to callersession.Limiter.
+type rateLimiter struct{ r *rates }
 
 // Take implements callersession.Limiter.
-func (a admission) Take(ctx context.Context, organisation string, priority uint8) (outcome.Reason, time.Duration) {
+func (a rateLimiter) Take(ctx context.Context, organisation string, priority uint8) (outcome.Reason, time.Duration) {
 	return a.r.admit(ctx, organisation, priority)
 }
--- a/internal/request/door/door.go
+++ b/internal/request/admission/admission.go
@@ -1,10 +1,10 @@
-// Package door decides at the instance of a caller whether a call is sent to a server at all. A call that would wait for
+// Package admission decides at the instance of a caller whether a call is sent to a server at all. A call that would wait for
 // longer than its caller does is refused at once, so that it has certainly not run and the caller can go elsewhere.
 //
 // # Usage
 //
-//	var d door.Door
-//	verdict := d.Decide(now, door.Question{Session: session, Limit: timeout, Reports: reports, Instances: 94}, rand.Float64)
+//	var d admission.Controller
+//	verdict := d.Decide(now, admission.Question{Session: session, Limit: timeout, Reports: reports, Instances: 94}, rand.Float64)
 //	if !verdict.Admitted {
 //		return statement.Refused(statement.Busy, verdict.Text())
 //	}
@@ -16,7 +16,7 @@
 // not sent a statement to for a while are tried whatever they reported.
 //
 // The package does no I/O; time and randomness are parameters.
-package door
+package admission
 
 import (
 	"fmt"
@@ -88,14 +88,14 @@
 	return time.Duration(milliseconds) * time.Millisecond
 }
 
-// Door decides about calls. The zero value is ready. It is safe for concurrent use.
-type Door struct {
+// Controller decides about calls. The zero value is ready. It is safe for concurrent use.
+type Controller struct {
 	mu     sync.Mutex
 	trials map[string]time.Duration // last trial of each server
 }
 
 // Decide decides about a call. Random returns numbers from 0 up to, but not including, 1.
-func (d *Door) Decide(now time.Duration, q Question, random func() float64) Verdict {
+func (d *Controller) Decide(now time.Duration, q Question, random func() float64) Verdict {
 	v := Verdict{Admitted: true, Limit: q.Limit}
 	if len(q.Reports) == 0 {
 		return v
@@ -135,7 +135,7 @@
 // claimTrial returns a server that no call of this instance has tried for its part of the trial interval, or "". The
 // instances share the trials of a server, so that these alone do not fill it. Past ReportLifetime a call is admitted for
 // lack of a recent report.
-func (d *Door) claimTrial(now time.Duration, q Question) string {
+func (d *Controller) claimTrial(now time.Duration, q Question) string {
 	interval := min(ReportLifetime, trialInterval*time.Duration(max(1, q.Instances)))
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -154,7 +154,7 @@
 }
 
 // Retain drops the trials of servers for which keep returns false.
-func (d *Door) Retain(keep func(server string) bool) {
+func (d *Controller) Retain(keep func(server string) bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id := range d.trials {
--- a/internal/request/door/door_test.go
+++ b/internal/request/admission/admission_test.go
@@ -1,4 +1,4 @@
-package door_test
+package admission_test
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"tanagercross/internal/request/door"
+	"tanagercross/internal/request/admission"
 	"tanagercross/internal/request/placement"
 )
 
@@ -32,16 +32,16 @@
 		"unknown": {Server: "b"},
 		"trial":   {Server: "b", Wait: time.Minute, Age: 400 * ms, Known: true, Idle: 101 * ms},
 	} {
-		var d door.Door
-		q := door.Question{Limit: limit, Reports: []placement.Report{full, r}, Instances: 1}
+		var d admission.Controller
+		q := admission.Question{Limit: limit, Reports: []placement.Report{full, r}, Instances: 1}
 		if v := d.Decide(time.Second, q, always(0)); !v.Admitted {
 			t.Errorf("%s: refused: %+v", name, v)
 		}
 	}
-	var d door.Door
-	q := door.Question{Limit: limit, Reports: []placement.Report{full}, Instances: 1}
+	var d admission.Controller
+	q := admission.Question{Limit: limit, Reports: []placement.Report{full}, Instances: 1}
 	got := d.Decide(time.Second, q, always(0))
-	want := door.Verdict{RetryAfter: 2 * time.Second, Limit: limit, Wait: full.Wait, Age: full.Age, Refused: got.Refused, Reports: q.Reports}
+	want := admission.Verdict{RetryAfter: 2 * time.Second, Limit: limit, Wait: full.Wait, Age: full.Age, Refused: got.Refused, Reports: q.Reports}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("every server is full (-want +got):\n%s", diff)
 	}
@@ -53,15 +53,15 @@
 // Guards against a time to retry that is not understood, or that is read from another text.
 func TestRetryAfter(t *testing.T) {
 	for text, want := range map[string]time.Duration{
-		door.Verdict{RetryAfter: 350 * ms}.Text(): 350 * ms,
-		"rate_exceeded; retry after 500 ms":       500 * ms,
-		"queue: queue_timeout":                    0,
-		"retry after some ms":                     0,
-		"retry after 10":                          0,
-		"retry after -5 ms":                       0,
-		"":                                        0,
+		admission.Verdict{RetryAfter: 350 * ms}.Text(): 350 * ms,
+		"rate_exceeded; retry after 500 ms":            500 * ms,
+		"queue: queue_timeout":                         0,
+		"retry after some ms":                          0,
+		"retry after 10":                               0,
+		"retry after -5 ms":                            0,
+		"":                                             0,
 	} {
-		if got := door.RetryAfter(text); got != want {
+		if got := admission.RetryAfter(text); got != want {
 			t.Errorf("%q: %v, want %v", text, got, want)
 		}
 	}
@@ -72,10 +72,10 @@
 func TestTrials(t *testing.T) {
 	for seed := range uint64(seeds) {
 		random := rand.New(rand.NewPCG(seed, 1))
-		var d door.Door
+		var d admission.Controller
 		lastTry, gap, admitted := map[string]time.Duration{}, time.Duration(0), 0
 		for now := time.Second; now < 6*time.Second; now += ms {
-			var q door.Question
+			var q admission.Question
 			q.Session, q.Limit, q.Instances = fmt.Sprint(now), limit, 1
 			for _, id := range []string{"a", "b", "c"} {
 				q.Reports = append(q.Reports, placement.Report{Server: id, Wait: time.Minute, Known: true, Idle: now - max(time.Second, lastTry[id])})
@@ -95,11 +95,11 @@
 
 // fleet is a server that serves perStep calls in each step, and instances that ask for more.
 type fleet struct {
-	random   *rand.Rand
-	doors    [instances]door.Door
-	lastSent [instances]time.Duration
-	waits    []time.Duration // by step
-	queue    float64
+	random      *rand.Rand
+	controllers [instances]admission.Controller
+	lastSent    [instances]time.Duration
+	waits       []time.Duration // by step
+	queue       float64
 }
 
 const (
@@ -127,8 +127,8 @@
 		for _, session := range calls {
 			i := session % instances
 			r := placement.Report{Server: "a", Wait: wait, Known: known, Idle: now - f.lastSent[i]}
-			q := door.Question{Session: strconv.Itoa(session), Limit: limit, Reports: []placement.Report{r}, Instances: instances}
-			if v := f.doors[i].Decide(now, q, f.random.Float64); !v.Admitted {
+			q := admission.Question{Session: strconv.Itoa(session), Limit: limit, Reports: []placement.Report{r}, Instances: instances}
+			if v := f.controllers[i].Decide(now, q, f.random.Float64); !v.Admitted {
 				refused = append(refused, session)
 				continue
 			}
@@ -212,11 +212,11 @@
 // Guards against callers that gain by asking more often than others.
 // Load: 5,000 sessions, of which a quarter may pass; each asks once, and each asks five times in 400 ms.
 func TestAskingAgainGainsLittle(t *testing.T) {
-	var d door.Door
+	var d admission.Controller
 	r := placement.Report{Server: "a", Wait: limit + 2080*ms, Known: true}
 	once, fiveTimes := 0.0, 0.0
 	for session := range 5000 {
-		q := door.Question{Session: strconv.Itoa(session), Limit: limit, Reports: []placement.Report{r}, Instances: instances}
+		q := admission.Question{Session: strconv.Itoa(session), Limit: limit, Reports: []placement.Report{r}, Instances: instances}
 		passed := 0
 		for n := range 5 {
 			if v := d.Decide(time.Minute+time.Duration(n)*100*ms, q, always(0)); v.Admitted {
@@ -240,8 +240,8 @@
 func BenchmarkDecide(b *testing.B) {
 	for _, n := range []int{1, 3, 16} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			var d door.Door
-			q := door.Question{Limit: limit, Instances: instances}
+			var d admission.Controller
+			q := admission.Question{Limit: limit, Instances: instances}
 			for i := range n {
 				q.Reports = append(q.Reports, placement.Report{Server: fmt.Sprint(i), Wait: time.Minute, Known: true})
 			}
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -22,7 +22,7 @@
 	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/clock"
-	"tanagercross/internal/request/door"
+	"tanagercross/internal/request/admission"
 	"tanagercross/internal/service/recovery"
 )
 
@@ -61,7 +61,7 @@
 	// Retried is called before each further attempt with the reason for it.
 	Retried(reason string)
 	// Admission is called with each decision about the admission of a call.
-	Admission(c statement.Call, database string, v door.Verdict)
+	Admission(c statement.Call, database string, v admission.Verdict)
 	// RetryDenied is called with the reason for each retry or hedge that is not made.
 	RetryDenied(c statement.Call, reason string)
 	// Panicked is called after a panic in an attempt, with the part in which it happened.
--- a/internal/request/dispatch/scheduling.go
+++ b/internal/request/dispatch/scheduling.go
@@ -7,7 +7,7 @@
 
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/fleet/catalog"
-	"tanagercross/internal/request/door"
+	"tanagercross/internal/request/admission"
 	"tanagercross/internal/request/placement"
 	"tanagercross/internal/request/retry"
 )
@@ -31,7 +31,7 @@
 // scheduling holds the state of the decisions under load. A nil scheduling records nothing.
 type scheduling struct {
 	estimates placement.Estimates
-	door      door.Door
+	admission admission.Controller
 	budget    *retry.Budget
 }
 
@@ -80,7 +80,7 @@
 		return
 	}
 	s.estimates.Retain(servers)
-	s.door.Retain(func(id string) bool {
+	s.admission.Retain(func(id string) bool {
 		_, ok := servers.Server(id)
 		return ok
 	})
@@ -143,8 +143,8 @@
 			reports = append(reports, d.scheduling.estimates.Report(now, s.ID, c.Priority))
 		}
 	}
-	q := door.Question{Session: c.Session, Limit: limit, Reports: reports, Instances: d.table.Roster().Len()}
-	v := d.scheduling.door.Decide(now, q, rand.Float64)
+	q := admission.Question{Session: c.Session, Limit: limit, Reports: reports, Instances: d.table.Roster().Len()}
+	v := d.scheduling.admission.Decide(now, q, rand.Float64)
 	d.options.Observer.Admission(c, db.Name, v)
 	if !v.Admitted {
 		return statement.Refused(statement.Busy, v.Text()), ""
@@ -185,7 +185,7 @@
 	if a.Delivery == statement.Unanswered || a.Code != statement.Busy && a.Code != statement.TooMany {
 		return 0
 	}
-	return door.RetryAfter(a.Text)
+	return admission.RetryAfter(a.Text)
 }
 
 // refusal is a refusal of a read by overload.
--- a/internal/request/dispatch/scheduling_test.go
+++ b/internal/request/dispatch/scheduling_test.go
@@ -17,8 +17,8 @@
 	"tanagercross/internal/fleet/evacuation"
 	"tanagercross/internal/fleet/roster"
 	"tanagercross/internal/fleet/view"
+	"tanagercross/internal/request/admission"
 	"tanagercross/internal/request/dispatch"
-	"tanagercross/internal/request/door"
 	"tanagercross/internal/service/recovery"
 )
 
@@ -64,7 +64,7 @@
 	e.add("at " + server)
 }
 
-func (e *events) Admission(_ statement.Call, _ string, v door.Verdict) {
+func (e *events) Admission(_ statement.Call, _ string, v admission.Verdict) {
 	if v.Admitted {
 		e.add("admitted")
 		return
@@ -221,7 +221,7 @@
 // Guards against calls that are sent although every server reported a wait past their goal, against refusals that are not
 // marked as not run, and against refusals of statements of an open transaction, of calls that have time, and without
 // PriorityScheduling.
-func TestDoor(t *testing.T) {
+func TestAdmissionControl(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		full := &statement.Load{Wait: [3]time.Duration{0, 400 * time.Millisecond, time.Minute}, Running: 5, Queued: 900, Slots: 5}
 		x := executor{time.Millisecond, func(string, statement.Call) statement.Answer {
@@ -245,7 +245,7 @@
 				}
 				if a := d.Single(t.Context(), meals, call(statement.Write{}, 2)); !a.OK() {
 					refused++
-					if a.Delivery != statement.NotSent || a.Code != statement.Busy || door.RetryAfter(a.Text) < 100*time.Millisecond {
+					if a.Delivery != statement.NotSent || a.Code != statement.Busy || admission.RetryAfter(a.Text) < 100*time.Millisecond {
 						t.Fatalf("call %d: %+v", n, a)
 					}
 				}
