--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -44,6 +44,7 @@
 type Instance struct {
 	Name     string
 	Log      string // path
+	Address  string // of the listener for callers, without a proxy
 	program  string // path
 	settings string // path
 	ready    string // URL
@@ -89,7 +90,7 @@
 	}
 	i := &Instance{
 		Name: name, Log: filepath.Join(directory, name+".log"), program: program,
-		settings: filepath.Join(directory, name+".conf"), ready: "http://" + addresses[1] + "/",
+		settings: filepath.Join(directory, name+".conf"), Address: addresses[0], ready: "http://" + addresses[1] + "/",
 	}
 	for _, p := range []struct {
 		proxy  **wire.Proxy
@@ -115,6 +116,27 @@
 	return i, nil
 }
 
+// Limit lowers the memory and the file descriptors of the machine in the settings. It takes effect at the next start.
+func (i *Instance) Limit(memoryMB, descriptors int) error {
+	file, err := os.OpenFile(i.settings, os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return eris.Wrap(err, "settings of "+i.Name)
+	}
+	defer func() { _ = file.Close() }()
+	_, err = fmt.Fprintf(file, "limits.memoryMb=%d\nlimits.fileDescriptors=%d\n", memoryMB, descriptors)
+	return eris.Wrap(err, "settings of "+i.Name)
+}
+
+// PID returns the id of the running process, and 0 if none runs.
+func (i *Instance) PID() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.command == nil {
+		return 0
+	}
+	return i.command.Process.Pid
+}
+
 // Stop ends the process and the proxies.
 func (i *Instance) Stop() {
 	i.Signal(syscall.SIGCONT)
