--- a/internal/instance/metric/entry.go
+++ b/internal/instance/metric/entry.go
@@ -14,6 +14,7 @@
 	TokensBorrowed   CounterName = "tanagercross_tokens_borrowed_total"   // from other places
 	AnswersUnmatched CounterName = "tanagercross_answers_unmatched_total" // by reason
 	LeaderChanges    CounterName = "tanagercross_leader_changes_total"
+	CallersCutOff    CounterName = "tanagercross_callers_cut_off_total" // by reason
 	Panics           CounterName = "tanagercross_panics_total"
 	DependencyErrors CounterName = "tanagercross_dependency_errors_total" // by dependency
 )
@@ -31,9 +32,13 @@
 	ServerLoad           GaugeName = "tanagercross_server_statements"
 	ServerOpened         GaugeName = "tanagercross_server_connections_opened"
 	ServerReplaced       GaugeName = "tanagercross_server_connections_replaced" // by server and reason
+	CallerBytes          GaugeName = "tanagercross_caller_bytes"
 	Steward              GaugeName = "tanagercross_steward"
 )
 
+// CallerCutOff counts a caller that was refused or disconnected because of a limit. Reasons must come from a small set.
+func (r *Registry) CallerCutOff(reason string) { r.Count(CallersCutOff, Label{"reason", reason}) }
+
 // Count adds one to a counter. Label values must come from small sets.
 func (r *Registry) Count(name CounterName, labels ...Label) { r.count(string(name), labels...) }
 
--- a/layout_test.go
+++ b/layout_test.go
@@ -27,7 +27,7 @@
 	"internal/fleet/roster", "internal/fleet/freshness", "internal/fleet/lease",
 	"internal/fleet/configuration", "internal/fleet/document", "internal/fleet/exchange",
 	"internal/service/store", "internal/request/retry", "internal/request/execution",
-	"internal/instance/clock", "internal/instance/event",
+	"internal/instance/clock", "internal/instance/event", "internal/instance/intake",
 	"internal/database/statement", "internal/database/readindex", "internal/database/promotion",
 	"internal/database/correlation", "internal/fleet/catalog", "internal/fleet/view",
 }
