Limit the memory of long statements from other instances

Cause: a holder takes in up to 1,000 statements of 16 MiB on each connection of another instance. Change: statements of more than 16 KiB share an eighth of the machine's memory. One that does not fit waits 200 ms before it is read and is then answered TooMany, not sent. Other calls always pass. Measured: of 8 statements of 100 KiB with room for two, 6 are refused as not run, beside a probe and a short statement that are answered; go test -race ./internal/fleet/relay passes.

--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -55,6 +55,7 @@
 	PromotionLease time.Duration // how long the promotion lease lasts without renewal
 	// MaxConfigurationAge is the age of the configuration past which callers are refused; 0 for no limit.
 	MaxConfigurationAge time.Duration
+	MemoryBytes         int64         // of the machine; 0 for no limit of what other instances send
 	EvacuationTimeout   time.Duration // to the last statement at the servers of an evacuated data centre
 	// PriorityScheduling asks for the decisions by priority under load.
 	PriorityScheduling bool
@@ -147,7 +148,7 @@
 		Priorities: o.Settings.PriorityScheduling,
 		Observer:   n.observer, Draining: n.endingSessions.Load, Stopping: n.endsWithin,
 	}
-	n.server = relay.NewServer(relay.NewHandler(&services{n}, n.boot))
+	n.server = relay.NewServer(n.limitRelayed(relay.NewHandler(&services{n}, n.boot), o.Settings.MemoryBytes))
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stopLoops = cancel
 	n.spawn(func() { _ = n.server.Serve(listener) })
--- a/internal/instance/entry/services.go
+++ b/internal/instance/entry/services.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 
 	"tanagercross/internal/database/readindex"
 	"tanagercross/internal/database/statement"
@@ -27,6 +28,20 @@
 	return s.n.pools.execute(ctx, server, c)
 }
 
+// relayedMemoryShare is the part of the machine's memory for long statements of other instances.
+const relayedMemoryShare = 8
+
+// limitRelayed bounds what other instances send, if the memory of the machine is known.
+func (n *Node) limitRelayed(h http.Handler, memoryBytes int64) http.Handler {
+	if memoryBytes == 0 {
+		return h
+	}
+	return relay.Limit(h, memoryBytes/relayedMemoryShare, func() {
+		n.observer.metrics.CallerCutOff("relayed_memory")
+		n.log.Warn("relayed statement refused", "reason", "memory")
+	})
+}
+
 // refuseAtStop refuses a statement that could not be answered before the process ends. The sender then tries another
 // instance, unless the statement continues a transaction that is open here.
 func refuseAtStop(c statement.Call) statement.Answer {
