Limit the memory of long request bodies

Cause: with the default of 10,000 connections, bodies of 1 MiB may take 40 GiB. Change: requests with bodies of more than 16 KiB share a quarter of the new setting memory_mb (default 1,024 MiB). One that does not fit waits up to 2 s before its body is read and is then refused with not_run, queue_full. A body that stalls while others wait is given up after 1 s, never once its request runs. Measured: go test -race ./internal/instance/api passes, with a stalled body that makes way for another one.

--- a/internal/instance/api/codec.go
+++ b/internal/instance/api/codec.go
@@ -35,6 +35,8 @@
 			return goa.DecodePayloadError("the body did not arrive in time")
 		case err != nil:
 			return goa.DecodePayloadError("the body did not arrive whole")
+		case !exchangeOf(r.Context()).startRunning():
+			return goa.DecodePayloadError("the body did not arrive in time")
 		}
 		if len(bytes.TrimSpace(data)) == 0 {
 			return io.EOF
--- a/internal/instance/api/exchange.go
+++ b/internal/instance/api/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 
+	"tanagercross/internal/instance/intake"
 	"tanagercross/internal/organisation/key"
 	"tanagercross/internal/session/outcome"
 )
@@ -22,8 +23,9 @@
 	key       key.Hash
 	requestID string
 	route     string
-	group     string      // of the request's path, if it has one
-	header    http.Header // of the answer
+	group     string          // of the request's path, if it has one
+	header    http.Header     // of the answer
+	body      *intake.Account // nil for a short body
 
 	organisation string
 	outcome      outcome.Outcome
--- a/internal/instance/api/server.go
+++ b/internal/instance/api/server.go
@@ -25,6 +25,7 @@
 	transactionsserver "tanagercross/internal/gen/http/transactions/server"
 	"tanagercross/internal/gen/statements"
 	"tanagercross/internal/gen/transactions"
+	"tanagercross/internal/instance/intake"
 	"tanagercross/internal/instance/metric"
 	"tanagercross/internal/session/outcome"
 )
@@ -38,6 +39,7 @@
 	DefaultWriteTimeout   = 90 * time.Second
 	DefaultIdleTimeout    = time.Minute
 	DefaultMaxConnections = 10_000
+	DefaultBodyBytes      = 256 << 20
 	DefaultQuiet          = 500 * time.Millisecond
 	DefaultMaxQuiet       = 5 * time.Second
 )
@@ -50,6 +52,7 @@
 	WriteTimeout   time.Duration // from the end of the headers to the end of the answer
 	IdleTimeout    time.Duration
 	MaxConnections int
+	BodyBytes      int64 // memory of all requests with long bodies together
 	// Quiet is the time without a request after which a shutdown stops to accept connections. The balancer sees the
 	// failing readiness in this time and sends no more: a connection that is still in the accept queue of the kernel
 	// when the listener closes is reset.
@@ -63,6 +66,7 @@
 	executor Executor
 	options  Options
 	mux      *muxer
+	bodies   *intake.Budget // memory of requests with long bodies
 	http     *http.Server
 	open     atomic.Int64
 	draining atomic.Bool
@@ -95,7 +99,7 @@
 // New returns a server that is not yet listening.
 func New(executor Executor, options Options) *Server {
 	options = options.withDefaults()
-	s := &Server{executor: executor, options: options, mux: newMuxer(), base: time.Now()}
+	s := &Server{executor: executor, options: options, mux: newMuxer(), bodies: intake.NewBudget(options.BodyBytes), base: time.Now()}
 	s.mount()
 	s.http = &http.Server{
 		Handler:           s,
@@ -121,6 +125,7 @@
 	o.WriteTimeout = orDefault(o.WriteTimeout, DefaultWriteTimeout)
 	o.IdleTimeout = orDefault(o.IdleTimeout, DefaultIdleTimeout)
 	o.MaxConnections = orDefault(o.MaxConnections, DefaultMaxConnections)
+	o.BodyBytes = orDefault(o.BodyBytes, DefaultBodyBytes)
 	o.Quiet = orDefault(o.Quiet, DefaultQuiet)
 	o.MaxQuiet = orDefault(o.MaxQuiet, DefaultMaxQuiet)
 	return o
@@ -233,6 +238,12 @@
 	if !openRoute(pattern) {
 		s.last.Store(int64(time.Since(s.base)))
 	}
+	release, ok := s.admitBody(sw, r, x)
+	if !ok {
+		refuseBody(sw, x)
+		return
+	}
+	defer release()
 	r.Body = http.MaxBytesReader(sw, r.Body, MaxBodyBytes)
 	s.mux.ServeHTTP(sw, r.WithContext(context.WithValue(r.Context(), exchangeKey{}, x)))
 }
--- a/internal/instance/daemon/daemon.go
+++ b/internal/instance/daemon/daemon.go
@@ -57,6 +57,9 @@
 	leaveWait = 500 * time.Millisecond
 )
 
+// bodiesMemoryShare is the part of the memory of the machine for long request bodies.
+const bodiesMemoryShare = 4
+
 var errNoAddress = eris.New("the address of the member is not known")
 
 // Options configure an instance. The zero values of all but Settings have defaults.
@@ -178,6 +181,7 @@
 	callers := api.New(executor{d}, api.Options{
 		Log: d.log, Metric: d.metric, ReadTimeout: s.ReadTimeout, WriteTimeout: s.WriteTimeout,
 		IdleTimeout: s.IdleTimeout, MaxConnections: s.MaxConnections,
+		BodyBytes: int64(s.MemoryMB) << 20 / bodiesMemoryShare,
 	})
 	d.callers = &serving{server: callers}
 	d.metric.Collect(d.gauges(callers.OpenConnections))
--- a/internal/instance/settings/settings.go
+++ b/internal/instance/settings/settings.go
@@ -51,6 +51,7 @@
 	LogLevel        slog.Level
 	DrainDeadline   time.Duration
 	MaxConnections  int // open connections of callers
+	MemoryMB        int // memory of the machine
 	ReadTimeout     time.Duration
 	WriteTimeout    time.Duration
 	IdleTimeout     time.Duration
--- a/internal/instance/settings/table.go
+++ b/internal/instance/settings/table.go
@@ -98,6 +98,7 @@
 	{Name: "log_level", Unit: "level", Default: "info", Allowed: levelRule, Help: "least level that is logged", set: setLevel},
 	{Name: "drain_deadline", Unit: "duration", Default: "30s", Allowed: "1s to 10m0s", Help: "time that running requests get at shutdown", set: duration(func(s *Settings) *time.Duration { return &s.DrainDeadline }, time.Second, 10*time.Minute)},
 	{Name: "max_connections", Unit: "connections", Default: "10000", Allowed: "1 to 1000000", Help: "open connections of callers", set: setMaxConnections},
+	{Name: "memory_mb", Unit: "MiB", Default: "1024", Allowed: "64 to 1048576", Help: "memory of the machine; a quarter of it may hold request bodies of more than 16 KiB", set: setMemory},
 	{Name: "read_timeout", Unit: "duration", Default: "10s", Allowed: "100ms to 5m0s", Help: "time in which a caller must send a request", set: duration(func(s *Settings) *time.Duration { return &s.ReadTimeout }, 100*time.Millisecond, 5*time.Minute)},
 	{Name: "write_timeout", Unit: "duration", Default: "1m30s", Allowed: "1s to 10m0s", Help: "time for a request and its answer; longer than the longest deadline, 60 s", set: duration(func(s *Settings) *time.Duration { return &s.WriteTimeout }, time.Second, 10*time.Minute)},
 	{Name: "idle_timeout", Unit: "duration", Default: "1m0s", Allowed: "1s to 1h0m0s", Help: "time that a connection may stay without a request", set: duration(func(s *Settings) *time.Duration { return &s.IdleTimeout }, time.Second, time.Hour)},
@@ -196,6 +197,15 @@
 	return nil
 }
 
+func setMemory(s *Settings, text string) error {
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 64 || n > 1<<20 {
+		return errNotAllowed
+	}
+	s.MemoryMB = n
+	return nil
+}
+
 func setMaxConnections(s *Settings, text string) error {
 	n, err := strconv.Atoi(text)
 	if err != nil || n < 1 || n > 1_000_000 {
