Bound what callers of the line protocol hold

Cause: each connection may hold lines, answers, values and names without regard to the others, idle sessions keep all connections, and what a collector has to free of a long line is five times its length. Names of values and prepared statements have at most 16 KiB, and parts of lines that a session keeps are copied.

--- a/internal/instance/intake/intake.go
+++ b/internal/instance/intake/intake.go
@@ -19,6 +19,7 @@
 import (
 	"container/list"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -36,6 +37,7 @@
 	waiting  list.List // of *Ticket
 	evicted  int
 	refusals int
+	exceeded atomic.Bool
 }
 
 // Counts are the figures of a budget.
@@ -83,6 +85,9 @@
 	return Counts{Limit: b.limit, Held: b.held, Leaving: b.leaving, Waiting: b.waiting.Len(), Evicted: b.evicted, Refusals: b.refusals}
 }
 
+// Exceeded reports whether more than the budget is held, which lasts until evicted accounts are closed. It takes no lock.
+func (b *Budget) Exceeded() bool { return b.exceeded.Load() }
+
 // Reserve adds bytes to an account and returns nil, or a ticket if they do not fit yet. No more than the whole budget is
 // reserved at once.
 func (a *Account) Reserve(now time.Time, bytes int64) *Ticket {
@@ -176,6 +181,9 @@
 	a.since = now
 	a.held += bytes
 	b.held += bytes
+	if exceeded := b.held > b.limit; exceeded != b.exceeded.Load() {
+		b.exceeded.Store(exceeded)
+	}
 	if a.evicted {
 		b.leaving += bytes
 	}
--- a/internal/instance/logging/logging.go
+++ b/internal/instance/logging/logging.go
@@ -25,6 +25,7 @@
 	queuedLines   = 2048
 	linesASecond  = 60 // of one message
 	knownMessages = 512
+	textBytes     = 4 << 10 // of one text of a line; ids and texts of other programs may have 1 MiB
 	closeWait     = 500 * time.Millisecond
 )
 
@@ -109,10 +110,18 @@
 // NewHandler returns a handler that writes JSON lines of a level and above.
 func NewHandler(w io.Writer, level slog.Leveler) *Handler {
 	return &Handler{
-		Handler: slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}), limit: &limit{counts: map[string]int{}},
+		Handler: slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: shorten}), limit: &limit{counts: map[string]int{}},
 	}
 }
 
+// shorten cuts a text that is longer than textBytes.
+func shorten(_ []string, a slog.Attr) slog.Attr {
+	if a.Value.Kind() == slog.KindString && len(a.Value.String()) > textBytes {
+		a.Value = slog.StringValue(a.Value.String()[:textBytes] + "...")
+	}
+	return a
+}
+
 // Handle implements slog.Handler.
 func (h *Handler) Handle(ctx context.Context, r slog.Record) error {
 	suppressed, ok := h.limit.pass(r.Message, r.Time.Unix())
--- a/internal/instance/logging/logging_test.go
+++ b/internal/instance/logging/logging_test.go
@@ -70,3 +70,16 @@
 		t.Errorf("the number of lines left out is not reported: %s", out.String()[out.Len()-200:])
 	}
 }
+
+// Guards against texts of callers that make each line of a full queue as long as the longest message.
+func TestLongTextsAreCut(t *testing.T) {
+	var text bytes.Buffer
+	log := slog.New(logging.NewHandler(&text, slog.LevelInfo))
+	log.With("session", strings.Repeat("s", 1<<20)).Info("refused", "request", strings.Repeat("i", 1<<20), "code", "busy")
+	if got := text.Len(); got > 10<<10 {
+		t.Errorf("a line has %d bytes", got)
+	}
+	if !strings.Contains(text.String(), `"code":"busy"`) {
+		t.Error("a short text was changed")
+	}
+}
--- a/internal/session/callersession/callersession.go
+++ b/internal/session/callersession/callersession.go
@@ -14,9 +14,8 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"math"
+	"strings"
 	"time"
 
 	"tanagercross/internal/database/driver"
@@ -30,9 +29,13 @@
 
 // Limits of a session.
 const (
-	maxValues                = 64
-	maxPrepared              = 64
-	maxValueBytes            = 16 << 10 // of a value, or of the shape of a prepared statement
+	maxValues     = 64
+	maxPrepared   = 64
+	maxValueBytes = 16 << 10 // of a value, or of the shape of a prepared statement
+	maxNameBytes  = 16 << 10 // of the name of a value or of a prepared statement
+	// maxStateBytes bounds all values, shapes and names of a session. It holds maxValues and maxPrepared of the longest, with
+	// names of 1 KiB each.
+	maxStateBytes            = (maxValues + maxPrepared) * (maxValueBytes + 1<<10)
 	maxTransactionStatements = 1000
 	preparedHashBytes        = 16 // of SHA-256, in the name of a prepared statement
 )
@@ -83,6 +86,7 @@
 	organisation string
 	values       []statement.Value
 	prepared     map[string]statement.Preparation // by the name that the caller gave
+	stateBytes   int                              // of values and prepared
 	lastCommit   driver.Position                  // newest log position of a commit of this session
 	shouldClose  bool
 
@@ -101,7 +105,8 @@
 // Start begins a session of a database with the key that the caller sent, "" for none. It returns a nil session and the
 // refusal if the caller is not admitted. The id must be unique in the fleet.
 func Start(env Environment, id, database, keyText string) (*Session, statement.Answer) {
-	s := &Session{env: env, id: id, database: database, prepared: map[string]statement.Preparation{}}
+	// The name is a part of a line, which would be kept as a whole.
+	s := &Session{env: env, id: id, database: strings.Clone(database), prepared: map[string]statement.Preparation{}}
 	if keyText != "" {
 		s.key, s.hasKey = key.HashOf(keyText), true
 	}
@@ -238,52 +243,6 @@
 	return statement.Answer{Delivery: statement.Answered, State: statement.InTransaction}
 }
 
-// handleLocally answers statements that change only the session: Set, Prepare and Deallocate.
-func (s *Session) handleLocally(q statement.Query) statement.Answer {
-	switch b := q.Body.(type) {
-	case statement.Set:
-		if !s.setValue(b) {
-			return s.refuse(q, statement.TooLarge, "too many or too long session values")
-		}
-	case statement.Prepare:
-		if _, known := s.prepared[b.Name]; !known && len(s.prepared) >= maxPrepared || len(b.Shape) > maxValueBytes {
-			return s.refuse(q, statement.TooLarge, "too many or too long prepared statements")
-		}
-		s.prepared[b.Name] = statement.Preparation{Name: preparedName(b), Writes: b.Writes, Shape: b.Shape}
-	case statement.Deallocate:
-		delete(s.prepared, b.Name)
-	}
-	return statement.Answer{Delivery: statement.Answered, State: s.state}
-}
-
-// setValue sets a session value. It returns false if a limit is exceeded. It builds a new list, because calls that are
-// still running share the old one.
-func (s *Session) setValue(b statement.Set) bool {
-	values := make([]statement.Value, 0, len(s.values)+1)
-	for _, v := range s.values {
-		if v.Name != b.Name {
-			values = append(values, v)
-		}
-	}
-	if len(values) >= maxValues || len(b.Value) > maxValueBytes {
-		return false
-	}
-	s.values = append(values, statement.Value{Name: b.Name, Value: b.Value})
-	return true
-}
-
-// preparedName returns the name under which a statement is prepared on servers. It is the same for all sessions that
-// prepare the same shape, so that they share the prepared statements of a server connection. The hash is cryptographic,
-// because a caller could construct two shapes with the same short hash, and one would run in place of the other.
-func preparedName(p statement.Prepare) string {
-	kind := "r"
-	if p.Writes {
-		kind = "w"
-	}
-	hash := sha256.Sum256([]byte(p.Shape))
-	return kind + hex.EncodeToString(hash[:preparedHashBytes])
-}
-
 // call returns the call that runs a query on a server. The answer has a code if the query names no prepared statement.
 func (s *Session) call(q statement.Query) (statement.Call, statement.Answer) {
 	call := statement.Call{
--- a/internal/session/callersession/callersession_test.go
+++ b/internal/session/callersession/callersession_test.go
@@ -256,11 +256,53 @@
 	if a := do(session, statement.Set{Name: "1", Value: strings.Repeat("x", 1<<20)}); a.Code != statement.TooLarge {
 		t.Errorf("long value: %+v", a)
 	}
+	for n, a := range []statement.Answer{
+		do(session, statement.Set{Name: strings.Repeat("n", 1<<20), Value: "x"}),
+		do(session, statement.Prepare{Name: strings.Repeat("n", 1<<20), Shape: "q"}),
+	} {
+		if a.Code != statement.TooLarge {
+			t.Errorf("long name %d: %+v", n, a)
+		}
+	}
 	if a := do(session, statement.Execute{Name: "never"}); a.Code != statement.NoStatement {
 		t.Errorf("unknown name: %+v", a)
 	}
 }
 
+// Guards against values and names of a session that are counted wrongly when they are replaced or removed, and against a total
+// over the limit.
+func TestSessionStateIsCounted(t *testing.T) {
+	_, session := start(t, "k1")
+	expect := func(want int) {
+		t.Helper()
+		if got := session.StateBytes(); got != want {
+			t.Errorf("%d bytes, want %d", got, want)
+		}
+	}
+	do(session, statement.Set{Name: "ab", Value: "xyz"})
+	expect(5)
+	do(session, statement.Set{Name: "ab", Value: "z"})
+	expect(3)
+	do(session, statement.Prepare{Name: "p", Shape: "shape"})
+	do(session, statement.Prepare{Name: "p", Shape: "q"})
+	expect(5)
+	do(session, statement.Deallocate{Name: "p"})
+	do(session, statement.Deallocate{Name: "p"})
+	expect(3)
+	long, refused := strings.Repeat("x", 16<<10-2), 0
+	for n := range 63 {
+		name := fmt.Sprintf("%d%s", n, long)[:16<<10-2]
+		for _, b := range []statement.Statement{statement.Set{Name: name, Value: long}, statement.Prepare{Name: name, Shape: long}} {
+			if a := do(session, b); a.Code == statement.TooLarge {
+				refused++
+			}
+		}
+	}
+	if most := 128 * 17 << 10; refused == 0 || session.StateBytes() > most {
+		t.Errorf("%d refused, %d bytes; want some refused and at most %d bytes", refused, session.StateBytes(), most)
+	}
+}
+
 // collidingShapes returns two shapes of 64 bytes with the same xxHash64. The first 8 bytes of both 32-byte blocks enter the
 // same accumulator, so that a difference in the first block can be cancelled in the second.
 func collidingShapes() (string, string) {
