--- a/internal/instance/metric/entry.go
+++ b/internal/instance/metric/entry.go
@@ -17,6 +17,7 @@
 	TokensRefused    CounterName = "tanagercross_tokens_refused_total"    // to operations, by priority
 	AnswersUnmatched CounterName = "tanagercross_answers_unmatched_total" // by reason
 	LeaderChanges    CounterName = "tanagercross_leader_changes_total"
+	CallersCutOff    CounterName = "tanagercross_callers_cut_off_total" // by reason
 	Panics           CounterName = "tanagercross_panics_total"
 	DependencyErrors CounterName = "tanagercross_dependency_errors_total" // by dependency
 	QueueLeft        CounterName = "tanagercross_server_queue_total"      // by priority and outcome
@@ -45,11 +46,15 @@
 	ServerExpectedWait   GaugeName = "tanagercross_server_expected_wait_seconds" // by server and priority
 	ServerReportedWait   GaugeName = "tanagercross_server_reported_wait_seconds" // by server and priority, as its holder reported it
 	ServerEvicted        GaugeName = "tanagercross_server_connections_evicted"   // by server and reason
+	CallerBytes          GaugeName = "tanagercross_caller_bytes"
 	Steward              GaugeName = "tanagercross_steward"
 	ServerWindow         GaugeName = "tanagercross_server_window" // by server in a slow start
 	Evacuated            GaugeName = "tanagercross_evacuated"     // by place
 )
 
+// CallerCutOff counts a caller that was refused or disconnected because of a limit. Reasons must come from a small set.
+func (r *Registry) CallerCutOff(reason string) { r.Count(CallersCutOff, Label{"reason", reason}) }
+
 // Count adds one to a counter. Label values must come from small sets.
 func (r *Registry) Count(name CounterName, labels ...Label) { r.count(string(name), labels...) }
 
--- a/layout_test.go
+++ b/layout_test.go
@@ -28,7 +28,7 @@
 	"internal/fleet/configuration", "internal/fleet/document", "internal/fleet/exchange",
 	"internal/service/store", "internal/request/retry", "internal/request/execution",
 	"internal/request/placement", "internal/request/admission",
-	"internal/instance/clock", "internal/instance/event",
+	"internal/instance/clock", "internal/instance/event", "internal/instance/intake",
 	"internal/database/statement", "internal/database/readindex", "internal/database/promotion",
 	"internal/database/correlation", "internal/database/serverqueue", "internal/database/connplan", "internal/database/pace",
 	"internal/fleet/catalog", "internal/fleet/view", "internal/fleet/evacuation", "internal/fleet/residence",
