Let the soak play priorities and overload in a half of its new seeds

Seeds from 20000 on with an odd number run with `pressure` among the contracts, routes of three priorities, and sessions of the lowest one that read as fast as they are answered. Lower seeds play what they played before.

--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -118,12 +118,20 @@
 
 // Limit lowers the memory and the file descriptors of the machine in the settings. It takes effect at the next start.
 func (i *Instance) Limit(memoryMB, descriptors int) error {
+	return i.set(fmt.Sprintf("limits.memoryMb=%d\nlimits.fileDescriptors=%d\n", memoryMB, descriptors))
+}
+
+// Contracts sets the list of the platform's contracts in the settings. It takes effect at the next start.
+func (i *Instance) Contracts(list string) error { return i.set("contracts=" + list + "\n") }
+
+// set appends lines to the settings, whose last line of a key counts.
+func (i *Instance) set(lines string) error {
 	file, err := os.OpenFile(i.settings, os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return eris.Wrap(err, "settings of "+i.Name)
 	}
 	defer func() { _ = file.Close() }()
-	_, err = fmt.Fprintf(file, "limits.memoryMb=%d\nlimits.fileDescriptors=%d\n", memoryMB, descriptors)
+	_, err = file.WriteString(lines)
 	return eris.Wrap(err, "settings of "+i.Name)
 }
 
--- a/test/soak/fault_test.go
+++ b/test/soak/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -20,6 +21,9 @@
 	loseAnswers, harmStore, changeConfiguration,
 }
 
+// prioritisedDisturbances are drawn beside the others in seeds with priorities.
+var prioritisedDisturbances = []disturbance{overload, overload}
+
 // Lengths of a fault.
 const (
 	leastLength = 200 * time.Millisecond
@@ -32,7 +36,11 @@
 	var running sync.WaitGroup
 	slots := make(chan struct{}, mostFaultsAtOnce)
 	for deadline := time.Now().Add(length); time.Now().Before(deadline); {
-		d := disturbances[x.random.IntN(len(disturbances))]
+		kinds := disturbances
+		if x.prioritised() {
+			kinds = append(slices.Clip(kinds), prioritisedDisturbances...)
+		}
+		d := kinds[x.random.IntN(len(kinds))]
 		lasts := leastLength + time.Duration(x.random.Int64N(int64(mostLength-leastLength)))
 		r := rand.New(rand.NewPCG(x.random.Uint64(), 0))
 		slots <- struct{}{}
--- a/test/soak/trial_test.go
+++ b/test/soak/trial_test.go
@@ -89,6 +89,11 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(i.Stop)
+		if x.prioritised() {
+			if err := i.Contracts("base,pressure"); err != nil {
+				t.Fatal(err)
+			}
+		}
 		x.instances = append(x.instances, i)
 	}
 	for _, g := range groups {
@@ -107,6 +112,10 @@
 // synchronous reports whether the commits of group meals wait for a replica in this seed.
 func (x *trial) synchronous() bool { return x.seed%2 == 0 }
 
+// prioritised reports whether priorities are in force and callers of the lowest one overload servers in this seed. Lower
+// seeds still play what they played before this existed.
+func (x *trial) prioritised() bool { return x.seed >= 20_000 && x.seed%2 == 1 }
+
 // repeatsAnswers reports whether the servers send answers again in this seed. The seeds that failed before this existed do
 // not, so that they still play what they played then.
 func (x *trial) repeatsAnswers() bool { return x.seed%4 == 3 }
@@ -147,6 +156,7 @@
 	return map[string]any{
 		"host": host, "service": group, "kind": []string{"primary", "bounded_staleness", "read_your_writes"}[kind],
 		"timeoutMs": statementTimeout.Milliseconds(), "latencyGoalMs": 500, "maxStalenessMs": stalenessBound.Milliseconds(),
+		"priority": kind,
 	}
 }
 
