Wake the next waiter when a woken caller is refused

A caller that was woken for a connection and then refused by the queue left the other callers waiting beside an idle connection. TestRefusedCallerPassesTheConnectionOn failed before this change: the second caller got too_many after 2 s.

--- a/internal/database/serverpool/connections.go
+++ b/internal/database/serverpool/connections.go
@@ -158,6 +158,17 @@
 	}
 }
 
+// passOn wakes the next waiter in place of a caller that was woken and is then refused before it asks for a connection. A
+// failed opening has woken it already.
+func (p *Pool) passOn(woken bool) {
+	if !woken {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wakeNextWaiter()
+}
+
 // cancelWait removes a caller that stopped waiting for a connection. If it was woken already, the next waiter is woken
 // instead, so that the free connection does not stay unused.
 func (p *Pool) cancelWait(wait chan struct{}) {
--- a/internal/database/serverpool/serverpool.go
+++ b/internal/database/serverpool/serverpool.go
@@ -249,18 +249,22 @@
 // the refusal to return to the caller. The ticket holds the slot until it is released or slotHoldTimeout is over.
 func (p *Pool) acquireSlot(ctx context.Context, c statement.Call) (ticket, *pooledConn, statement.Answer) {
 	request := p.request(ctx, c)
+	woken := false // for a connection that another waiter can use if this call is refused
 	for {
 		ticket, err := p.admission.acquire(ctx, request, c.Session)
 		if err != nil {
+			p.passOn(woken)
 			return nil, nil, p.admission.refusal(err)
 		}
 		if p.evacuated() {
 			ticket.Release()
+			p.passOn(woken)
 			return nil, nil, refuseEvacuated()
 		}
 		t, ok := p.awaitTurn(ctx)
 		if !ok {
 			ticket.Release()
+			p.passOn(woken)
 			return nil, nil, statement.Refused(statement.Busy, "queue: slow start")
 		}
 		pc, wait, err := p.acquireConnection(ctx, c)
@@ -278,6 +282,7 @@
 		ticket.Withdraw()
 		select {
 		case <-wait:
+			woken = true
 		case <-ctx.Done():
 			p.cancelWait(wait)
 			return nil, nil, statement.Refused(statement.TooMany, "no connection became free")
