Queue statements of open transactions without a margin and in order

Statements of open transactions were refused to leave a margin for more urgent work, of which there is none, and in favour of newer ones of their organisation.

--- a/internal/database/serverqueue/admission.go
+++ b/internal/database/serverqueue/admission.go
@@ -15,7 +15,8 @@
 
 // waitMargins are the factors, by level, by which an item's time must exceed its expected wait. More urgent work may come
 // while it waits: in the replays up to 14% of the refusals come later than 100 ms after the request with 2 at all levels, and
-// at most 10% with these. Only open transactions go before the highest level, so that it may wait for longer.
+// at most 10% with these. Only open transactions go before the highest level, so that it may wait for longer. Nothing goes
+// before open transactions, which need no margin.
 var waitMargins = [statement.Priorities]time.Duration{2, 3, 3}
 
 // admit decides whether an item may wait: it returns Served, or the outcome of a refusal with the wait that was expected.
@@ -67,8 +68,12 @@
 // fits returns the expected wait of an item behind a number of items of its flow, and whether it leaves a margin for more
 // urgent work that comes later.
 func (q *Queue[T]) fits(now time.Duration, i *Item[T], ahead int) (time.Duration, bool) {
+	margin := waitMargins[i.Level()]
+	if i.InTransaction {
+		margin = 1
+	}
 	expected := q.expectedWait(now, i.Request, ahead)
-	return expected, expected <= (i.latestStart-now)/waitMargins[i.Request.Level()]
+	return expected, expected <= (i.latestStart-now)/margin
 }
 
 // flow returns the flow of a request, or nil if there is none.
--- a/internal/database/serverqueue/flow.go
+++ b/internal/database/serverqueue/flow.go
@@ -45,8 +45,11 @@
 	index    [sections]int
 }
 
-// newestFirst reports whether so many items wait that the newest is served first.
-func (f *flow[T]) newestFirst(s section, inOrder int) bool { return f.items[s].length > inOrder }
+// newestFirst reports whether so many items wait that the newest is served first. Statements of open transactions are
+// always served in order of arrival, because refusing one discards the work of its transaction.
+func (f *flow[T]) newestFirst(s section, inOrder int) bool {
+	return s == newWork && f.items[s].length > inOrder
+}
 
 // next returns the item of a section that is served next.
 func (f *flow[T]) next(s section, inOrder int) *Item[T] {
--- a/internal/database/serverqueue/queue.go
+++ b/internal/database/serverqueue/queue.go
@@ -7,7 +7,7 @@
 // time of at most 20 c and one item of each other priority.
 //
 // The items of one organisation and priority are served first in, first out; while more than Options.MaxInOrder wait, the
-// newest is served first, as in package fairness.
+// newest is served first, as in package fairness. This does not apply to statements of open transactions.
 //
 // An item that is expected to end after its deadline or its latency goal is refused as soon as that is expected: when it is
 // pushed, when newer ones overtake it, or when the time at which it had to start has passed. A full queue refuses the
