Limit the priority queue by the window of a slow start

Callers that waited for the window held slots of the queue, in order of arrival: urgent calls waited behind them, the load hid the window, the wait was charged as service time, and open transactions found no slot. The window now limits the new work that the priority queue starts. Without that queue, a call takes its turn before its slot.

--- a/internal/database/serverpool/pace.go
+++ b/internal/database/serverpool/pace.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tanagercross/internal/database/pace"
+	"tanagercross/internal/database/serverqueue"
 	"tanagercross/internal/database/statement"
 )
 
@@ -30,8 +31,11 @@
 	began     time.Duration
 	reported  int // window of the last report
 	running   int
-	waiters   []*waiter    // oldest first
-	reference [4]reference // by kind, where no usual latency is known
+	waiters   []*waiter         // oldest first
+	starts    uint64            // slow starts so far
+	grants    uint64            // turns in this slow start
+	lastGrant map[string]uint64 // number of the last turn of each organisation
+	reference [4]reference      // by kind, where no usual latency is known
 }
 
 // reference is the mean latency while the window was 1.
@@ -42,14 +46,17 @@
 
 // waiter is a statement that waits for a turn. The turn is set when the channel is closed.
 type waiter struct {
-	granted chan struct{}
-	turn    turn
+	granted      chan struct{}
+	turn         turn
+	organisation string
 }
 
 // turn is the permission to open a connection and to run one statement. The zero value is not limited.
 type turn struct {
 	paced bool
 	epoch uint64
+	start uint64        // number of the slow start
+	leave func()        // takes the statement off the count of the priority queue; may be nil
 	sent  time.Duration // when the connection was there
 }
 
@@ -64,7 +71,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.window, g.cause, g.began, g.reported = w, cause, p.options.Boot(), 0
-	g.reference = [4]reference{}
+	g.reference, g.running, g.grants, g.lastGrant = [4]reference{}, 0, 0, map[string]uint64{}
+	g.starts++
+	if a, ok := p.admission.(priorityAdmission); ok {
+		a.scheduler.BeginWindow(g.limit())
+	}
+	g.wake()
 	p.reportSlowStartLocked()
 }
 
@@ -75,15 +87,65 @@
 	return p.pacer.window.Size(), !p.pacer.window.Ended()
 }
 
-// awaitTurn waits until the window has room, in order of arrival. It returns false if the context ends before.
-func (p *Pool) awaitTurn(ctx context.Context) (turn, bool) {
+// acquireTurn waits for a slot of the server and, during a slow start, for room in its window. The priority queue limits
+// new work to the window itself, so that its order decides. Otherwise the turn is taken before the slot: callers that wait
+// for the window would hold slots that open transactions need.
+func (p *Pool) acquireTurn(ctx context.Context, c statement.Call, r serverqueue.Request) (ticket, turn, *statement.Answer) {
+	_, limited := p.admission.(priorityAdmission)
+	for {
+		var t turn
+		if !limited {
+			var ok bool
+			if t, ok = p.awaitTurn(ctx, c.Organisation); !ok {
+				refusal := statement.Refused(statement.Busy, "queue: slow start")
+				return nil, turn{}, &refusal
+			}
+		}
+		ticket, err := p.admission.acquire(ctx, r, c.Session)
+		if err != nil {
+			p.abandonTurn(t, nil)
+			refusal := p.admission.refusal(err)
+			return nil, turn{}, &refusal
+		}
+		if limited {
+			t = p.pacer.turnOf(ticket)
+		}
+		if p.evacuated() {
+			p.abandonTurn(t, nil)
+			ticket.Release()
+			refusal := refuseEvacuated()
+			return nil, turn{}, &refusal
+		}
+		if !p.pacer.outdated(t) {
+			return ticket, t, nil
+		}
+		p.abandonTurn(t, nil)
+		ticket.Withdraw()
+	}
+}
+
+// limit returns the limit of new work for the priority queue, 0 for none. The caller holds g.mu.
+func (g *pacer) limit() int {
+	if g.window.Ended() {
+		return 0
+	}
+	return g.window.Size()
+}
+
+// awaitTurn waits until the window has room. It returns false if the context ends before, or if as many callers of the
+// organisation wait as its queue may have.
+func (p *Pool) awaitTurn(ctx context.Context, organisation string) (turn, bool) {
 	g := &p.pacer
 	g.mu.Lock()
 	if g.window.Ended() || len(g.waiters) == 0 && g.running < g.window.Size() {
 		defer g.mu.Unlock()
-		return g.grant(), true
+		return g.grant(organisation), true
+	}
+	if g.waiting(organisation) >= maxQueued {
+		g.mu.Unlock()
+		return turn{}, false
 	}
-	w := &waiter{granted: make(chan struct{})}
+	w := &waiter{granted: make(chan struct{}), organisation: organisation}
 	g.waiters = append(g.waiters, w)
 	g.mu.Unlock()
 	select {
@@ -95,13 +157,44 @@
 	}
 }
 
+// waiting returns how many callers of an organisation wait. The caller holds g.mu.
+func (g *pacer) waiting(organisation string) int {
+	n := 0
+	for _, w := range g.waiters {
+		if w.organisation == organisation {
+			n++
+		}
+	}
+	return n
+}
+
+// turnOf returns the turn of a statement that the priority queue has started.
+func (g *pacer) turnOf(t ticket) turn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.grant("")
+	if l, ok := t.(interface{ Leave() }); ok {
+		r.leave = l.Leave
+	}
+	return r
+}
+
+// outdated reports whether a slow start has begun since a turn was granted.
+func (g *pacer) outdated(t turn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.window.Ended() && (!t.paced || t.start != g.starts)
+}
+
 // grant returns the permission for the next statement. The caller holds g.mu.
-func (g *pacer) grant() turn {
+func (g *pacer) grant(organisation string) turn {
 	if g.window.Ended() {
 		return turn{}
 	}
 	g.running++
-	return turn{paced: true, epoch: g.window.Epoch()}
+	g.grants++
+	g.lastGrant[organisation] = g.grants
+	return turn{paced: true, epoch: g.window.Epoch(), start: g.starts}
 }
 
 // cancel removes a waiter that gave up. A turn that it was granted meanwhile goes to the next one.
@@ -112,18 +205,30 @@
 		g.waiters = slices.Delete(g.waiters, n, n+1)
 		return
 	}
-	if w.turn.paced {
+	g.giveBack(w.turn)
+	g.wake()
+}
+
+// giveBack ends the count of a turn. The caller holds g.mu.
+func (g *pacer) giveBack(t turn) {
+	if t.paced && t.start == g.starts {
 		g.running--
-		g.wake()
 	}
 }
 
-// wake grants turns to as many waiters as the window has room for. The caller holds g.mu.
+// wake grants turns to as many waiters as the window has room for, next to the organisation whose last turn is the longest
+// ago. The caller holds g.mu.
 func (g *pacer) wake() {
 	for len(g.waiters) > 0 && (g.window.Ended() || g.running < g.window.Size()) {
-		w := g.waiters[0]
-		g.waiters = g.waiters[1:]
-		w.turn = g.grant()
+		next := 0
+		for n, w := range g.waiters {
+			if g.lastGrant[w.organisation] < g.lastGrant[g.waiters[next].organisation] {
+				next = n
+			}
+		}
+		w := g.waiters[next]
+		g.waiters = slices.Delete(g.waiters, next, next+1)
+		w.turn = g.grant(w.organisation)
 		close(w.granted)
 	}
 }
@@ -190,15 +295,21 @@
 
 // finishTurn applies the result of a turn to the window and lets others go on.
 func (p *Pool) finishTurn(t turn, apply func(pace.Window) pace.Window) {
+	if t.leave != nil {
+		defer t.leave()
+	}
 	if !t.paced {
 		return
 	}
 	g := &p.pacer
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.running--
+	g.giveBack(t)
 	if !g.window.Ended() {
 		g.window = apply(g.window)
+		if a, ok := p.admission.(priorityAdmission); ok {
+			a.scheduler.SetWindow(g.limit())
+		}
 		p.reportSlowStartLocked()
 	}
 	g.wake()
--- a/internal/database/serverpool/serverpool.go
+++ b/internal/database/serverpool/serverpool.go
@@ -251,21 +251,10 @@
 	request := p.request(ctx, c)
 	woken := false // for a connection that another waiter can use if this call is refused
 	for {
-		ticket, err := p.admission.acquire(ctx, request, c.Session)
-		if err != nil {
-			p.passOn(woken)
-			return nil, nil, p.admission.refusal(err)
-		}
-		if p.evacuated() {
-			ticket.Release()
-			p.passOn(woken)
-			return nil, nil, refuseEvacuated()
-		}
-		t, ok := p.awaitTurn(ctx)
-		if !ok {
-			ticket.Release()
+		ticket, t, refusal := p.acquireTurn(ctx, c, request)
+		if refusal != nil {
 			p.passOn(woken)
-			return nil, nil, statement.Refused(statement.Busy, "queue: slow start")
+			return nil, nil, *refusal
 		}
 		pc, wait, err := p.acquireConnection(ctx, c)
 		if pc != nil {
--- a/internal/database/serverqueue/admission.go
+++ b/internal/database/serverqueue/admission.go
@@ -27,7 +27,7 @@
 	if limit, ok := i.limit(); ok && limit <= now {
 		return TimedOut, 0
 	}
-	if q.Len() == 0 && q.running < q.options.Slots {
+	if q.Len() == 0 && q.running < q.options.Slots && (i.InTransaction || q.window.free()) {
 		return Served, 0
 	}
 	expected, inTime := q.endsInTime(now, i)
@@ -90,11 +90,15 @@
 	group, s := r.group(), r.section()
 	own := q.workBefore(r, s, ahead)
 	before := own + q.workAbove(r, s)
-	if before == 0 && q.running < q.options.Slots {
+	count := q.options.Slots
+	if group > 0 {
+		count = q.window.limit(count)
+	}
+	if before == 0 && q.running < q.options.Slots && (group == 0 || q.window.free()) {
 		return 0
 	}
-	slots := time.Duration(q.options.Slots)
-	free := float64(slots) * (1 - q.usage.above(now, group, q.options.Slots))
+	slots := time.Duration(count)
+	free := float64(slots) * (1 - q.usage.above(now, group, count))
 	wait := time.Duration(float64(before) / free)
 	if group > 0 {
 		cost := q.costs.estimate(r, q.options.InitialEstimate)
--- a/internal/database/serverqueue/queue.go
+++ b/internal/database/serverqueue/queue.go
@@ -55,6 +55,7 @@
 	shares        strict         // of the groups
 	classShares   [groups]strict // of the classes in a group
 	stopped       bool
+	window        window
 }
 
 // NewQueue returns an empty queue. It calls reject for each waiting item that leaves the queue without being started.
@@ -187,6 +188,9 @@
 	q.Expire(now)
 	var cost [classes]time.Duration
 	for g := range groups {
+		if g > 0 && !q.window.free() {
+			break
+		}
 		if i, _, _ := q.head(g); i != nil {
 			cost[g] = i.estimate
 		}
@@ -203,6 +207,7 @@
 	q.shares.start(g, i.estimate, reserved)
 	q.classShares[g].start(c, i.estimate, classShare)
 	q.running++
+	q.window.start(i.group, &i.limitedBy)
 	q.runningWork += i.estimate
 	q.costs.running[i.Kind][i.Level()]++
 	return i, true
@@ -256,6 +261,7 @@
 // Withdraw ends a started item that was not run, and takes its charge back.
 func (q *Queue[T]) Withdraw(i *Item[T]) {
 	q.running--
+	q.Leave(i)
 	q.runningWork -= i.estimate
 	q.costs.running[i.Kind][i.Level()]--
 	q.classes[i.flow.class].charge(i.flow, -i.estimate)
@@ -309,7 +315,7 @@
 // Load returns the load of the server. The expected wait of a priority is that of an organisation without waiting items, in
 // the class of this priority in which most items wait.
 func (q *Queue[T]) Load(now time.Duration) statement.Load {
-	load := statement.Load{Running: q.running, Queued: q.Len(), Slots: q.options.Slots - q.options.PrefetchSlots}
+	load := statement.Load{Running: q.running, Queued: q.Len(), Slots: q.window.limit(q.options.Slots - q.options.PrefetchSlots)}
 	for l := range levels {
 		load.Wait[l] = q.expectedWait(now, Request{Priority: uint8(l), OrganisationPriority: q.longestClass(l)}, 0)
 	}
--- a/internal/database/serverqueue/request.go
+++ b/internal/database/serverqueue/request.go
@@ -117,8 +117,9 @@
 	expiryIndex int
 	waiting     bool
 	group       int
-	reserved    bool // started from the reserved share of its group
-	classShare  bool // started from the reserved share of its class
+	reserved    bool   // started from the reserved share of its group
+	classShare  bool   // started from the reserved share of its class
+	limitedBy   uint64 // the slow start whose window counts the item; 0 if none does
 }
 
 // Wait returns how long the item has waited.
--- a/internal/database/serverqueue/scheduler.go
+++ b/internal/database/serverqueue/scheduler.go
@@ -98,7 +98,7 @@
 	return newError("acquire", s.queue.refusal(now, i, TimedOut, 0))
 }
 
-// end ends a started item and starts the next ones.
+// end applies a change that may free slots, and starts the next items.
 func (s *Scheduler) end(finish func(now time.Duration)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
