Refuse waiting statements when an evacuation begins

The evacuation was checked before the wait for the window and the opening of a connection, and not after them. TestEvacuationRefusesThoseWhoWait and TestEvacuationDuringAnOpening failed before this change: waiting reads ran after the beginning of the evacuation.

--- a/internal/database/serverpool/connections.go
+++ b/internal/database/serverpool/connections.go
@@ -194,7 +194,7 @@
 	if !certain {
 		p.replacements.OutOfStep++
 	}
-	if p.closed || p.connections > p.connectionLimit || !certain {
+	if p.closed || p.evacuatedUntil > 0 || p.connections > p.connectionLimit || !certain {
 		pc.conn.Close()
 		p.connections--
 		p.wakeNextWaiter()
--- a/internal/database/serverpool/evacuation.go
+++ b/internal/database/serverpool/evacuation.go
@@ -6,7 +6,7 @@
 	"tanagercross/internal/database/statement"
 )
 
-// Evacuate makes the pool refuse new statements and close its idle connections. Open transactions may go on until end; then
+// Evacuate makes the pool refuse new statements, also those that wait, and close its idle connections. Open transactions may go on until end; then
 // they are rolled back by closing their connections, so that nothing more is sent to the server. The owner of the pool
 // calls it regularly while the server is evacuated. It returns the number of transactions that it rolled back.
 func (p *Pool) Evacuate(end time.Duration) int {
@@ -14,6 +14,10 @@
 	p.mu.Lock()
 	p.evacuatedUntil = max(1, end)
 	p.closeIdle()
+	for _, w := range p.waiters {
+		close(w)
+	}
+	p.waiters, p.planning.urgentWaiters = nil, 0
 	open := map[uint64]*transaction{}
 	if over {
 		for id, t := range p.transactions {
@@ -21,6 +25,10 @@
 		}
 	}
 	p.mu.Unlock()
+	p.pacer.refuseWaiters()
+	if a, ok := p.admission.(priorityAdmission); ok {
+		a.scheduler.RefuseNewWork()
+	}
 	rolledBack := 0
 	for id, t := range open {
 		if !t.mu.TryLock() {
--- a/internal/database/serverpool/pace.go
+++ b/internal/database/serverpool/pace.go
@@ -48,6 +48,7 @@
 type waiter struct {
 	granted      chan struct{}
 	turn         turn
+	refused      bool // set when the channel is closed
 	organisation string
 }
 
@@ -96,7 +97,10 @@
 		var t turn
 		if !limited {
 			var ok bool
-			if t, ok = p.awaitTurn(ctx, c.Organisation); !ok {
+			if t, ok = p.awaitTurn(ctx, c.Organisation); !ok && p.evacuated() {
+				refusal := refuseEvacuated()
+				return nil, turn{}, &refusal
+			} else if !ok {
 				refusal := statement.Refused(statement.Busy, "queue: slow start")
 				return nil, turn{}, &refusal
 			}
@@ -132,7 +136,7 @@
 	return g.window.Size()
 }
 
-// awaitTurn waits until the window has room. It returns false if the context ends before, or if as many callers of the
+// awaitTurn waits until the window has room. It returns false if the context ends or the server is evacuated before, or if as many callers of the
 // organisation wait as its queue may have.
 func (p *Pool) awaitTurn(ctx context.Context, organisation string) (turn, bool) {
 	g := &p.pacer
@@ -150,7 +154,7 @@
 	g.mu.Unlock()
 	select {
 	case <-w.granted:
-		return w.turn, true
+		return w.turn, !w.refused
 	case <-ctx.Done():
 		g.cancel(w)
 		return turn{}, false
@@ -216,6 +220,17 @@
 	}
 }
 
+// refuseWaiters refuses all callers that wait.
+func (g *pacer) refuseWaiters() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, w := range g.waiters {
+		w.refused = true
+		close(w.granted)
+	}
+	g.waiters = nil
+}
+
 // wake grants turns to as many waiters as the window has room for, next to the organisation whose last turn is the longest
 // ago. The caller holds g.mu.
 func (g *pacer) wake() {
--- a/internal/database/serverpool/serverpool.go
+++ b/internal/database/serverpool/serverpool.go
@@ -257,6 +257,12 @@
 			return nil, nil, *refusal
 		}
 		pc, wait, err := p.acquireConnection(ctx, c)
+		if pc != nil && p.evacuated() {
+			p.release(pc)
+			p.abandonTurn(t, nil)
+			ticket.Withdraw()
+			return nil, nil, refuseEvacuated()
+		}
 		if pc != nil {
 			t.sent = p.options.Boot()
 			pc.turn = t
--- a/internal/database/serverpool/slowstart_test.go
+++ b/internal/database/serverpool/slowstart_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/serverpool"
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/instance/clock"
@@ -89,3 +90,66 @@
 		callers.Wait()
 	}
 }
+
+// slowDialer takes a while to open a connection.
+type slowDialer struct {
+	statement.Dialer
+	took time.Duration
+}
+
+func (d slowDialer) Dial(ctx context.Context, t statement.Target) (statement.Conn, driver.Position, error) {
+	time.Sleep(d.took)
+	return d.Dialer.Dial(ctx, t)
+}
+
+// Guards against statements that reach a server after its evacuation because they waited for the window, for a connection or
+// for its opening when it began, and against waiting callers that are told of it late.
+func TestEvacuationRefusesThoseWhoWait(t *testing.T) {
+	for _, priority := range []bool{false, true} {
+		pool, l := slowStarting(t, priority, 300*time.Millisecond)
+		pool.BeginSlowStart("start", false)
+		answers := make(chan statement.Answer, 3)
+		for n := range 3 {
+			go func() {
+				answers <- pool.Execute(context.Background(), of(fmt.Sprint("o", n), 1, n).WithTimeout(5*time.Second))
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		pool.Evacuate(clock.Boot() + time.Second)
+		evacuated := time.Now()
+		for range 2 {
+			if a := <-answers; a.Code != statement.Busy || a.Delivery != statement.NotSent || time.Since(evacuated) > 100*time.Millisecond {
+				t.Errorf("priorities %t: %+v after %v, want busy and not sent at once", priority, a, time.Since(evacuated))
+			}
+		}
+		if a := <-answers; !a.OK() {
+			t.Errorf("priorities %t: the read that ran: %+v", priority, a)
+		}
+		if connections, _, load, _ := pool.Counts(); connections+load+l.running != 0 {
+			t.Errorf("priorities %t: %d connections, %d statements left", priority, connections, load)
+		}
+	}
+}
+
+// Guards against a statement that is sent because the evacuation began while its connection was being opened.
+func TestEvacuationDuringAnOpening(t *testing.T) {
+	c := cluster.New(clock.Boot)
+	c.AddGroup("meals", "agreste", "sertao")
+	pool := serverpool.New(statement.Target{Server: primary, Group: "meals", Address: primary}, slowDialer{c.Dialer("i1"), 100 * time.Millisecond},
+		serverpool.Options{Slots: 2, Connections: 1})
+	t.Cleanup(pool.Close)
+	answers := make(chan statement.Answer, 2)
+	for n := range 2 { // one opens the connection, the other one waits for it
+		go func() { answers <- pool.Execute(context.Background(), of("a", 1, n).WithTimeout(2*time.Second)) }()
+	}
+	time.Sleep(50 * time.Millisecond)
+	pool.Evacuate(clock.Boot() + time.Second)
+	for range 2 {
+		if a := <-answers; a.Code != statement.Busy || a.Delivery != statement.NotSent {
+			t.Errorf("%+v, want busy and not sent", a)
+		}
+	}
+	if connections, _, load, _ := pool.Counts(); connections+load != 0 || c.Connections(primary) != 0 {
+		t.Errorf("%d connections, %d statements left", connections, load)
+	}
+}
--- a/internal/database/serverqueue/queue.go
+++ b/internal/database/serverqueue/queue.go
@@ -27,6 +27,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"tanagercross/internal/database/statement"
@@ -312,6 +313,15 @@
 	}
 }
 
+// RefuseNewWork rejects all waiting requests outside of open transactions.
+func (q *Queue[T]) RefuseNewWork(now time.Duration) {
+	for _, i := range slices.Clone(q.expiry.values) {
+		if i.section() == newWork {
+			q.refuse(i, q.refusal(now, i, Stopped, 0))
+		}
+	}
+}
+
 // Load returns the load of the server. The expected wait of a priority is that of an organisation without waiting items, in
 // the class of this priority in which most items wait.
 func (q *Queue[T]) Load(now time.Duration) statement.Load {
--- a/internal/database/serverqueue/request.go
+++ b/internal/database/serverqueue/request.go
@@ -88,7 +88,7 @@
 	Displaced Outcome = "displaced"  // the queue was full and a more urgent request took the place
 	Full      Outcome = "full"       // the queue was full of requests that are at least as urgent
 	TimedOut  Outcome = "timed_out"  // its deadline or latency goal passed while it waited, or its caller left
-	Stopped   Outcome = "stopped"    // the queue was stopped
+	Stopped   Outcome = "stopped"    // the queue was stopped, or its server is evacuated
 )
 
 // Outcomes returns all outcomes.
--- a/internal/database/serverqueue/scheduler.go
+++ b/internal/database/serverqueue/scheduler.go
@@ -153,6 +153,9 @@
 	return s.queue.Load(s.now())
 }
 
+// RefuseNewWork rejects all waiting requests outside of open transactions.
+func (s *Scheduler) RefuseNewWork() { s.end(s.queue.RefuseNewWork) }
+
 // Stop rejects all waiting and all later requests. Running statements are not affected.
 func (s *Scheduler) Stop() {
 	s.mu.Lock()
