Report the load by the cost of the statements that a server gets

The load assumed the cost of a read. A primary that has had only writes has no measurement of it, and long writes that wait were counted as short reads. TestLoadOfAServerThatOnlyWrites failed before this change: 30 ms were reported where one write of 40 ms needs 400 ms of the reserved share.

--- a/internal/database/serverqueue/admission.go
+++ b/internal/database/serverqueue/admission.go
@@ -87,6 +87,11 @@
 // expectedWait returns the expected wait of a request that has the given number of items of its own flow ahead of it.
 // Waiting work that goes first is done by the slots that the groups above leave free; the reserved share bounds the wait.
 func (q *Queue[T]) expectedWait(now time.Duration, r Request, ahead int) time.Duration {
+	return q.expectedWaitOf(now, r, ahead, q.costs.estimate(r, q.options.InitialEstimate))
+}
+
+// expectedWaitOf is expectedWait of a request with an expected cost.
+func (q *Queue[T]) expectedWaitOf(now time.Duration, r Request, ahead int, cost time.Duration) time.Duration {
 	group, s := r.group(), r.section()
 	own := q.workBefore(r, s, ahead)
 	before := own + q.workAbove(r, s)
@@ -101,7 +106,6 @@
 	free := float64(slots) * (1 - q.usage.above(now, group, count))
 	wait := time.Duration(float64(before) / free)
 	if group > 0 {
-		cost := q.costs.estimate(r, q.options.InitialEstimate)
 		wait = min(wait, (own+cost)*reservedShare/slots)
 	}
 	return wait + q.runningWork/(slots*slots)
--- a/internal/database/serverqueue/cost.go
+++ b/internal/database/serverqueue/cost.go
@@ -37,6 +37,27 @@
 	return initial
 }
 
+// typical returns the mean cost of reads at a level if it is known, else that of the other kinds.
+func (c *costs) typical(level int, initial time.Duration) time.Duration {
+	var sum time.Duration
+	known := 0
+	for k := range kinds {
+		if c.samples[k] == [levels]int{} {
+			continue
+		}
+		mean := c.expected(k, level, initial)
+		if k == Read {
+			return mean
+		}
+		sum += mean
+		known++
+	}
+	if known == 0 {
+		return initial
+	}
+	return sum / time.Duration(known)
+}
+
 // learn adds a measured cost.
 func (c *costs) learn(r Request, cost time.Duration) {
 	mean, n := &c.mean[r.Kind][r.Level()], &c.samples[r.Kind][r.Level()]
--- a/internal/database/serverqueue/queue.go
+++ b/internal/database/serverqueue/queue.go
@@ -327,11 +327,20 @@
 func (q *Queue[T]) Load(now time.Duration) statement.Load {
 	load := statement.Load{Running: q.running, Queued: q.Len(), Slots: q.window.limit(q.options.Slots - q.options.PrefetchSlots)}
 	for l := range levels {
-		load.Wait[l] = q.expectedWait(now, Request{Priority: uint8(l), OrganisationPriority: q.longestClass(l)}, 0)
+		r := Request{Priority: uint8(l), OrganisationPriority: q.longestClass(l)}
+		load.Wait[l] = q.expectedWaitOf(now, r, 0, q.typicalCost(r))
 	}
 	return load
 }
 
+// typicalCost returns the mean cost of the new work that waits in the class of a request, or that was measured if none waits.
+func (q *Queue[T]) typicalCost(r Request) time.Duration {
+	if c := &q.classes[r.class()]; c.queued[newWork] > 0 {
+		return c.work[newWork] / time.Duration(c.queued[newWork])
+	}
+	return q.costs.typical(r.Level(), q.options.InitialEstimate)
+}
+
 // longestClass returns the priority of organisations whose new work waits most at a level of the route.
 func (q *Queue[T]) longestClass(l int) uint8 {
 	longest := 0
