Give less urgent calls one connection opening in twenty

While urgent openings held all but one opening, a call of priority 1 or 2 without a connection never opened one. TestLessUrgentCallsOpenConnectionsBesideUrgentOnes failed before this change: none of five calls was answered within 2 s.

--- a/internal/database/connplan/connplan.go
+++ b/internal/database/connplan/connplan.go
@@ -6,7 +6,7 @@
 // possibly in place of an idle connection of another organisation, or waits for its turn. An idle connection is closed if
 // it is needed least: the expected number of openings that it saves a second, from the recent demand of its organisation and
 // the number of its connections, is lowest. Calls of priority 0 are urgent. The less urgent leave some connections and one
-// opening to them.
+// opening to them. While urgent openings keep a less urgent call from opening a connection, it gets one opening in twenty.
 //
 // # Usage
 //
@@ -125,6 +125,7 @@
 	openings      int
 	opening       time.Duration // average duration of an opening; 0 before the first
 	lastSweep     time.Duration
+	share         share
 }
 
 // New returns a plan that knows of no connections.
@@ -186,7 +187,8 @@
 	if p.ownIsSooner(r) {
 		return AwaitOwn{Limit: p.opening}
 	}
-	if p.openings >= p.maxOpenings(r) {
+	if p.openings >= p.maxOpenings(now, r) {
+		p.share.denied = p.share.denied || !r.Urgent()
 		return Await{Cause: Openings}
 	}
 	if s.Connections < s.Limit && !s.Paused {
@@ -204,9 +206,13 @@
 func (p *Plan) reserved(limit int) int { return min(p.options.Slots, int(reservedPart*float64(limit))) }
 
 // maxOpenings returns how many openings run at once before a call may begin another one. Each occupies a slot; the last
-// one is left to urgent calls.
-func (p *Plan) maxOpenings(r Request) int {
-	if r.Urgent() {
+// one is left to urgent calls, or to a less urgent one that was promised an opening.
+func (p *Plan) maxOpenings(now time.Duration, r Request) int {
+	promised := now < p.share.promisedUntil
+	if promised && r.Urgent() {
+		return p.options.Slots - 1
+	}
+	if promised || r.Urgent() {
 		return p.options.Slots
 	}
 	return max(1, p.options.Slots-1)
--- a/internal/database/connplan/use.go
+++ b/internal/database/connplan/use.go
@@ -32,6 +32,7 @@
 // Begin records that a connection is being opened for a call.
 func (p *Plan) Begin(now time.Duration, r Request) Use {
 	p.openings++
+	p.share.opened(r)
 	p.organisation(r.Organisation).opening++
 	return p.Take(now, r)
 }
--- a/internal/database/serverpool/connections.go
+++ b/internal/database/serverpool/connections.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"tanagercross/internal/database/statement"
 )
@@ -149,12 +150,14 @@
 	}
 }
 
-// wakeNextWaiter lets the first caller that waits for a connection try again. The caller holds p.mu.
+// wakeNextWaiter lets the first caller that waits for a connection try again, or the first less urgent one if the plan owes
+// it an opening. The caller holds p.mu.
 func (p *Pool) wakeNextWaiter() {
 	if len(p.waiters) > 0 {
-		close(p.waiters[0])
-		p.waiters = p.waiters[1:]
-		p.waiterRemoved(0)
+		n := p.nextWaiter()
+		close(p.waiters[n])
+		p.waiters = slices.Delete(p.waiters, n, n+1)
+		p.waiterRemoved(n)
 	}
 }
 
--- a/internal/database/serverpool/planned.go
+++ b/internal/database/serverpool/planned.go
@@ -175,6 +175,22 @@
 	return wait
 }
 
+// nextWaiter returns the place of the waiter to wake. An opening that is promised to a less urgent one and not used wakes
+// another one after its time. The caller holds p.mu.
+func (p *Pool) nextWaiter() int {
+	plan, now := p.planning.plan, p.options.Boot()
+	if plan == nil || len(p.waiters) == p.planning.urgentWaiters || !plan.OwesLessUrgent(now, p.connectionLimit) {
+		return 0
+	}
+	plan.Promise(now)
+	time.AfterFunc(connplan.PromiseLimit, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.wakeNextWaiter()
+	})
+	return p.planning.urgentWaiters
+}
+
 // waiterRemoved records that the n-th waiter was taken off the list. The caller holds p.mu.
 func (p *Pool) waiterRemoved(n int) {
 	if n < p.planning.urgentWaiters {
