Subtract the wait for a rate token from the latency goal

A statement got its whole latency goal after the wait for a rate token. TestWaitForATokenCountsInTheGoal failed before this change: 500 ms of 500 ms were left after a wait of 50 ms.

--- a/internal/session/callersession/callersession.go
+++ b/internal/session/callersession/callersession.go
@@ -91,6 +91,7 @@
 	prepared     map[string]statement.Preparation // by the name that the caller gave
 	lastCommit   driver.Position                  // newest log position of a commit of this session
 	shouldClose  bool
+	received     time.Time // when the present query was received
 
 	state               statement.State
 	readOnly            bool
@@ -160,6 +161,7 @@
 // Handle answers one query of the caller.
 func (s *Session) Handle(ctx context.Context, q statement.Query) statement.Answer {
 	started := time.Now()
+	s.received = started
 	a := s.handleSafely(ctx, q)
 	s.state = a.State
 	s.env.Observer.Answered(s.database, s.organisation, q, a, time.Since(started))
@@ -321,14 +323,18 @@
 	return call, statement.Answer{}
 }
 
-// withPriority returns a copy of a call with the priorities and the latency goal of its database, if calls carry them.
+// withPriority returns a copy of a call with the priorities of its database and what is left of its latency goal, if calls
+// carry them.
 func (s *Session) withPriority(c statement.Call, db catalog.Database) statement.Call {
 	if !s.env.Priorities {
 		return c
 	}
 	o, _ := s.env.Configuration().Organisation(s.organisation)
 	c.Priority, c.OrganisationPriority = priority(db.Priority), priority(o.Priority)
-	c.Goal = db.LatencyGoal
+	if db.LatencyGoal > 0 {
+		// The call may have waited for a rate token. A goal of 0 would mean that there is none.
+		c.Goal = max(time.Millisecond, db.LatencyGoal-time.Since(s.received))
+	}
 	return c
 }
 
