Keep earlier statements out of a slow start, and count failed setups

A slow start began with the epoch of an earlier one, so that answers to statements from before it counted in its window. Refusals and missing answers during the setup of a connection did not reduce the window.

--- a/internal/database/pace/pace.go
+++ b/internal/database/pace/pace.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	w := pace.Begin(server.Slots)
+//	w := pace.Begin(server.Slots).After(earlier)
 //	if running < w.Size() {
 //		epoch := w.Epoch() // when the statement is sent
 //	}
@@ -41,7 +41,7 @@
 type Window struct {
 	slots    int
 	size     int
-	epoch    uint64 // rises at each reduction, so that statements sent before cause no other one
+	epoch    uint64 // rises at each reduction and each slow start, so that statements sent before cause no other one
 	cautious int    // answers of a round after the server slowed down; 0 while the window doubles
 	grown    bool   // the window has grown since the last reduction
 	answers  int    // of this round
@@ -59,6 +59,12 @@
 	return w
 }
 
+// After returns a window that takes the place of an earlier one, so that statements of the earlier one do not count in it.
+func (w Window) After(earlier Window) Window {
+	w.epoch = earlier.epoch + 1
+	return w
+}
+
 // Ended reports whether the server gets its full share.
 func (w Window) Ended() bool { return w.size >= w.slots }
 
--- a/internal/database/pace/pace_test.go
+++ b/internal/database/pace/pace_test.go
@@ -231,6 +231,23 @@
 	}
 }
 
+// Guards against statements from before a slow start that count in its window: a failure of one would end the doubling, so
+// that 224 answers would be needed instead of 24.
+func TestStatementsFromBeforeASlowStart(t *testing.T) {
+	earlier := pace.Window{}
+	for range 2 {
+		w := pace.Begin(8).After(earlier).WithFailure(earlier.Epoch()).WithAnswer(earlier.Epoch(), 9)
+		answers := 0
+		for ; !w.Ended(); answers++ {
+			w = w.WithAnswer(w.Epoch(), 1)
+		}
+		if answers != 24 {
+			t.Errorf("full share after %d answers at the usual latency, want 24", answers)
+		}
+		earlier = w
+	}
+}
+
 // Guards against a usual latency that is that of the slow server itself although others are known.
 func TestUsualLatency(t *testing.T) {
 	var l pace.Latencies
--- a/internal/database/serverpool/pace.go
+++ b/internal/database/serverpool/pace.go
@@ -71,6 +71,7 @@
 	g := &p.pacer
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	w = w.After(g.window)
 	g.window, g.cause, g.began, g.reported = w, cause, p.options.Boot(), 0
 	g.reference, g.running, g.grants, g.lastGrant = [4]reference{}, 0, 0, map[string]uint64{}
 	g.starts++
@@ -258,6 +259,26 @@
 	})
 }
 
+// reportSetup reduces the window if the server refused the setup of a connection or did not answer it. ReadOnly and Behind say
+// nothing about its load, and the codes of a faulty statement are due to its caller.
+func (p *Pool) reportSetup(t turn, refusal statement.Answer) {
+	switch refusal.Code {
+	case statement.ReadOnly, statement.Behind, statement.NoStatement, statement.Failed, statement.Malformed, statement.TooLarge,
+		statement.Unauthorized, statement.NoDatabase:
+		return
+	}
+	g := &p.pacer
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.paced && !g.window.Ended() {
+		g.window = g.window.WithFailure(t.epoch)
+		if a, ok := p.admission.(priorityAdmission); ok {
+			a.scheduler.SetWindow(g.limit())
+		}
+		p.reportSlowStartLocked()
+	}
+}
+
 // endTurn ends a turn with the answer to its statement.
 func (p *Pool) endTurn(t turn, c statement.Call, a statement.Answer) {
 	took := p.options.Boot() - t.sent
--- a/internal/database/serverpool/run.go
+++ b/internal/database/serverpool/run.go
@@ -30,6 +30,7 @@
 		open = &statement.OpenTransaction{}
 	}
 	if refusal, clean := p.prepareConnection(ctx, pc, c, open); refusal != nil {
+		p.reportSetup(pc.turn, *refusal)
 		return *refusal, clean
 	}
 	forward := statement.Forward{ID: c.ID, Body: c.Body}
@@ -85,6 +86,7 @@
 		open.ReadOnly, open.After = true, c.After
 	}
 	if refusal, clean := p.prepareConnection(ctx, pc, c, open); refusal != nil {
+		p.reportSetup(pc.turn, *refusal)
 		if clean {
 			p.release(pc)
 		} else {
