--- a/internal/database/serverpool/connections.go
+++ b/internal/database/serverpool/connections.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"tanagercross/internal/database/statement"
 )
@@ -149,15 +150,28 @@
 	}
 }
 
-// wakeNextWaiter lets the first caller that waits for a connection try again. The caller holds p.mu.
+// wakeNextWaiter lets the first caller that waits for a connection try again, or the first less urgent one if the plan owes
+// it an opening. The caller holds p.mu.
 func (p *Pool) wakeNextWaiter() {
 	if len(p.waiters) > 0 {
-		close(p.waiters[0])
-		p.waiters = p.waiters[1:]
-		p.waiterRemoved(0)
+		n := p.nextWaiter()
+		close(p.waiters[n])
+		p.waiters = slices.Delete(p.waiters, n, n+1)
+		p.waiterRemoved(n)
 	}
 }
 
+// passOn wakes the next waiter in place of a caller that was woken and is then refused before it asks for a connection. A
+// failed opening has woken it already.
+func (p *Pool) passOn(woken bool) {
+	if !woken {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wakeNextWaiter()
+}
+
 // cancelWait removes a caller that stopped waiting for a connection. If it was woken already, the next waiter is woken
 // instead, so that the free connection does not stay unused.
 func (p *Pool) cancelWait(wait chan struct{}) {
@@ -183,7 +197,7 @@
 	if !certain {
 		p.replacements.OutOfStep++
 	}
-	if p.closed || p.connections > p.connectionLimit || !certain {
+	if p.closed || p.evacuatedUntil > 0 || p.connections > p.connectionLimit || !certain {
 		pc.conn.Close()
 		p.connections--
 		p.wakeNextWaiter()
--- a/internal/database/serverpool/serverpool.go
+++ b/internal/database/serverpool/serverpool.go
@@ -249,21 +249,20 @@
 // the refusal to return to the caller. The ticket holds the slot until it is released or slotHoldTimeout is over.
 func (p *Pool) acquireSlot(ctx context.Context, c statement.Call) (ticket, *pooledConn, statement.Answer) {
 	request := p.request(ctx, c)
+	woken := false // for a connection that another waiter can use if this call is refused
 	for {
-		ticket, err := p.admission.acquire(ctx, request, c.Session)
-		if err != nil {
-			return nil, nil, p.admission.refusal(err)
+		ticket, t, refusal := p.acquireTurn(ctx, c, request)
+		if refusal != nil {
+			p.passOn(woken)
+			return nil, nil, *refusal
 		}
-		if p.evacuated() {
-			ticket.Release()
+		pc, wait, err := p.acquireConnection(ctx, c)
+		if pc != nil && p.evacuated() {
+			p.release(pc)
+			p.abandonTurn(t, nil)
+			ticket.Withdraw()
 			return nil, nil, refuseEvacuated()
 		}
-		t, ok := p.awaitTurn(ctx)
-		if !ok {
-			ticket.Release()
-			return nil, nil, statement.Refused(statement.Busy, "queue: slow start")
-		}
-		pc, wait, err := p.acquireConnection(ctx, c)
 		if pc != nil {
 			t.sent = p.options.Boot()
 			pc.turn = t
@@ -278,6 +277,7 @@
 		ticket.Withdraw()
 		select {
 		case <-wait:
+			woken = true
 		case <-ctx.Done():
 			p.cancelWait(wait)
 			return nil, nil, statement.Refused(statement.TooMany, "no connection became free")
--- a/internal/database/serverqueue/admission.go
+++ b/internal/database/serverqueue/admission.go
@@ -15,7 +15,8 @@
 
 // waitMargins are the factors, by level, by which an item's time must exceed its expected wait. More urgent work may come
 // while it waits: in the replays up to 14% of the refusals come later than 100 ms after the request with 2 at all levels, and
-// at most 10% with these. Only open transactions go before the highest level, so that it may wait for longer.
+// at most 10% with these. Only open transactions go before the highest level, so that it may wait for longer. Nothing goes
+// before open transactions, which need no margin.
 var waitMargins = [statement.Priorities]time.Duration{2, 3, 3}
 
 // admit decides whether an item may wait: it returns Served, or the outcome of a refusal with the wait that was expected.
@@ -26,7 +27,7 @@
 	if limit, ok := i.limit(); ok && limit <= now {
 		return TimedOut, 0
 	}
-	if q.Len() == 0 && q.running < q.options.Slots {
+	if q.Len() == 0 && q.running < q.options.Slots && (i.InTransaction || q.window.free()) {
 		return Served, 0
 	}
 	expected, inTime := q.endsInTime(now, i)
@@ -67,8 +68,12 @@
 // fits returns the expected wait of an item behind a number of items of its flow, and whether it leaves a margin for more
 // urgent work that comes later.
 func (q *Queue[T]) fits(now time.Duration, i *Item[T], ahead int) (time.Duration, bool) {
+	margin := waitMargins[i.Level()]
+	if i.InTransaction {
+		margin = 1
+	}
 	expected := q.expectedWait(now, i.Request, ahead)
-	return expected, expected <= (i.latestStart-now)/waitMargins[i.Request.Level()]
+	return expected, expected <= (i.latestStart-now)/margin
 }
 
 // flow returns the flow of a request, or nil if there is none.
@@ -82,17 +87,25 @@
 // expectedWait returns the expected wait of a request that has the given number of items of its own flow ahead of it.
 // Waiting work that goes first is done by the slots that the groups above leave free; the reserved share bounds the wait.
 func (q *Queue[T]) expectedWait(now time.Duration, r Request, ahead int) time.Duration {
+	return q.expectedWaitOf(now, r, ahead, q.costs.estimate(r, q.options.InitialEstimate))
+}
+
+// expectedWaitOf is expectedWait of a request with an expected cost.
+func (q *Queue[T]) expectedWaitOf(now time.Duration, r Request, ahead int, cost time.Duration) time.Duration {
 	group, s := r.group(), r.section()
 	own := q.workBefore(r, s, ahead)
 	before := own + q.workAbove(r, s)
-	if before == 0 && q.running < q.options.Slots {
+	count := q.usableSlots()
+	if group > 0 {
+		count = q.window.limit(count)
+	}
+	if before == 0 && q.running < count && (group == 0 || q.window.free()) {
 		return 0
 	}
-	slots := time.Duration(q.options.Slots)
-	free := float64(slots) * (1 - q.usage.above(now, group, q.options.Slots))
+	slots := time.Duration(count)
+	free := float64(slots) * (1 - q.usage.above(now, group, count))
 	wait := time.Duration(float64(before) / free)
 	if group > 0 {
-		cost := q.costs.estimate(r, q.options.InitialEstimate)
 		wait = min(wait, (own+cost)*reservedShare/slots)
 	}
 	return wait + q.runningWork/(slots*slots)
--- a/internal/database/serverqueue/queue.go
+++ b/internal/database/serverqueue/queue.go
@@ -7,7 +7,7 @@
 // time of at most 20 c and one item of each other priority.
 //
 // The items of one organisation and priority are served first in, first out; while more than Options.MaxInOrder wait, the
-// newest is served first, as in package fairness.
+// newest is served first, as in package fairness. This does not apply to statements of open transactions.
 //
 // An item that is expected to end after its deadline or its latency goal is refused as soon as that is expected: when it is
 // pushed, when newer ones overtake it, or when the time at which it had to start has passed. A full queue refuses the
@@ -27,6 +27,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"tanagercross/internal/database/statement"
@@ -55,6 +56,7 @@
 	shares        strict         // of the groups
 	classShares   [groups]strict // of the classes in a group
 	stopped       bool
+	window        window
 }
 
 // NewQueue returns an empty queue. It calls reject for each waiting item that leaves the queue without being started.
@@ -187,6 +189,9 @@
 	q.Expire(now)
 	var cost [classes]time.Duration
 	for g := range groups {
+		if g > 0 && !q.window.free() {
+			break
+		}
 		if i, _, _ := q.head(g); i != nil {
 			cost[g] = i.estimate
 		}
@@ -203,6 +208,7 @@
 	q.shares.start(g, i.estimate, reserved)
 	q.classShares[g].start(c, i.estimate, classShare)
 	q.running++
+	q.window.start(i.group, &i.limitedBy)
 	q.runningWork += i.estimate
 	q.costs.running[i.Kind][i.Level()]++
 	return i, true
@@ -256,6 +262,7 @@
 // Withdraw ends a started item that was not run, and takes its charge back.
 func (q *Queue[T]) Withdraw(i *Item[T]) {
 	q.running--
+	q.Leave(i)
 	q.runningWork -= i.estimate
 	q.costs.running[i.Kind][i.Level()]--
 	q.classes[i.flow.class].charge(i.flow, -i.estimate)
@@ -306,16 +313,34 @@
 	}
 }
 
+// RefuseNewWork rejects all waiting requests outside of open transactions.
+func (q *Queue[T]) RefuseNewWork(now time.Duration) {
+	for _, i := range slices.Clone(q.expiry.values) {
+		if i.section() == newWork {
+			q.refuse(i, q.refusal(now, i, Stopped, 0))
+		}
+	}
+}
+
 // Load returns the load of the server. The expected wait of a priority is that of an organisation without waiting items, in
 // the class of this priority in which most items wait.
 func (q *Queue[T]) Load(now time.Duration) statement.Load {
-	load := statement.Load{Running: q.running, Queued: q.Len(), Slots: q.options.Slots - q.options.PrefetchSlots}
+	load := statement.Load{Running: q.running, Queued: q.Len(), Slots: q.window.limit(q.options.Slots - q.options.PrefetchSlots)}
 	for l := range levels {
-		load.Wait[l] = q.expectedWait(now, Request{Priority: uint8(l), OrganisationPriority: q.longestClass(l)}, 0)
+		r := Request{Priority: uint8(l), OrganisationPriority: q.longestClass(l)}
+		load.Wait[l] = q.expectedWaitOf(now, r, 0, q.typicalCost(r))
 	}
 	return load
 }
 
+// typicalCost returns the mean cost of the new work that waits in the class of a request, or that was measured if none waits.
+func (q *Queue[T]) typicalCost(r Request) time.Duration {
+	if c := &q.classes[r.class()]; c.queued[newWork] > 0 {
+		return c.work[newWork] / time.Duration(c.queued[newWork])
+	}
+	return q.costs.typical(r.Level(), q.options.InitialEstimate)
+}
+
 // longestClass returns the priority of organisations whose new work waits most at a level of the route.
 func (q *Queue[T]) longestClass(l int) uint8 {
 	longest := 0
@@ -327,10 +352,13 @@
 	return uint8(longest)
 }
 
-// slotFree reports whether an item may start. A prefetch slot is free only behind short items.
-func (q *Queue[T]) slotFree() bool {
-	if q.running >= q.options.Slots {
-		return false
+// slotFree reports whether an item may start.
+func (q *Queue[T]) slotFree() bool { return q.running < q.usableSlots() }
+
+// usableSlots returns how many items may run. The prefetch slots are used only behind short items.
+func (q *Queue[T]) usableSlots() int {
+	if q.costs.longestRunning(q.options.InitialEstimate) <= q.options.Short {
+		return q.options.Slots
 	}
-	return q.running < max(1, q.options.Slots-q.options.PrefetchSlots) || q.costs.longestRunning(q.options.InitialEstimate) <= q.options.Short
+	return max(1, q.options.Slots-q.options.PrefetchSlots)
 }
--- a/internal/database/serverqueue/request.go
+++ b/internal/database/serverqueue/request.go
@@ -88,7 +88,7 @@
 	Displaced Outcome = "displaced"  // the queue was full and a more urgent request took the place
 	Full      Outcome = "full"       // the queue was full of requests that are at least as urgent
 	TimedOut  Outcome = "timed_out"  // its deadline or latency goal passed while it waited, or its caller left
-	Stopped   Outcome = "stopped"    // the queue was stopped
+	Stopped   Outcome = "stopped"    // the queue was stopped, or its server is evacuated
 )
 
 // Outcomes returns all outcomes.
@@ -117,8 +117,9 @@
 	expiryIndex int
 	waiting     bool
 	group       int
-	reserved    bool // started from the reserved share of its group
-	classShare  bool // started from the reserved share of its class
+	reserved    bool   // started from the reserved share of its group
+	classShare  bool   // started from the reserved share of its class
+	limitedBy   uint64 // the slow start whose window counts the item; 0 if none does
 }
 
 // Wait returns how long the item has waited.
--- a/internal/database/serverqueue/scheduler.go
+++ b/internal/database/serverqueue/scheduler.go
@@ -98,7 +98,7 @@
 	return newError("acquire", s.queue.refusal(now, i, TimedOut, 0))
 }
 
-// end ends a started item and starts the next ones.
+// end applies a change that may free slots, and starts the next items.
 func (s *Scheduler) end(finish func(now time.Duration)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -153,6 +153,9 @@
 	return s.queue.Load(s.now())
 }
 
+// RefuseNewWork rejects all waiting requests outside of open transactions.
+func (s *Scheduler) RefuseNewWork() { s.end(s.queue.RefuseNewWork) }
+
 // Stop rejects all waiting and all later requests. Running statements are not affected.
 func (s *Scheduler) Stop() {
 	s.mu.Lock()
