Keep an acknowledged write when a primary is evacuated, and let it lead again

An evacuation of a group without synchronous replicas demoted the primary although no replica reported, and a replica that reported later was promoted without the last writes. A demoted primary was never promoted again, also after the evacuation was withdrawn.

A primary is demoted only if a server can follow it. After a confirmed demotion the old primary is asked as well, the end of its log is kept while it runs, and one that runs as a replica is a candidate. Both faults are in the same choice, hence one commit.

--- a/internal/database/promotion/promotion.go
+++ b/internal/database/promotion/promotion.go
@@ -82,6 +82,7 @@
 	Server  string // id
 	Place   string
 	Leaving bool // the server is about to stop
+	Former  bool // the server is the primary that is replaced; it is chosen only if no other has received as much
 	Paused  bool // the server receives nothing until it is resumed or promoted
 	statement.Report
 }
@@ -112,12 +113,16 @@
 
 // EnoughReports reports whether a primary may be chosen from the reports: RequiredReports of them are present, or one
 // replica has received the whole log of the demoted primary. The number of replicas includes those of the group that are
-// missing from the store. Unless the old primary confirmed its demotion, it may be running and acknowledge commits that a
+// missing from the store. Without synchronous replicas, nothing but the whole log suffices after a demotion, because the
+// demoted primary still has it. Unless the old primary confirmed its demotion, it may be running and acknowledge commits that a
 // synchronous replica receives after its report, so that only the reports of paused replicas count.
 func EnoughReports(reports []Report, replicas, syncReplicas int, d Demotion) bool {
 	if best, ok := ChoosePrimary(reports, ""); ok && d.Confirmed && best.Received.Compare(d.End) >= 0 {
 		return true
 	}
+	if d.Confirmed && syncReplicas <= 0 {
+		return false
+	}
 	counted := len(reports)
 	if syncReplicas > 0 && !d.Confirmed {
 		counted = countPaused(reports)
@@ -137,7 +142,7 @@
 }
 
 // ChoosePrimary returns the server with the newest received log position. Among equal ones it prefers servers that are
-// not about to stop, then servers in the given place, that of the old primary. It returns false without reports.
+// not about to stop, then others than the old primary, then servers in the given place, that of the old primary. It returns false without reports.
 func ChoosePrimary(reports []Report, place string) (Report, bool) {
 	var best Report
 	found := false
@@ -155,6 +160,9 @@
 	if r.Leaving != other.Leaving {
 		return other.Leaving
 	}
+	if r.Former != other.Former {
+		return other.Former
+	}
 	return r.Place == place && other.Place != place
 }
 
--- a/internal/database/promotion/promotion_test.go
+++ b/internal/database/promotion/promotion_test.go
@@ -102,6 +102,8 @@
 		"has the whole log of the demoted primary": {two, 3, 1, demoted(9), true},
 		"lacks one entry of the demoted primary":   {two, 3, 1, demoted(10), false},
 		"no reports, asynchronous":                 {nil, 2, 0, promotion.Demotion{}, false},
+		"asynchronous, primary demoted":            {two, 2, 0, demoted(9), true},
+		"asynchronous, lacks one entry of it":      {two, 2, 0, demoted(10), false},
 		"no reports, primary demoted":              {nil, 2, 0, demoted(9), false},
 	} {
 		if got := promotion.EnoughReports(c.reports, c.replicas, c.sync, c.demotion); got != c.want {
@@ -133,6 +135,11 @@
 	if best, _ := promotion.ChoosePrimary([]promotion.Report{leaving, report("b", "y", 3, 9)}, "x"); best.Server != "b" {
 		t.Errorf("chose %s, want the one that is not about to stop", best.Server)
 	}
+	former := report("f", "x", 3, 9)
+	former.Former = true
+	if best, _ := promotion.ChoosePrimary([]promotion.Report{former, report("b", "y", 3, 9)}, "x"); best.Server != "b" {
+		t.Errorf("chose %s, want another server than the old primary", best.Server)
+	}
 	if best, _ := promotion.ChoosePrimary([]promotion.Report{report("b", "y", 3, 8), leaving}, "y"); best.Server != "a" {
 		t.Errorf("chose %s, want the one with the newest position", best.Server)
 	}
--- a/internal/instance/entry/failover.go
+++ b/internal/instance/entry/failover.go
@@ -66,6 +66,7 @@
 	leaderlessSince  map[string]time.Duration
 	leavingSince     map[string]time.Duration    // since when the primary of a group is leaving
 	undemotedSince   map[string]time.Duration    // first demotion that a server did not confirm, by server
+	demotions        map[string]demotion         // last confirmed one whose log no promoted server has, by group
 	orders           map[string]promotion.Orders // without an answer, by group
 	unsettled        map[string]bool             // groups with replicas that may be paused although no change is in progress
 	coordinated      map[string]bool             // groups whose coordinator this instance is
@@ -78,7 +79,7 @@
 func newFailover(n *Node) *failover {
 	return &failover{
 		n: n, inProgress: map[string]bool{}, servingAt: map[string]time.Duration{}, lastReport: map[string]time.Duration{}, leaderlessSince: map[string]time.Duration{},
-		leavingSince: map[string]time.Duration{}, undemotedSince: map[string]time.Duration{}, orders: map[string]promotion.Orders{},
+		leavingSince: map[string]time.Duration{}, undemotedSince: map[string]time.Duration{}, orders: map[string]promotion.Orders{}, demotions: map[string]demotion{},
 		unsettled: map[string]bool{}, coordinated: map[string]bool{}, inspectionDue: map[string]time.Duration{},
 	}
 }
@@ -298,10 +299,12 @@
 		"leaderless_ms", e.LeaderlessFor.Milliseconds(), "verdict", int(decision))
 	switch decision {
 	case promotion.Replace:
-		return g.changePrimary(ctx, x.Group, s, false)
+		return g.changePrimary(ctx, x.Group, s, e)
 	case promotion.Demote:
-		return g.changePrimary(ctx, x.Group, s, true)
+		g.forgetDemotion(x.Group)
+		return g.changePrimary(ctx, x.Group, s, e)
 	case promotion.Keep:
+		g.forgetDemotion(x.Group)
 		g.mu.Lock()
 		g.servingAt[x.Group] = g.n.boot()
 		g.mu.Unlock()
--- a/internal/instance/entry/promote.go
+++ b/internal/instance/entry/promote.go
@@ -20,8 +20,10 @@
 // pause of synchronous replicas has the same effect. The promotion lease is acquired before anything else, so that no
 // other instance promotes a server meanwhile; if another instance holds it, the change is forwarded to that one. With
 // synchronous replicas, the change fails unless so many replicas report that one of them must have every acknowledged
-// commit.
-func (g *failover) changePrimary(ctx context.Context, group string, old catalog.Server, planned bool) error {
+// commit. An old primary that runs and does not lead is asked too: it leads again if the others lack commits that it has.
+func (g *failover) changePrimary(ctx context.Context, group string, old catalog.Server, e promotion.Evidence) error {
+	reached := e.ReachedLocally || e.ReachedByPeer
+	planned, returning := reached && e.IsLeader, reached && !e.IsLeader
 	claim, err := g.claim(ctx, 0)
 	if err != nil {
 		return err
@@ -43,22 +45,34 @@
 		}
 	}
 	candidates := g.candidates(group, old.ID, syncReplicas > 0)
-	if !g.hasSuccessor(group, old.ID) {
+	if !g.hasSuccessor(group, old.ID) && (!returning || g.evacuated(old)) {
 		return eris.Errorf("no other server of %s outside of evacuated data centres", group)
 	}
-	var demotion promotion.Demotion
+	demotion := g.earlierDemotion(group, old.ID, reached && syncReplicas == 0)
 	if planned {
+		if !g.canFollow(ctx, candidates, old) {
+			return eris.Errorf("%s is not demoted: no server that can follow it has nearly its whole log", old.ID)
+		}
 		demotion = g.demote(ctx, group, old)
 		if !demotion.Confirmed && syncReplicas == 0 && g.undemotedFor(old.ID) < demotePatience {
 			return eris.Errorf("%s is not demoted and may acknowledge commits that no replica has", old.ID)
 		}
 	}
+	if returning && g.isReplica(ctx, old) {
+		candidates = append(candidates, old)
+	}
 	reports := g.collectReports(ctx, group, candidates, demotion)
-	if demotion.Confirmed && syncReplicas > 0 {
-		// The old primary is asked too: it leads again if the replicas lack commits that it acknowledged.
+	if planned && demotion.Confirmed {
 		reports = append(reports, g.queryServers(ctx, []catalog.Server{old}, statement.Status{})...)
 	}
+	for i := range reports {
+		if reports[i].Server == old.ID && reports[i].Role == driver.Primary {
+			return eris.Errorf("%s leads again", old.ID)
+		}
+		reports[i].Former = reports[i].Server == old.ID
+	}
 	if leader, ok := promotion.FindNewPrimary(reports, old.ID); ok {
+		g.forgetDemotion(group)
 		g.announceLeader(group, leader)
 		return nil
 	}
@@ -117,6 +131,7 @@
 		s, _ := g.n.table.Servers().Server(best.Server)
 		r, err := g.sendCommand(ctx, s, probeTimeout, statement.Status{})
 		if err == nil && r.Role == driver.Primary {
+			g.forgetDemotion(c.group)
 			g.announceLeader(c.group, promotion.Report{Server: best.Server, Report: r})
 			g.resumeReplicas(ctx, c.group, reported(c.candidates, c.reports, best.Server))
 			return nil
--- a/internal/instance/entry/replicas.go
+++ b/internal/instance/entry/replicas.go
@@ -46,7 +46,11 @@
 		r, err := g.sendCommand(ctx, old, reportTimeout, statement.Demote{Term: term})
 		if err == nil && r.Role != driver.Primary {
 			g.n.log.Info("leaving primary demoted", "group", group, "primary", old.ID, "term", term, "end", r.Received.String())
-			return promotion.Demotion{Confirmed: true, End: r.Received}
+			d := promotion.Demotion{Confirmed: true, End: r.Received}
+			g.mu.Lock()
+			g.demotions[group] = demotion{server: old.ID, Demotion: d}
+			g.mu.Unlock()
+			return d
 		}
 		g.n.log.Warn("leaving primary not demoted", "group", group, "primary", old.ID, "term", term, "its_term", r.Term,
 			"error", errorText(err))
--- a/internal/instance/entry/settle_test.go
+++ b/internal/instance/entry/settle_test.go
@@ -10,13 +10,19 @@
 
 // pause makes a replica stop receiving the log, as a coordinator does that dies during a change of primary.
 func (f *fleet) pause(server string) {
+	f.t.Helper()
+	f.command(server, statement.PauseReplication{Term: 9})
+}
+
+// command sends a command to a server and requires a report.
+func (f *fleet) command(server string, c statement.Command) {
 	f.t.Helper()
 	conn, _, err := f.cluster.Dialer("test").Dial(context.Background(), statement.Target{Server: server, Organisation: "coop"})
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	defer conn.Close()
-	if _, err := conn.Report(time.Now().Add(time.Second), statement.PauseReplication{Term: 9}); err != nil {
+	if _, err := conn.Report(time.Now().Add(time.Second), c); err != nil {
 		f.t.Fatal(err)
 	}
 }
