Apply the present evacuations to the pools at every tick

A change and the periodic call could read the evacuations, be overtaken by the end of one, and mark the pool again; nothing cleared the mark. The calls are serialised, and each tick applies the state in both directions. TestPoolDoesNotStayEvacuated was seen to fail before.

--- a/internal/instance/entry/demotion_test.go
+++ b/internal/instance/entry/demotion_test.go
@@ -61,3 +61,14 @@
 		t.Error("the acknowledged write is lost")
 	}
 }
+
+// Guards against a pool that stays evacuated because its mark was set after the end of the evacuation was applied.
+func TestPoolDoesNotStayEvacuated(t *testing.T) {
+	f := newFleet(t, "agreste")
+	s := f.session(0, "bookings")
+	f.eventually("a write", func() bool { return s.write("plates", "1").OK() })
+	if !f.nodes[0].EvacuatePool("meals-agreste") {
+		t.Fatal("no pool is open")
+	}
+	f.eventuallyWithin(2*time.Second, "a write", func() bool { return s.write("plates", "2").OK() })
+}
--- a/internal/instance/entry/evacuate.go
+++ b/internal/instance/entry/evacuate.go
@@ -45,8 +45,11 @@
 	return evacuation.TransactionsEnd(e.Learnt, e.Confirmed, n.settings.EvacuationTimeout), ok
 }
 
-// evacuate closes what the pools of evacuated servers no longer need, and readmits the others.
+// evacuate closes what the pools of evacuated servers no longer need, and readmits the others. Calls are serialised, so that
+// a pool is not marked for an evacuation that ended after it was read.
 func (g *pools) evacuate() {
+	g.evacuating.Lock()
+	defer g.evacuating.Unlock()
 	for id, o := range g.snapshot() {
 		end, evacuated := g.n.transactionsEnd(o.server.Place)
 		if !evacuated {
@@ -151,8 +154,8 @@
 
 // maintainEvacuations is called at the interval of the pools.
 func (g *pools) maintainEvacuations(now time.Duration) {
+	g.evacuate()
 	if len(g.n.table.Evacuations()) > 0 {
-		g.evacuate()
 		g.reportVacated(now)
 	}
 }
--- a/internal/instance/entry/export_test.go
+++ b/internal/instance/entry/export_test.go
@@ -1,6 +1,10 @@
 package entry
 
-import "tanagercross/internal/fleet/view"
+import (
+	"time"
+
+	"tanagercross/internal/fleet/view"
+)
 
 // Table returns the view of an instance.
 func (n *Node) Table() *view.Table { return n.table }
@@ -13,3 +17,12 @@
 	}
 	return e.cause
 }
+
+// EvacuatePool marks the open pool of a server as evacuated, and reports whether there is one.
+func (n *Node) EvacuatePool(server string) bool {
+	o, ok := n.pools.snapshot()[server]
+	if ok {
+		o.pool.Evacuate(n.boot() + time.Hour)
+	}
+	return ok
+}
--- a/internal/instance/entry/servers.go
+++ b/internal/instance/entry/servers.go
@@ -38,8 +38,9 @@
 type pools struct {
 	n *Node
 
-	mu       sync.Mutex
-	byServer map[string]*openPool
+	evacuating sync.Mutex // held while the evacuations are applied to the pools; locked before mu
+	mu         sync.Mutex
+	byServer   map[string]*openPool
 	// laggingUntil holds the replicas that did not catch up during the retries of a read. Until the moment given, reads
 	// on them are not retried.
 	laggingUntil map[string]time.Duration
