Keep the time of transactions on an evacuated server under the timeout

Transactions had three fifths of the timeout whenever the last confirmation was at most 2.7 s old, so that the last one could end 5.7 s after it. They now end at the latest nine tenths of the timeout after the last confirmation, the rollback included, but have at least a fifth. The end is checked again after the setup of the connection.

--- a/internal/database/serverpool/run.go
+++ b/internal/database/serverpool/run.go
@@ -175,6 +175,9 @@
 		p.finish(c.Transaction, t, false)
 		return statement.Refused(statement.Aborted, refusal.Text)
 	}
+	if refusal, over := p.endEvacuated(c.Transaction, t); over {
+		return refusal // the setup of the connection may take until the end of the time
+	}
 	if _, ok := c.Body.(statement.Commit); ok && p.expired(c) {
 		_ = p.rollback(ctx, c.Transaction, t)
 		return refuseExpired()
--- a/internal/fleet/evacuation/evacuation.go
+++ b/internal/fleet/evacuation/evacuation.go
@@ -26,27 +26,24 @@
 // DefaultTimeout is the time to the last statement at the servers of an evacuated place, if the settings name none.
 const DefaultTimeout = 5 * time.Second
 
-// usualConfirmationAge is the age of the last confirmation while reads succeed: two polls of the feed, of which a row ends the
-// second one at once, and an exchange within the place.
-const usualConfirmationAge = 2700 * time.Millisecond
-
 // maxEnded bounds the ended evacuations that are kept. They are sent with each exchange of state.
 const maxEnded = 32
 
 // TransactionsEnd returns when the open transactions on the servers of a place are rolled back. They have three fifths of the
-// timeout from the moment at which the instance learnt of the evacuation. If it was last confirmed more than
-// usualConfirmationAge before that there was none, the row may be old, and they have less, so that they end within the
-// timeout of the row, but at least a fifth. A zero confirmed stands for an instance that has not read the rows before.
+// timeout from the moment at which the instance learnt of the evacuation. The row may be as old as the last confirmation that
+// there was none, so that they end within nine tenths of the timeout after it, the rollback included. They have at least a
+// fifth, because an outage of the store looks the same as a row that is learnt late. A zero confirmed stands for an instance
+// that has not read the rows before.
 func TransactionsEnd(learnt, confirmed, timeout time.Duration) time.Duration {
 	if timeout <= 0 {
 		timeout = DefaultTimeout
 	}
 	end := learnt + timeout*3/5
-	if confirmed == 0 || learnt-confirmed <= usualConfirmationAge {
+	if confirmed == 0 {
 		return end
 	}
 	rollback := timeout / 25 // time for the rollback
-	return min(end, max(confirmed+timeout-rollback, learnt+timeout/5))
+	return min(end, max(confirmed+timeout*9/10-rollback, learnt+timeout/5))
 }
 
 // Row is one evacuation.
