Send no rollback to an evacuated server when the queue refuses

A statement of a transaction that waited in vain for a slot past the end of the transactions on an evacuated server was followed by a ROLLBACK. The end is checked first.

--- a/internal/database/serverpool/run.go
+++ b/internal/database/serverpool/run.go
@@ -163,6 +163,9 @@
 	}
 	ticket, err := p.admission.acquire(ctx, p.request(ctx, c), c.Session)
 	if err != nil {
+		if refusal, over := p.endEvacuated(c.Transaction, t); over {
+			return refusal
+		}
 		_ = p.rollback(ctx, c.Transaction, t)
 		return statement.Refused(statement.Aborted, "queue")
 	}
