Merge evacuations before the configuration

An instance that starts sends as soon as it has a configuration. It took that of another instance before the evacuations and could send to an evacuated server in between. TestEvacuationsAreMergedBeforeTheConfiguration was seen to fail before.

--- a/internal/fleet/view/evacuation.go
+++ b/internal/fleet/view/evacuation.go
@@ -30,6 +30,13 @@
 	t.setEvacuations(Evacuation{now, t.configurationRows.ReadAt}, t.evacuations.WithReading(r))
 }
 
+// mergeEvacuations applies the evacuations that another instance sent.
+func (t *Table) mergeEvacuations(added Evacuation, rows []evacuation.Row) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.setEvacuations(added, t.evacuations.Merge(rows))
+}
+
 // setEvacuations replaces the evacuations. The caller holds the lock.
 func (t *Table) setEvacuations(added Evacuation, after evacuation.Set) {
 	before := t.evacuations
--- a/internal/fleet/view/presence.go
+++ b/internal/fleet/view/presence.go
@@ -280,6 +280,8 @@
 	// Rows, or a version equal to the own one, show that the own rows were current at the sender's read time.
 	mine := t.Versions()
 	confirmed := mine.Configuration.ReadAt
+	// The evacuations come first: an instance that has just started sends as soon as it has a configuration.
+	t.mergeEvacuations(Evacuation{now, confirmed}, b.Evacuations)
 	if len(b.Configuration.Rows) > 0 || b.ConfigurationVersion == mine.ConfigurationVersion {
 		t.SetConfiguration(b.Configuration)
 	}
@@ -294,7 +296,6 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.setEvacuations(Evacuation{now, confirmed}, t.evacuations.Merge(b.Evacuations))
 	for _, l := range b.Leaders {
 		t.reportLeader(now, l)
 	}
