Warn of evacuation rows that name no data centre with servers

A row with an invalid name was skipped without a log line, and one whose name is that of no server had no effect. TestEvacuationOfAPlaceWithoutServers was seen to fail before; the check added to TestEvacuationRows did not compile, as the read did not tell ignored rows. The test fleet can write its log to a given writer.

--- a/internal/fleet/view/evacuation.go
+++ b/internal/fleet/view/evacuation.go
@@ -12,6 +12,13 @@
 type OperatorRows struct {
 	Configuration Rows
 	Evacuations   evacuation.Reading
+	Ignored       []IgnoredRow
+}
+
+// IgnoredRow is a row that names nothing.
+type IgnoredRow struct {
+	Key    string
+	Reason error
 }
 
 // Regions returns the regions of the places.
--- a/internal/instance/entry/entry_test.go
+++ b/internal/instance/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -34,6 +35,7 @@
 	byPriority bool // instances decide by priority under load
 	regions    roster.Regions
 	decoder    view.Decoder // that of the cluster if nil
+	log        io.Writer    // logWriter() if nil
 	ids        atomic.Int64
 }
 
@@ -114,10 +116,11 @@
 	if decoder == nil {
 		decoder = f.cluster
 	}
+	log := cmp.Or(f.log, logWriter())
 	n, err := entry.Start(entry.Options{
 		Settings: entry.Settings{Name: name, Place: place, Regions: f.regions, PeersAddress: address, PromotionLease: time.Second, PriorityScheduling: f.byPriority},
 		Store:    store, Promoter: f.cluster, Decoder: decoder, Dialer: f.cluster.Dialer(name),
-		Metrics: metric.New(), Log: slog.New(slog.NewJSONHandler(logWriter(), nil)).With("node", name),
+		Metrics: metric.New(), Log: slog.New(slog.NewJSONHandler(log, nil)).With("node", name),
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/instance/entry/evacuate.go
+++ b/internal/instance/entry/evacuate.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"tanagercross/internal/database/statement"
@@ -140,6 +142,25 @@
 	delete(g.stranded, s.ID)
 }
 
+// noteEmptyPlaces logs once for each evacuation that no server is listed in its place, because the name may be wrong. Servers
+// that are removed later are not reported.
+func (g *pools) noteEmptyPlaces() {
+	if _, read, _ := g.n.table.ReadTimes(); read == 0 {
+		return
+	}
+	places, servers := g.n.table.Evacuations(), g.n.table.Servers().All()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	maps.DeleteFunc(g.checkedPlaces, func(place string, _ bool) bool { return !slices.Contains(places, place) })
+	for _, place := range places {
+		inPlace := func(s catalog.Server) bool { return s.Place == place }
+		if !g.checkedPlaces[place] && !slices.ContainsFunc(servers, inPlace) {
+			g.n.log.Warn("evacuated data centre has no server", "place", place)
+		}
+		g.checkedPlaces[place] = true
+	}
+}
+
 // hasTransactions reports whether a server has an open transaction here.
 func (g *pools) hasTransactions(server string) bool {
 	g.mu.Lock()
@@ -155,6 +176,7 @@
 // maintainEvacuations is called at the interval of the pools.
 func (g *pools) maintainEvacuations(now time.Duration) {
 	g.evacuate()
+	g.noteEmptyPlaces()
 	if len(g.n.table.Evacuations()) > 0 {
 		g.reportVacated(now)
 	}
--- a/internal/instance/entry/reader.go
+++ b/internal/instance/entry/reader.go
@@ -262,6 +262,9 @@
 	}
 	n.table.SetEvacuations(n.boot(), rows.Evacuations)
 	n.table.SetConfiguration(rows.Configuration)
+	for _, row := range rows.Ignored {
+		n.observer.RowIgnored(row.Key, row.Reason)
+	}
 	return max(after, rows.Configuration.Version), nil
 }
 
--- a/internal/instance/entry/servers.go
+++ b/internal/instance/entry/servers.go
@@ -43,10 +43,11 @@
 	byServer   map[string]*openPool
 	// laggingUntil holds the replicas that did not catch up during the retries of a read. Until the moment given, reads
 	// on them are not retried.
-	laggingUntil map[string]time.Duration
-	stranded     map[string]bool // evacuated primaries that no server can follow, by id
-	cold         coldServers
-	starts       slowStarts
+	laggingUntil  map[string]time.Duration
+	stranded      map[string]bool // evacuated primaries that no server can follow, by id
+	checkedPlaces map[string]bool // evacuated places that were looked up among the servers
+	cold          coldServers
+	starts        slowStarts
 }
 
 // openPool is the connection pool of a server, with the server's row from the time at which the pool was opened.
@@ -57,7 +58,7 @@
 }
 
 func newPools(n *Node) *pools {
-	return &pools{n: n, byServer: map[string]*openPool{}, laggingUntil: map[string]time.Duration{}, stranded: map[string]bool{}}
+	return &pools{n: n, byServer: map[string]*openPool{}, laggingUntil: map[string]time.Duration{}, stranded: map[string]bool{}, checkedPlaces: map[string]bool{}}
 }
 
 // pool returns the connection pool of a server. It opens one at the first use, and anew when the server restarted or has
