End a replaced evacuation that another instance still sends as active

An instance without the store that knew a later, ended row of a place took an earlier one from another instance for active. Of two rows of a place and generation the earlier one has ended. TestMergeOfAReplacedRow was seen to fail before.

--- a/internal/fleet/evacuation/evacuation.go
+++ b/internal/fleet/evacuation/evacuation.go
@@ -176,7 +176,7 @@
 }
 
 // Merge returns the set with the rows that another instance knows. A row that the own reads of the store should have shown
-// has ended.
+// has ended, and so has one that a later row of its place and generation replaces.
 func (s Set) Merge(rows []Row) Set {
 	if len(rows) == 0 {
 		return s
@@ -189,6 +189,11 @@
 		}
 		next.add(row)
 	}
+	for n := range next.rows[1:] {
+		if k, later := &next.rows[n], next.rows[n+1]; k.Place == later.Place && k.Generation == later.Generation {
+			k.Ended = true
+		}
+	}
 	return next.pruned()
 }
 
--- a/internal/fleet/evacuation/evacuation_test.go
+++ b/internal/fleet/evacuation/evacuation_test.go
@@ -189,3 +189,22 @@
 		}
 	}
 }
+
+// Guards against an evacuation that comes back at an instance without the store, which knows a later one of the place, from
+// another instance that was cut off and has not learnt of its end.
+func TestMergeOfAReplacedRow(t *testing.T) {
+	ended, old, other := row("a", 0, 5), row("a", 0, 3), row("a", 1, 2)
+	ended.Ended = true
+	for name, order := range map[string][]evacuation.Row{"later first": {ended, old}, "earlier first": {old, ended}} {
+		s := evacuation.Set{}
+		for _, r := range order {
+			s = s.Merge([]evacuation.Row{r})
+		}
+		if s.Contains("a") {
+			t.Errorf("%s: evacuated, want not", name)
+		}
+	}
+	if s := (evacuation.Set{}).Merge([]evacuation.Row{other, old}); len(s.Rows()) != 2 || s.Rows()[0].Ended || s.Rows()[1].Ended {
+		t.Errorf("%+v, want both of different generations active", s.Rows())
+	}
+}
