--- a/internal/fleet/evacuation/evacuation_test.go
+++ b/internal/fleet/evacuation/evacuation_test.go
@@ -176,8 +176,10 @@
 	const learnt = 100 * time.Second
 	for _, c := range []struct{ confirmedBefore, timeout, want time.Duration }{
 		{time.Second, 0, 3 * time.Second},
-		{2700 * time.Millisecond, 5 * time.Second, 3 * time.Second},
-		{3500 * time.Millisecond, 5 * time.Second, 1300 * time.Millisecond},
+		{1300 * time.Millisecond, 5 * time.Second, 3 * time.Second},
+		{2100 * time.Millisecond, 5 * time.Second, 2200 * time.Millisecond},
+		{2700 * time.Millisecond, 5 * time.Second, 1600 * time.Millisecond},
+		{3500 * time.Millisecond, 5 * time.Second, time.Second},
 		{20 * time.Second, 5 * time.Second, time.Second},
 		{learnt, 5 * time.Second, 3 * time.Second},
 		{100 * time.Millisecond, time.Second, 600 * time.Millisecond},
@@ -187,3 +189,22 @@
 		}
 	}
 }
+
+// Guards against an evacuation that comes back at an instance without the store, which knows a later one of the place, from
+// another instance that was cut off and has not learnt of its end.
+func TestMergeOfAReplacedRow(t *testing.T) {
+	ended, old, other := row("a", 0, 5), row("a", 0, 3), row("a", 1, 2)
+	ended.Ended = true
+	for name, order := range map[string][]evacuation.Row{"later first": {ended, old}, "earlier first": {old, ended}} {
+		s := evacuation.Set{}
+		for _, r := range order {
+			s = s.Merge([]evacuation.Row{r})
+		}
+		if s.Contains("a") {
+			t.Errorf("%s: evacuated, want not", name)
+		}
+	}
+	if s := (evacuation.Set{}).Merge([]evacuation.Row{other, old}); len(s.Rows()) != 2 || s.Rows()[0].Ended || s.Rows()[1].Ended {
+		t.Errorf("%+v, want both of different generations active", s.Rows())
+	}
+}
--- a/internal/instance/entry/evacuate.go
+++ b/internal/instance/entry/evacuate.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"tanagercross/internal/database/statement"
@@ -45,8 +47,11 @@
 	return evacuation.TransactionsEnd(e.Learnt, e.Confirmed, n.settings.EvacuationTimeout), ok
 }
 
-// evacuate closes what the pools of evacuated servers no longer need, and readmits the others.
+// evacuate closes what the pools of evacuated servers no longer need, and readmits the others. Calls are serialised, so that
+// a pool is not marked for an evacuation that ended after it was read.
 func (g *pools) evacuate() {
+	g.evacuating.Lock()
+	defer g.evacuating.Unlock()
 	for id, o := range g.snapshot() {
 		end, evacuated := g.n.transactionsEnd(o.server.Place)
 		if !evacuated {
@@ -137,6 +142,25 @@
 	delete(g.stranded, s.ID)
 }
 
+// noteEmptyPlaces logs once for each evacuation that no server is listed in its place, because the name may be wrong. Servers
+// that are removed later are not reported.
+func (g *pools) noteEmptyPlaces() {
+	if _, read, _ := g.n.table.ReadTimes(); read == 0 {
+		return
+	}
+	places, servers := g.n.table.Evacuations(), g.n.table.Servers().All()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	maps.DeleteFunc(g.checkedPlaces, func(place string, _ bool) bool { return !slices.Contains(places, place) })
+	for _, place := range places {
+		inPlace := func(s catalog.Server) bool { return s.Place == place }
+		if !g.checkedPlaces[place] && !slices.ContainsFunc(servers, inPlace) {
+			g.n.log.Warn("evacuated data centre has no server", "place", place)
+		}
+		g.checkedPlaces[place] = true
+	}
+}
+
 // hasTransactions reports whether a server has an open transaction here.
 func (g *pools) hasTransactions(server string) bool {
 	g.mu.Lock()
@@ -151,8 +175,9 @@
 
 // maintainEvacuations is called at the interval of the pools.
 func (g *pools) maintainEvacuations(now time.Duration) {
+	g.evacuate()
+	g.noteEmptyPlaces()
 	if len(g.n.table.Evacuations()) > 0 {
-		g.evacuate()
 		g.reportVacated(now)
 	}
 }
