Name the slow start of a server by its usual term

Package pace becomes slowstart, its files follow, and an estimate in allotment says that a caller is unlikely to be served.

--- a/internal/database/serverpool/serverpool.go
+++ b/internal/database/serverpool/serverpool.go
@@ -25,8 +25,8 @@
 	"time"
 
 	"tanagercross/internal/database/connplan"
-	"tanagercross/internal/database/pace"
 	"tanagercross/internal/database/readindex"
+	"tanagercross/internal/database/slowstart"
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/instance/clock"
 )
@@ -66,8 +66,8 @@
 	Queue              QueueObserver // may be nil
 	// SlowStart makes the pool begin a slow start when the server answers after failures, and record its latencies.
 	SlowStart   bool
-	Latencies   *pace.Latencies // of the servers of the group; may be nil
-	OnSlowStart func(SlowStart) // called with the pool locked; may be nil
+	Latencies   *slowstart.Latencies // of the servers of the group; may be nil
+	OnSlowStart func(SlowStart)      // called with the pool locked; may be nil
 }
 
 // WithDefaults returns a copy in which zero fields have their defaults.
--- a/internal/database/serverpool/pace.go
+++ b/internal/database/serverpool/slowstart.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"tanagercross/internal/database/pace"
 	"tanagercross/internal/database/serverqueue"
+	"tanagercross/internal/database/slowstart"
 	"tanagercross/internal/database/statement"
 )
 
@@ -26,7 +26,7 @@
 // pacer holds the window of a slow start and those who wait for it. Without a slow start it limits nothing.
 type pacer struct {
 	mu        sync.Mutex
-	window    pace.Window
+	window    slowstart.Window
 	cause     string
 	began     time.Duration
 	reported  int // window of the last report
@@ -64,9 +64,9 @@
 // BeginSlowStart limits what runs at the server and widens the limit by its answers. takeOver means that another holder may
 // have begun it.
 func (p *Pool) BeginSlowStart(cause string, takeOver bool) {
-	w := pace.Begin(p.options.Slots)
+	w := slowstart.Begin(p.options.Slots)
 	if takeOver {
-		w = pace.TakeOver(p.options.Slots)
+		w = slowstart.TakeOver(p.options.Slots)
 	}
 	g := &p.pacer
 	g.mu.Lock()
@@ -251,7 +251,7 @@
 
 // abandonTurn ends a turn for which no connection was found. A connection that could not be opened is a failure.
 func (p *Pool) abandonTurn(t turn, err error) {
-	p.finishTurn(t, func(w pace.Window) pace.Window {
+	p.finishTurn(t, func(w slowstart.Window) slowstart.Window {
 		if err != nil {
 			return w.WithFailure(t.epoch)
 		}
@@ -282,9 +282,9 @@
 // endTurn ends a turn with the answer to its statement.
 func (p *Pool) endTurn(t turn, c statement.Call, a statement.Answer) {
 	took := p.options.Boot() - t.sent
-	kind := pace.Read
+	kind := slowstart.Read
 	if c.Writes() {
-		kind = pace.Write
+		kind = slowstart.Write
 	}
 	failed := a.Delivery == statement.Unanswered || a.Delivery == statement.Answered && (a.Code == statement.Busy || a.Code == statement.TooMany)
 	answered := a.OK()
@@ -294,7 +294,7 @@
 		}
 		return
 	}
-	p.finishTurn(t, func(w pace.Window) pace.Window {
+	p.finishTurn(t, func(w slowstart.Window) slowstart.Window {
 		switch {
 		case failed:
 			return w.WithFailure(t.epoch)
@@ -306,7 +306,7 @@
 }
 
 // usual returns the usual latency of a kind of statement at this server, 0 if it is not known.
-func (p *Pool) usual(k pace.Kind) time.Duration {
+func (p *Pool) usual(k slowstart.Kind) time.Duration {
 	if p.options.Latencies == nil {
 		return 0
 	}
@@ -314,7 +314,7 @@
 }
 
 // ratio returns the ratio of a latency to the usual one, or to that of the window 1 if none is known. The caller holds g.mu.
-func (g *pacer) ratio(usual time.Duration, k pace.Kind, took time.Duration) float64 {
+func (g *pacer) ratio(usual time.Duration, k slowstart.Kind, took time.Duration) float64 {
 	r := &g.reference[k]
 	if g.window.Size() == 1 {
 		r.answers++
@@ -330,7 +330,7 @@
 }
 
 // finishTurn applies the result of a turn to the window and lets others go on.
-func (p *Pool) finishTurn(t turn, apply func(pace.Window) pace.Window) {
+func (p *Pool) finishTurn(t turn, apply func(slowstart.Window) slowstart.Window) {
 	if t.leave != nil {
 		defer t.leave()
 	}
--- a/internal/database/serverpool/pace_test.go
+++ b/internal/database/serverpool/slowstart_window_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"tanagercross/internal/database/driver"
-	"tanagercross/internal/database/pace"
 	"tanagercross/internal/database/serverpool"
+	"tanagercross/internal/database/slowstart"
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/instance/clock"
 	"tanagercross/internal/standin/cluster"
@@ -64,7 +64,7 @@
 	var mu sync.Mutex
 	var reports []serverpool.SlowStart
 	pool := serverpool.New(statement.Target{Server: replica, Group: "meals", Address: replica}, loadDialer{c.Dialer("i1"), l}, serverpool.Options{
-		Slots: slots, Connections: 2 * slots, SlowStart: true, Latencies: &pace.Latencies{},
+		Slots: slots, Connections: 2 * slots, SlowStart: true, Latencies: &slowstart.Latencies{},
 		OnSlowStart: func(s serverpool.SlowStart) {
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/database/pace/latency.go
+++ b/internal/database/slowstart/latency.go
@@ -1,4 +1,4 @@
-package pace
+package slowstart
 
 import (
 	"sync"
--- a/internal/database/pace/pace.go
+++ b/internal/database/slowstart/window.go
@@ -1,9 +1,9 @@
-// Package pace decides how many statements and openings of connections may run at once at a database server that has
+// Package slowstart decides how many statements and openings of connections may run at once at a database server that has
 // started, returned after failures, was promoted, or whose evacuation has ended. It does no I/O.
 //
 // # Usage
 //
-//	w := pace.Begin(server.Slots).After(earlier)
+//	w := slowstart.Begin(server.Slots).After(earlier)
 //	if running < w.Size() {
 //		epoch := w.Epoch() // when the statement is sent
 //	}
@@ -18,7 +18,7 @@
 // was slow at a larger window the next rounds are longer, so that a server that stays slow is seldom tried with more than it
 // can serve. The window is never below 1, so that the server is never idle, and the slow start ends when the window reaches
 // the server's slots.
-package pace
+package slowstart
 
 const (
 	// roundAnswers is the lowest number of answers in a round: fewer say little, because statements differ.
--- a/internal/database/pace/pace_test.go
+++ b/internal/database/slowstart/window_test.go
@@ -1,11 +1,11 @@
-package pace_test
+package slowstart_test
 
 import (
 	"math/rand/v2"
 	"testing"
 	"time"
 
-	"tanagercross/internal/database/pace"
+	"tanagercross/internal/database/slowstart"
 )
 
 const (
@@ -27,7 +27,7 @@
 	random *rand.Rand
 	slots  int
 	speed  func(now time.Duration) float64 // part of the capacity; 0 while the server is down
-	window pace.Window
+	window slowstart.Window
 	began  time.Duration // of the slow start
 	full   time.Duration // time from the beginning until the full share
 	jobs   []job
@@ -48,7 +48,7 @@
 		return
 	}
 	if s.down {
-		s.down, s.window, s.began, s.full = false, pace.Begin(s.slots), now, 0
+		s.down, s.window, s.began, s.full = false, slowstart.Begin(s.slots), now, 0
 	}
 	limit := s.window.Size()
 	if s.window.Ended() {
@@ -82,7 +82,7 @@
 }
 
 // run simulates a server from the beginning of a slow start.
-func run(seed uint64, slots int, w pace.Window, length time.Duration, speed func(time.Duration) float64) *server {
+func run(seed uint64, slots int, w slowstart.Window, length time.Duration, speed func(time.Duration) float64) *server {
 	s := &server{random: rand.New(rand.NewPCG(seed, 6)), slots: slots, speed: speed, window: w}
 	for now := time.Duration(0); now < length; now += step {
 		s.advance(now)
@@ -115,7 +115,7 @@
 // Guards against a server that is fast at once, such as a promoted replica, and waits for its full share.
 func TestFastServerGetsItsShare(t *testing.T) {
 	eachSeed(func(seed uint64, slots int) {
-		s := run(seed, slots, pace.Begin(slots), 3*time.Second, fast)
+		s := run(seed, slots, slowstart.Begin(slots), 3*time.Second, fast)
 		s.check(t, seed)
 		if s.full == 0 || s.full > 2*time.Second {
 			t.Errorf("seed %d, %d slots: full share after %v, want at most 2 s", seed, slots, s.full)
@@ -128,7 +128,7 @@
 func TestServerThatIsSlowAfterItsStart(t *testing.T) {
 	const slowFor = 6 * time.Second
 	eachSeed(func(seed uint64, slots int) {
-		s := run(seed, slots, pace.Begin(slots), 20*time.Second, func(now time.Duration) float64 {
+		s := run(seed, slots, slowstart.Begin(slots), 20*time.Second, func(now time.Duration) float64 {
 			if now < slowFor {
 				return 0.2
 			}
@@ -138,7 +138,7 @@
 		if s.full < slowFor || s.full > slowFor+8*time.Second {
 			t.Errorf("seed %d, %d slots: full share after %v, want at most 8 s after it is fast", seed, slots, s.full)
 		}
-		s = run(seed, slots, pace.Begin(slots), slowFor, func(time.Duration) float64 { return 0.2 })
+		s = run(seed, slots, slowstart.Begin(slots), slowFor, func(time.Duration) float64 { return 0.2 })
 		s.check(t, seed)
 	})
 }
@@ -148,7 +148,7 @@
 func TestServerThatStaysSlow(t *testing.T) {
 	eachSeed(func(seed uint64, slots int) {
 		const length = 30 * time.Second
-		s := run(seed, slots, pace.Begin(slots), length, func(time.Duration) float64 { return 0.2 })
+		s := run(seed, slots, slowstart.Begin(slots), length, func(time.Duration) float64 { return 0.2 })
 		s.check(t, seed)
 		possible := float64(length) / float64(usual) * float64(slots) * 0.2
 		if s.window.Ended() || float64(s.served) < 0.6*possible {
@@ -160,7 +160,7 @@
 // Guards against a server that goes down and up and gets nothing, or all at once, after each return.
 func TestServerThatGoesDownAndUp(t *testing.T) {
 	eachSeed(func(seed uint64, slots int) {
-		s := run(seed, slots, pace.Begin(slots), 19*time.Second, func(now time.Duration) float64 {
+		s := run(seed, slots, slowstart.Begin(slots), 19*time.Second, func(now time.Duration) float64 {
 			if now/(1400*time.Millisecond)%2 == 1 {
 				return 0
 			}
@@ -180,7 +180,7 @@
 		servers := make([]*server, 3)
 		for n := range servers {
 			warm := time.Duration(500+random.IntN(1500)) * time.Millisecond
-			servers[n] = &server{random: random, slots: slots, window: pace.Begin(slots), speed: func(now time.Duration) float64 {
+			servers[n] = &server{random: random, slots: slots, window: slowstart.Begin(slots), speed: func(now time.Duration) float64 {
 				return min(1, 0.3+0.7*float64(now)/float64(warm))
 			}}
 		}
@@ -202,8 +202,8 @@
 func TestHolderChangesHalfWay(t *testing.T) {
 	eachSeed(func(seed uint64, slots int) {
 		slow := func(time.Duration) float64 { return 0.2 }
-		s := run(seed, slots, pace.Begin(slots), 3*time.Second, slow)
-		s.window = pace.TakeOver(slots)
+		s := run(seed, slots, slowstart.Begin(slots), 3*time.Second, slow)
+		s.window = slowstart.TakeOver(slots)
 		s.jobs = nil
 		for now := 3 * time.Second; now < 12*time.Second; now += step {
 			s.advance(now)
@@ -215,7 +215,7 @@
 // Guards against a window that is halved once for each of many statements that were sent before the first reduction, or
 // that falls below 1, and against a zero value that limits anything.
 func TestReductions(t *testing.T) {
-	w := pace.TakeOver(64)
+	w := slowstart.TakeOver(64)
 	epoch := w.Epoch()
 	for range 5 {
 		w = w.WithFailure(epoch)
@@ -226,17 +226,17 @@
 	for range 9 {
 		w = w.WithFailure(w.Epoch())
 	}
-	if w.Size() != 1 || !(pace.Window{}).Ended() {
-		t.Errorf("window %d, want 1; zero value ended %t, want true", w.Size(), pace.Window{}.Ended())
+	if w.Size() != 1 || !(slowstart.Window{}).Ended() {
+		t.Errorf("window %d, want 1; zero value ended %t, want true", w.Size(), slowstart.Window{}.Ended())
 	}
 }
 
 // Guards against statements from before a slow start that count in its window: a failure of one would end the doubling, so
 // that 224 answers would be needed instead of 24.
 func TestStatementsFromBeforeASlowStart(t *testing.T) {
-	earlier := pace.Window{}
+	earlier := slowstart.Window{}
 	for range 2 {
-		w := pace.Begin(8).After(earlier).WithFailure(earlier.Epoch()).WithAnswer(earlier.Epoch(), 9)
+		w := slowstart.Begin(8).After(earlier).WithFailure(earlier.Epoch()).WithAnswer(earlier.Epoch(), 9)
 		answers := 0
 		for ; !w.Ended(); answers++ {
 			w = w.WithAnswer(w.Epoch(), 1)
@@ -250,17 +250,17 @@
 
 // Guards against a usual latency that is that of the slow server itself although others are known.
 func TestUsualLatency(t *testing.T) {
-	var l pace.Latencies
-	l.Record("a", pace.Read, 50*time.Millisecond)
-	if got := l.Usual("a", pace.Read); got != 50*time.Millisecond {
+	var l slowstart.Latencies
+	l.Record("a", slowstart.Read, 50*time.Millisecond)
+	if got := l.Usual("a", slowstart.Read); got != 50*time.Millisecond {
 		t.Errorf("without others: %v, want its own of 50 ms", got)
 	}
-	l.Record("b", pace.Read, 10*time.Millisecond)
-	l.Record("c", pace.Read, 20*time.Millisecond)
-	if got := l.Usual("a", pace.Read); got != 15*time.Millisecond {
+	l.Record("b", slowstart.Read, 10*time.Millisecond)
+	l.Record("c", slowstart.Read, 20*time.Millisecond)
+	if got := l.Usual("a", slowstart.Read); got != 15*time.Millisecond {
 		t.Errorf("%v, want 15 ms, the mean of the others", got)
 	}
-	if got := l.Usual("a", pace.Write); got != 0 {
+	if got := l.Usual("a", slowstart.Write); got != 0 {
 		t.Errorf("writes: %v, want none", got)
 	}
 }
--- a/internal/instance/entry/slowstart.go
+++ b/internal/instance/entry/slowstart.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
-	"tanagercross/internal/database/pace"
 	"tanagercross/internal/database/serverpool"
+	"tanagercross/internal/database/slowstart"
 	"tanagercross/internal/fleet/catalog"
 	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/metric"
@@ -29,9 +29,9 @@
 // ready for use.
 type slowStarts struct {
 	mu        sync.Mutex
-	events    map[string]slowStartEvent  // by server
-	leaders   map[string]string          // last leader by group
-	latencies map[string]*pace.Latencies // by group
+	events    map[string]slowStartEvent       // by server
+	leaders   map[string]string               // last leader by group
+	latencies map[string]*slowstart.Latencies // by group
 }
 
 // slowStartEvent is the last reason of a server.
@@ -76,14 +76,14 @@
 }
 
 // latenciesOf returns the latencies of the servers of a group.
-func (s *slowStarts) latenciesOf(group string) *pace.Latencies {
+func (s *slowStarts) latenciesOf(group string) *slowstart.Latencies {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.latencies == nil {
-		s.latencies = map[string]*pace.Latencies{}
+		s.latencies = map[string]*slowstart.Latencies{}
 	}
 	if s.latencies[group] == nil {
-		s.latencies[group] = &pace.Latencies{}
+		s.latencies[group] = &slowstart.Latencies{}
 	}
 	return s.latencies[group]
 }
--- a/internal/organisation/allotment/outlook.go
+++ b/internal/organisation/allotment/outlook.go
@@ -42,10 +42,10 @@
 	}
 }
 
-// hopeless reports whether a further caller of a class would wait in vain: one of its class waits already, less than half
+// unlikelyServed reports whether a further caller of a class would wait in vain: one of its class waits already, less than half
 // of the callers of the class get a token, and the tokens that they get within Options.RateWait are too few. The caller
 // that waits already keeps asking, so that the class gets the tokens that become free.
-func (tc *TokenCache) hopeless(now time.Time, c Class) bool {
+func (tc *TokenCache) unlikelyServed(now time.Time, c Class) bool {
 	if !tc.options.ByPriority || tc.homeUnavailable || !tc.overRate(now) || now.Sub(tc.shortSince) < outlookPeriod {
 		return false
 	}
--- a/internal/organisation/allotment/token_cache.go
+++ b/internal/organisation/allotment/token_cache.go
@@ -132,7 +132,7 @@
 		tc.countServed(now, c)
 		return 0, ""
 	}
-	if tc.hopeless(now, c) {
+	if tc.unlikelyServed(now, c) {
 		return 0, tc.reason()
 	}
 	if len(tc.waiting) >= tc.options.MaxWaiting && !tc.displace(now, c) {
--- a/layout_test.go
+++ b/layout_test.go
@@ -30,7 +30,7 @@
 	"internal/request/placement", "internal/request/admission",
 	"internal/instance/clock", "internal/instance/event", "internal/instance/intake",
 	"internal/database/statement", "internal/database/readindex", "internal/database/promotion",
-	"internal/database/correlation", "internal/database/serverqueue", "internal/database/connplan", "internal/database/pace",
+	"internal/database/correlation", "internal/database/serverqueue", "internal/database/connplan", "internal/database/slowstart",
 	"internal/fleet/catalog", "internal/fleet/view", "internal/fleet/evacuation", "internal/fleet/residence",
 }
 
