Resume replicas when the old primary leads again, and release a primary with busy replicas

A change that finds the old primary leading again left replicas paused that it had paused itself; it is now given up like any other. No test reaches this path: the old primary would have to return between two questions to it. A leaving primary is demoted as soon as a server that can follow is reached, also one that is too busy for a report, so that its release does not end later than before.

--- a/internal/instance/entry/demotion.go
+++ b/internal/instance/entry/demotion.go
@@ -43,16 +43,31 @@
 	return err == nil && r.Role == driver.Replica
 }
 
-// canFollow reports whether a primary may be demoted because a server can take over: one reports, and for an evacuated
-// primary it receives, within catchUpTimeout, what the primary had at the start of the call. A primary that is about to stop
-// has no time for that, and one that is too busy for a status report is not waited for.
+// canFollow reports whether a primary may be demoted because a server can take over. For an evacuated primary, one has to
+// receive, within catchUpTimeout, what the primary had at the start of the call; if the primary is too busy to tell that, one
+// has to report. A primary that is about to stop has no time for that: a server that is reached suffices, also a busy one.
 func (g *failover) canFollow(ctx context.Context, candidates []catalog.Server, primary catalog.Server) bool {
+	if primary.Leaving {
+		return g.anyReached(ctx, candidates)
+	}
 	var end driver.Position
-	if g.evacuated(primary) && !primary.Leaving {
-		if r, err := g.sendCommand(ctx, primary, reportTimeout, statement.Status{}); err == nil {
-			end = r.Received
-		}
+	if r, err := g.sendCommand(ctx, primary, reportTimeout, statement.Status{}); err == nil {
+		end = r.Received
 	}
 	best, ok := promotion.ChoosePrimary(g.promotable(g.awaitLogEnd(ctx, candidates, end), ""), "")
 	return ok && best.Received.Compare(end) >= 0
 }
+
+// anyReached reports whether a server outside of the evacuated places is reached. It returns as soon as one is.
+func (g *failover) anyReached(ctx context.Context, servers []catalog.Server) bool {
+	results := make(chan bool, len(servers))
+	for _, s := range servers {
+		go func() { results <- !g.evacuated(s) && g.probe(ctx, s.ID).Reached }()
+	}
+	for range servers {
+		if <-results {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/instance/entry/promote.go
+++ b/internal/instance/entry/promote.go
@@ -65,11 +65,13 @@
 	if planned && demotion.Confirmed {
 		reports = append(reports, g.queryServers(ctx, []catalog.Server{old}, statement.Status{})...)
 	}
+	c := change{group: group, old: old, candidates: candidates, reports: reports, syncReplicas: syncReplicas}
 	for i := range reports {
-		if reports[i].Server == old.ID && reports[i].Role == driver.Primary {
+		reports[i].Former = reports[i].Server == old.ID
+		if reports[i].Former && reports[i].Role == driver.Primary {
+			g.abandon(ctx, c)
 			return eris.Errorf("%s leads again", old.ID)
 		}
-		reports[i].Former = reports[i].Server == old.ID
 	}
 	if leader, ok := promotion.FindNewPrimary(reports, old.ID); ok {
 		g.forgetDemotion(group)
@@ -77,7 +79,6 @@
 		return nil
 	}
 	missing := g.n.table.MissingReplicas(group)
-	c := change{group: group, old: old, candidates: candidates, reports: reports, syncReplicas: syncReplicas}
 	if !promotion.EnoughReports(reports, len(candidates)+missing, syncReplicas, demotion) {
 		g.abandon(ctx, c)
 		return eris.Errorf("%d of %d replicas report, %d are missing, demoted %t: an acknowledged commit may be lost", len(reports),
