--- a/internal/instance/entry/cold.go
+++ b/internal/instance/entry/cold.go
@@ -16,6 +16,10 @@
 // arrive on top of a second of the rate.
 const coldBurst = 0.1
 
+// coldHolderShare is the part of a cold server's rate that its first holder uses. Two instances may both rank themselves first
+// while their exchanges are late, and together exceed the rate by a tenth at most. One alone still uses over half of it.
+const coldHolderShare = 0.55
+
 // coldServers limits the statements to cold servers that this instance is the first holder of. The zero value is ready for
 // use.
 type coldServers struct {
@@ -53,10 +57,10 @@
 	}
 }
 
-// coldRate returns the rate of a server that is cold, and false if nothing limits it.
+// coldRate returns the rate at which this instance may send to a server that is cold, and false if nothing limits it.
 func (g *pools) coldRate(s catalog.Server) (float64, bool) {
 	group, _ := g.n.table.Configuration().Group(s.Group)
-	return group.ColdRate, group.ColdRate > 0 && g.n.table.Cold(g.n.boot(), s.ID)
+	return group.ColdRate * coldHolderShare, group.ColdRate > 0 && g.n.table.Cold(g.n.boot(), s.ID)
 }
 
 // admitCold decides on a statement for a server that may be cold. New statements are refused above the rate and at other
