--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -26,6 +26,7 @@
 
 var plays = map[string]play{
 	"forgotten-replicas": playForgottenReplicas,
+	"unlisted-replica":   playUnlistedReplica,
 	"reborn-replica":     playRebornReplica,
 }
 
