Review: case 9, a former primary without an entry is never counted

Cause: a server whose last entry said that it was the primary doesn't count as missing, although it comes back as a replica.

--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -27,6 +27,7 @@
 var plays = map[string]play{
 	"forgotten-replicas": playForgottenReplicas,
 	"unlisted-replica":   playUnlistedReplica,
+	"former-primary":     playFormerPrimary,
 	"reborn-replica":     playRebornReplica,
 }
 
