Review: case 10, the read of a transaction runs outside of it

Cause: before a read the opening of its transaction need not be proven at a server that has sent no stray answer lately, so that the first answer that comes twice stands for a BEGIN that was refused. Change: a script; the stand-ins send one answer twice, and lose what no case uses.

--- a/review/_cases/deployment.go
+++ b/review/_cases/deployment.go
@@ -24,7 +24,10 @@
 
 const (
 	databaseName = "pedido"
+	tenant       = "nypu920"
 	apiKey       = "k7m2c9x4q1"
+	otherTenant  = "gaso417"
+	otherKey     = "u6wsjnbanf"
 	readyTimeout = 20 * time.Second
 )
 
@@ -175,7 +178,10 @@
 			"name": o.groupName, "healthPath": "/health", "connectionCap": 34, "protocol": "h1", "tls": false,
 			"syncReplicas": o.syncReplicas,
 		}},
-		"limits":  map[string]any{"headerBytes": 16384, "bodyBytes": 262144, "headerMs": 3000, "idleMs": 15000, "transactionIdleMs": 3000},
-		"tenants": []any{map[string]any{"name": "nypu920", "apiKeys": []string{apiKey}, "priority": 1, "ratePerS": 400, "burst": 400}},
+		"limits": map[string]any{"headerBytes": 16384, "bodyBytes": 262144, "headerMs": 3000, "idleMs": 15000, "transactionIdleMs": 3000},
+		"tenants": []any{
+			map[string]any{"name": tenant, "apiKeys": []string{apiKey}, "priority": 1, "ratePerS": 400, "burst": 400},
+			map[string]any{"name": otherTenant, "apiKeys": []string{otherKey}, "priority": 1, "ratePerS": 118, "burst": 118},
+		},
 	}
 }
--- a/review/_cases/group.go
+++ b/review/_cases/group.go
@@ -33,6 +33,35 @@
 	token      uint64 // highest fencing token seen
 	signatures int
 	promotions []promotion
+
+	repetitions int             // answers to BEGIN that are still to be sent twice
+	repeatFor   string          // to whom
+	inside      map[string]bool // ids of statements that their client sent inside a transaction
+	outside     []string        // of these, those that ran outside of one
+}
+
+// takeRepetition reports whether the answer to a BEGIN is to be sent twice.
+func (g *group) takeRepetition(who string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.repetitions == 0 || who != g.repeatFor {
+		return false
+	}
+	g.repetitions--
+	return true
+}
+
+// noteRun records that a server runs a statement of a client, and whether that is inside a transaction.
+func (g *group) noteRun(server, id, verb string, inside bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.inside[id] {
+		return
+	}
+	g.record.printf("server %s runs %s %s, inside a transaction: %t", server, verb, id, inside)
+	if !inside {
+		g.outside = append(g.outside, id)
+	}
 }
 
 // promotion is a change of the primary, with the log that the new one had.
@@ -58,8 +87,7 @@
 	log       []commit
 	arrived   []time.Time // of the entries of log
 	bornMS    int64
-	conns     map[net.Conn]string    // with the instance that opened it
-	cutOff    func(peer string) bool // instances whose connections are reset; nil for none
+	conns     map[net.Conn]struct{}
 	nextBeat  time.Time
 	lastBeat  time.Time // that the store accepted
 	withStore bool      // reaches the store
@@ -82,7 +110,7 @@
 	}
 	s := &server{
 		g: g, id: id, zone: zone, address: l.Addr().String(), listener: l, up: true, role: replicaRole, term: g.term,
-		bornMS: time.Now().UnixMilli(), conns: map[net.Conn]string{}, withStore: true, nextBeat: time.Now(),
+		bornMS: time.Now().UnixMilli(), conns: map[net.Conn]struct{}{}, withStore: true, nextBeat: time.Now(),
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/review/_cases/instance.go
+++ b/review/_cases/instance.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"bytes"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -134,7 +132,6 @@
 	if err := i.process.Start(); err != nil {
 		return err
 	}
-	owners.add(i.process.Process.Pid, i.name)
 	return nil
 }
 
@@ -158,7 +155,6 @@
 	_ = i.process.Process.Kill()
 	_ = i.process.Wait()
 	_ = i.log.Close()
-	owners.remove(i.process.Process.Pid)
 	i.process = nil
 }
 
@@ -172,67 +168,3 @@
 	_ = r.Body.Close()
 	return r.StatusCode == http.StatusOK
 }
-
-// owners knows which instance opened a connection, by the kernel's list of this machine's sockets.
-var owners = &socketOwners{names: map[int]string{}}
-
-type socketOwners struct {
-	mu    sync.Mutex
-	names map[int]string // by process id
-}
-
-func (o *socketOwners) add(pid int, name string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.names[pid] = name
-}
-
-func (o *socketOwners) remove(pid int) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	delete(o.names, pid)
-}
-
-// ownerOf returns the name of the instance that has a connection with the local address, "" if none has.
-func ownerOf(address net.Addr) string {
-	tcp, ok := address.(*net.TCPAddr)
-	if !ok {
-		return ""
-	}
-	inode := socketInode(tcp)
-	if inode == "" {
-		return ""
-	}
-	owners.mu.Lock()
-	defer owners.mu.Unlock()
-	for pid, name := range owners.names {
-		folder := fmt.Sprintf("/proc/%d/fd", pid)
-		entries, err := os.ReadDir(folder)
-		if err != nil {
-			continue
-		}
-		for _, e := range entries {
-			if target, err := os.Readlink(filepath.Join(folder, e.Name())); err == nil && target == "socket:["+inode+"]" {
-				return name
-			}
-		}
-	}
-	return ""
-}
-
-// socketInode returns the number of the socket with a local address.
-func socketInode(a *net.TCPAddr) string {
-	text, err := os.ReadFile("/proc/self/net/tcp")
-	if err != nil {
-		return ""
-	}
-	ip := a.IP.To4()
-	want := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port)
-	for _, line := range bytes.Split(text, []byte("\n")) {
-		f := bytes.Fields(line)
-		if len(f) > 9 && string(f[1]) == want {
-			return string(f[9])
-		}
-	}
-	return ""
-}
--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -28,6 +28,7 @@
 	"forgotten-replicas": playForgottenReplicas,
 	"unlisted-replica":   playUnlistedReplica,
 	"former-primary":     playFormerPrimary,
+	"repeated-opening":   playRepeatedOpening,
 	"reborn-replica":     playRebornReplica,
 }
 
--- a/review/_cases/store.go
+++ b/review/_cases/store.go
@@ -43,8 +43,6 @@
 	record  *recorder
 	address string
 	server  *http.Server
-	// onClaim is called with each write under a condition that the store accepts, before it answers. It may be nil.
-	onClaim func(value string)
 
 	mu      sync.Mutex
 	down    bool
@@ -245,9 +243,6 @@
 		s.put(rowKey{e.Table, e.Part, e.Key}, e.Value)
 		if len(t.Expect) > 0 {
 			s.record.printf("store: row %s/%s written under a condition: %s", e.Table, e.Key, e.Value)
-			if s.onClaim != nil {
-				s.onClaim(string(e.Value))
-			}
 		}
 	}
 	for _, e := range t.Remove {
--- a/review/_cases/wire.go
+++ b/review/_cases/wire.go
@@ -7,6 +7,8 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -39,14 +41,6 @@
 	}
 }
 
-// reset closes a connection without an orderly end.
-func reset(conn net.Conn) {
-	if t, ok := conn.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
-	}
-	_ = conn.Close()
-}
-
 // dbSession is a connection to a server.
 type dbSession struct {
 	s        *server
@@ -56,20 +50,18 @@
 	readOnly bool
 	term     uint64 // of the transaction
 	pending  []commit
+	busy     atomic.Bool // the next BEGIN is answered with BUSY
 }
 
 func (s *server) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
-	peer := ownerOf(conn.RemoteAddr())
 	s.g.mu.Lock()
-	cut := s.cutOff != nil && s.cutOff(peer)
-	if s.up && !cut {
-		s.conns[conn] = peer
-	}
 	up := s.up
+	if up {
+		s.conns[conn] = struct{}{}
+	}
 	s.g.mu.Unlock()
-	if !up || cut {
-		reset(conn)
+	if !up {
 		return
 	}
 	defer func() {
@@ -77,7 +69,7 @@
 		delete(s.conns, conn)
 		s.g.mu.Unlock()
 	}()
-	r := bufio.NewReader(conn)
+	r, out := bufio.NewReader(conn), &answerWriter{conn: conn}
 	start, err := readLine(r)
 	if err != nil {
 		return
@@ -105,12 +97,36 @@
 		if !ok {
 			return
 		}
-		if _, err := io.WriteString(conn, answer+d.ready()); err != nil {
+		answer += d.ready()
+		if !out.write(answer) {
 			return
 		}
+		if text == "BEGIN" && d.state == "T" && s.g.takeRepetition(d.who) {
+			time.AfterFunc(repetitionDelay, func() {
+				s.g.record.printf("server %s sends an answer to %s again: %q", s.id, d.who, answer)
+				out.write(answer)
+				d.busy.Store(true)
+			})
+		}
 	}
 }
 
+// repetitionDelay is how late an answer comes that is sent a second time.
+const repetitionDelay = 150 * time.Millisecond
+
+// answerWriter writes each answer as a whole.
+type answerWriter struct {
+	mu   sync.Mutex
+	conn net.Conn
+}
+
+func (w *answerWriter) write(answer string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, err := io.WriteString(w.conn, answer)
+	return err == nil
+}
+
 func (d *dbSession) ready() string {
 	d.s.g.mu.Lock()
 	defer d.s.g.mu.Unlock()
@@ -173,6 +189,10 @@
 
 // begin opens a transaction.
 func (d *dbSession) begin(readOnly bool) string {
+	if d.busy.CompareAndSwap(true, false) {
+		d.s.g.record.printf("server %s answers a BEGIN for %s with BUSY", d.s.id, d.who)
+		return d.refuse("BUSY")
+	}
 	d.s.g.mu.Lock()
 	leads, term := d.s.role == primaryRole, d.s.term
 	d.s.g.mu.Unlock()
@@ -198,6 +218,9 @@
 	up, leads, term := d.s.up, d.s.role == primaryRole, d.s.term
 	d.s.g.mu.Unlock()
 	inside := d.state == "T"
+	if up {
+		d.s.g.noteRun(d.s.id, id, verb, inside)
+	}
 	lost := inside && !d.readOnly && (!leads || term != d.term)
 	switch {
 	case !up:
