Record in the store which servers may hold acknowledged commits

Cause: the number of reports that a change of primary needs came from the list of this moment and from what one process had seen leave it.

Hypotheses: the server with the commits (a) was asked and its report ignored, (b) was asked and gave no report, (c) was not asked, and not counted as missing, (d) the pause did not hold.

Change: package replicaset keeps the members of each group with synchronous replicas; the group's failover coordinator records them in the store (table replica_sets), and who changes the primary reads them there, beside its read of the servers. At most as many members may be without a report as there are synchronous replicas, whatever their last role. Members without an entry are asked at their addresses. One is dropped when it is missing for 8 s, does not answer, and the primary's log is confirmed on enough others. An instance without a record waits 2.5 s after its first list.

Related paths: a primary that leads without an entry is waited for during the 2.5 s and is not replaced; a planned change asks members without an entry too, and needs them only if the demotion is not confirmed; an unlisted server is never promoted, because no statement could be sent to it; a replica found paused by the periodic check unsettles its group, as at a new coordinator; a record of a store that came back from a copy is merged with what the process knows; a row of another writer is logged and replaced.

TestNeededReports is now TestRequiredReports of replicaset, with the same cases. TestMissingReplicas is replaced by TestMissingFor, TestFormerPrimaryCounts and TestMembersAreDroppedOnceOthersHoldTheLog, which also require a reason for the drop. Tests of a replica that receives nothing used a pause, which the check would now end; they use a replica that is deaf.

--- a/internal/database/promotion/promotion.go
+++ b/internal/database/promotion/promotion.go
@@ -5,7 +5,7 @@
 //
 //	switch promotion.Decide(evidence) {
 //	case promotion.Replace:
-//		if promotion.EnoughReports(reports, replicas, syncReplicas, demotion) {
+//		if promotion.EnoughReports(reports, absent, syncReplicas, demotion) {
 //			next, ok := promotion.ChoosePrimary(reports, place)
 //		}
 //	case promotion.Demote: // order the primary to become a replica, then choose from the reports
@@ -20,6 +20,7 @@
 	"time"
 
 	"tanagercross/internal/database/driver"
+	"tanagercross/internal/database/replicaset"
 	"tanagercross/internal/database/statement"
 )
 
@@ -101,44 +102,32 @@
 	End       driver.Position // of the log; nothing after it was acknowledged
 }
 
-// RequiredReports returns how many of a group's replicas must report before one of them is chosen. With s synchronous
-// replicas every acknowledged commit is on at least s replicas, so at most s-1 replicas may be missing. Without
-// synchronous replicas one report suffices, because no number of reports can exclude a loss.
-func RequiredReports(replicas, syncReplicas int) int {
-	if syncReplicas <= 0 {
-		return 1
+// Counted returns what the reports prove about the servers' logs. Unless the old primary confirmed its demotion, it may be running
+// and acknowledge commits that a synchronous replica receives after its report, so that only the reports of paused replicas
+// count.
+func Counted(reports []Report, syncReplicas int, d Demotion) []replicaset.Report {
+	var counted []replicaset.Report
+	for _, r := range reports {
+		if r.Paused || d.Confirmed || syncReplicas <= 0 {
+			counted = append(counted, replicaset.Report{Server: r.Server, Received: r.Received})
+		}
 	}
-	return max(1, replicas-syncReplicas+1)
+	return counted
 }
 
-// EnoughReports reports whether a primary may be chosen from the reports: RequiredReports of them are present, or one
-// replica has received the whole log of the demoted primary. The number of replicas includes those of the group that are
-// missing from the store. Without synchronous replicas, nothing but the whole log suffices after a demotion, because the
-// demoted primary still has it. Unless the old primary confirmed its demotion, it may be running and acknowledge commits that a
-// synchronous replica receives after its report, so that only the reports of paused replicas count.
-func EnoughReports(reports []Report, replicas, syncReplicas int, d Demotion) bool {
+// EnoughReports reports whether a primary may be chosen from the reports: one replica has received the whole log of the demoted
+// primary, or the members of the group whose reports do not count are so few that every acknowledged commit is in a report, or
+// not expected back. Without synchronous replicas one report suffices, because no number of reports can exclude a loss; but
+// after a demotion nothing but the whole log does, because the demoted primary still has it.
+func EnoughReports(reports []Report, absent []replicaset.Absence, syncReplicas int, d Demotion) bool {
 	if best, ok := ChoosePrimary(reports, ""); ok && d.Confirmed && best.Received.Compare(d.End) >= 0 {
 		return true
 	}
-	if d.Confirmed && syncReplicas <= 0 {
-		return false
-	}
-	counted := len(reports)
-	if syncReplicas > 0 && !d.Confirmed {
-		counted = countPaused(reports)
-	}
-	return counted >= RequiredReports(replicas, syncReplicas)
-}
-
-// countPaused returns the number of reports of paused replicas.
-func countPaused(reports []Report) int {
-	n := 0
-	for _, r := range reports {
-		if r.Paused {
-			n++
-		}
+	counted := len(Counted(reports, syncReplicas, d))
+	if syncReplicas <= 0 {
+		return counted > 0 && !d.Confirmed
 	}
-	return n
+	return counted > 0 && replicaset.Decide(absent, syncReplicas) != replicaset.Wait
 }
 
 // ChoosePrimary returns the server with the newest received log position. Among equal ones it prefers servers that are
--- a/internal/database/promotion/promotion_test.go
+++ b/internal/database/promotion/promotion_test.go
@@ -7,6 +7,7 @@
 
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/promotion"
+	"tanagercross/internal/database/replicaset"
 	"tanagercross/internal/database/statement"
 )
 
@@ -66,15 +67,6 @@
 	}
 }
 
-// Guards against a promotion from so few reports that a commit confirmed only by a missing synchronous replica is lost.
-func TestNeededReports(t *testing.T) {
-	for _, c := range []struct{ replicas, sync, want int }{{2, 0, 1}, {2, 1, 2}, {4, 1, 4}, {4, 2, 3}, {1, 3, 1}} {
-		if got := promotion.RequiredReports(c.replicas, c.sync); got != c.want {
-			t.Errorf("%d replicas, %d synchronous: %d reports required, want %d", c.replicas, c.sync, got, c.want)
-		}
-	}
-}
-
 // Guards against a choice from too few reports while a missing replica, or one that still receives commits of the primary,
 // may have a longer log, and against waiting for
 // missing replicas although a replica has received the whole log of the demoted primary.
@@ -87,26 +79,38 @@
 	demoted := func(index uint64) promotion.Demotion {
 		return promotion.Demotion{Confirmed: true, End: driver.Position{Term: 3, Index: index}}
 	}
+	members := func(ids ...string) replicaset.Set {
+		var list []replicaset.Member
+		for _, id := range ids {
+			list = append(list, replicaset.Member{ID: id})
+		}
+		return replicaset.New(list)
+	}
+	three, four := members("old", "a", "b"), members("old", "a", "b", "c")
 	for name, c := range map[string]struct {
-		reports        []promotion.Report
-		replicas, sync int
-		demotion       promotion.Demotion
-		want           bool
+		reports  []promotion.Report
+		members  replicaset.Set
+		sync     int
+		demotion promotion.Demotion
+		want     bool
 	}{
-		"asynchronous":                             {two[:1], 2, 0, promotion.Demotion{}, true},
-		"all report, paused":                       {paused, 2, 1, promotion.Demotion{}, true},
-		"all report, not paused":                   {two, 2, 1, promotion.Demotion{}, false},
-		"all report, one is not paused":            {[]promotion.Report{paused[0], two[1]}, 2, 1, promotion.Demotion{}, false},
-		"all report, primary demoted":              {two, 2, 1, demoted(10), true},
-		"one is missing":                           {paused, 3, 1, promotion.Demotion{}, false},
-		"has the whole log of the demoted primary": {two, 3, 1, demoted(9), true},
-		"lacks one entry of the demoted primary":   {two, 3, 1, demoted(10), false},
-		"no reports, asynchronous":                 {nil, 2, 0, promotion.Demotion{}, false},
-		"asynchronous, primary demoted":            {two, 2, 0, demoted(9), true},
-		"asynchronous, lacks one entry of it":      {two, 2, 0, demoted(10), false},
-		"no reports, primary demoted":              {nil, 2, 0, demoted(9), false},
+		"asynchronous":                             {two[:1], three, 0, promotion.Demotion{}, true},
+		"all report, paused":                       {paused, three, 1, promotion.Demotion{}, true},
+		"all report, not paused":                   {two, three, 1, promotion.Demotion{}, false},
+		"all report, one is not paused":            {[]promotion.Report{paused[0], two[1]}, three, 1, promotion.Demotion{}, false},
+		"all report, primary demoted":              {two, three, 1, demoted(10), true},
+		"one is missing":                           {paused, four, 1, promotion.Demotion{}, false},
+		"has the whole log of the demoted primary": {two, four, 1, demoted(9), true},
+		"lacks one entry of the demoted primary":   {two, four, 1, demoted(10), false},
+		"no reports, asynchronous":                 {nil, three, 0, promotion.Demotion{}, false},
+		"asynchronous, primary demoted":            {two, three, 0, demoted(9), true},
+		"asynchronous, lacks one entry of it":      {two, three, 0, demoted(10), false},
+		"no reports, primary demoted":              {nil, three, 0, demoted(9), false},
 	} {
-		if got := promotion.EnoughReports(c.reports, c.replicas, c.sync, c.demotion); got != c.want {
+		absent := c.members.Absent(replicaset.Evidence{
+			Reports: promotion.Counted(c.reports, c.sync, c.demotion), MissingFor: func(string) time.Duration { return 0 },
+		})
+		if got := promotion.EnoughReports(c.reports, absent, c.sync, c.demotion); got != c.want {
 			t.Errorf("%s: %t, want %t", name, got, c.want)
 		}
 	}
--- a/internal/fleet/view/missing.go
+++ b/internal/fleet/view/missing.go
@@ -3,44 +3,48 @@
 import (
 	"time"
 
-	"tanagercross/internal/database/driver"
 	"tanagercross/internal/fleet/catalog"
 )
 
-// missingServer is a server without a row, as it was last listed.
-type missingServer struct {
-	server catalog.Server
-	since  time.Duration
-}
+// missingExpiry is how long it is kept since when a server is missing.
+const missingExpiry = 10 * time.Minute
 
-// updateMissing records the servers that the last read no longer lists. A server is dropped from the record when it is
-// listed again, or when it has been missing for missingReplicaExpiry while its group has a listed primary: that primary
-// has survived the missing server, so that the listed servers have the commits that it acknowledged. The caller holds the
-// lock.
+// updateMissing records since when servers have no row. The caller holds the lock.
 func (t *Table) updateMissing(before catalog.Servers) {
+	at := t.serverRows.ReadAt
+	if t.serversFirstRead == 0 {
+		t.serversFirstRead = at
+	}
 	for _, s := range before.All() {
 		if _, listed := t.servers.Server(s.ID); !listed {
-			t.missingServers[s.ID] = missingServer{server: s, since: t.serverRows.ReadAt}
+			t.missingSince[s.ID] = at
 		}
 	}
-	for id, m := range t.missingServers {
-		leader, listed := t.servers.Server(t.leaders[m.server.Group].Server)
-		survived := listed && leader.Role == driver.Primary && t.serverRows.ReadAt-m.since > missingReplicaExpiry
-		if _, back := t.servers.Server(id); back || survived {
-			delete(t.missingServers, id)
+	for id, since := range t.missingSince {
+		if _, back := t.servers.Server(id); back || at-since > missingExpiry {
+			delete(t.missingSince, id)
 		}
 	}
 }
 
-// MissingReplicas returns how many replicas of a group are not listed and may hold commits that no listed server has.
-func (t *Table) MissingReplicas(group string) int {
+// MissingFor returns for how long a server has had no row, by the reads of this instance; 0 if it has one. A server that was
+// never listed is missing since the first read: nothing from before the start of the instance is known.
+func (t *Table) MissingFor(server string) time.Duration {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	n := 0
-	for _, m := range t.missingServers {
-		if m.server.Group == group && m.server.Role == driver.Replica {
-			n++
-		}
+	if _, listed := t.servers.Server(server); listed {
+		return 0
+	}
+	since, known := t.missingSince[server]
+	if !known {
+		since = t.serversFirstRead
 	}
-	return n
+	return t.serverRows.ReadAt - since
+}
+
+// FirstServersRead returns the moment of the first read of the servers; 0 before it.
+func (t *Table) FirstServersRead() time.Duration {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.serversFirstRead
 }
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -37,12 +37,8 @@
 	suspicionTimeout = 800 * time.Millisecond
 	// remotePresenceTTL is how long a report that an instance of another place is down or leaving is valid.
 	remotePresenceTTL = 3 * time.Second
-	// missingServerGrace is how long servers without a row are kept after an outage of the store.
-	missingServerGrace = 2500 * time.Millisecond
-	// missingReplicaExpiry is how long a replica must be missing, while its group has a listed primary, before it is no
-	// longer counted as missing. It is longer than the row of a dead primary can be visible: the row expires after three
-	// heartbeats, and the list is up to two seconds old.
-	missingReplicaExpiry = 8 * time.Second
+	// MissingServerGrace is how long after an outage of the store a server without a row may still write one.
+	MissingServerGrace = 2500 * time.Millisecond
 	// storeOutageThreshold is the time between two successful reads of the servers that counts as an outage of the store.
 	storeOutageThreshold = 4 * time.Second
 	// recentConfiguration and recentMembers are the ages up to which an instance of another region counts as reading the
@@ -139,7 +135,8 @@
 	servers           catalog.Servers
 	serverRows        Rows
 	outageUntil       time.Duration
-	missingServers    map[string]missingServer // by id
+	serversFirstRead  time.Duration
+	missingSince      map[string]time.Duration // first read without a row of a server, by id
 	members           roster.Roster
 	memberRows        Rows
 	membersFirstRead  time.Duration        // moment of the first member list
@@ -158,7 +155,7 @@
 func NewTable(self Presence, r roster.Regions, d Decoder, o Observer) *Table {
 	t := &Table{
 		self: self, regions: r, decoder: d, observer: o, leaders: map[string]Leader{},
-		missingServers: map[string]missingServer{}, rejected: map[string]rejection{}, presences: map[string]Presence{}, demands: map[string]Demand{},
+		missingSince: map[string]time.Duration{}, rejected: map[string]rejection{}, presences: map[string]Presence{}, demands: map[string]Demand{},
 		suspectedUntil: map[string]time.Duration{}, changed: make(chan struct{}), coldUntil: map[string]coldServer{},
 	}
 	t.members = roster.New(0, []roster.Member{{Name: self.Name, Address: self.Address, Place: self.Place, Power: self.Power}})
@@ -267,7 +264,7 @@
 }
 
 // SetServers applies the server rows of a read, unless they are older than the present ones. After an outage of the store,
-// servers without a row are kept for missingServerGrace: rows expire when servers cannot renew them, and live servers
+// servers without a row are kept for MissingServerGrace: rows expire when servers cannot renew them, and live servers
 // write theirs again.
 func (t *Table) SetServers(now time.Duration, r Rows) {
 	t.mu.Lock()
@@ -277,7 +274,7 @@
 	}
 	returned := Generation(r.Version) > Generation(t.serverRows.Version)
 	if t.serverRows.ReadAt > 0 && (returned || r.ReadAt-t.serverRows.ReadAt > storeOutageThreshold) {
-		t.outageUntil = now + missingServerGrace
+		t.outageUntil = now + MissingServerGrace
 	}
 	var list []catalog.Server
 	seen := map[string]bool{}
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -279,38 +279,30 @@
 	}
 }
 
-// Guards against a missing replica that is forgotten while it may be the only server with the last commits, and against
-// one that still counts as missing although the primary has survived it.
-func TestMissingReplicas(t *testing.T) {
+// Guards against a server that counts as missing for too short or too long: one that was never listed has been missing since the
+// first read, and a list that another instance confirmed as current counts as a read.
+func TestMissingFor(t *testing.T) {
 	b, _ := table()
-	at := time.Second
-	read := func(entries ...string) int {
-		at += time.Second
-		b.SetServers(at, rows(uint64(at), at, entries...))
-		return b.MissingReplicas("meals")
-	}
-	if n := read("a=primary", "b=replica", "c=replica"); n != 0 {
-		t.Errorf("%d missing at first, want none", n)
-	}
-	if n := read("a=primary", "b=replica"); n != 1 {
-		t.Errorf("%d missing, want 1: c", n)
-	}
-	if n := read("a=primary", "b=replica", "c=replica"); n != 0 {
-		t.Errorf("%d missing after c came back, want none", n)
-	}
-	for range 9 {
-		read("a=primary", "b=replica")
-	}
-	if n := read("a=primary", "b=replica"); n != 0 {
-		t.Errorf("%d missing, want none: the primary has survived c", n)
-	}
-	read("a=primary")
-	for range 9 {
-		read()
-	}
-	if n := b.MissingReplicas("meals"); n != 1 {
-		t.Errorf("%d missing after the primary went too, want 1: b", n)
+	read := func(at time.Duration, entries ...string) { b.SetServers(at, rows(uint64(at), at, entries...)) }
+	read(time.Second, "a=primary", "b=replica", "c=replica")
+	b.Merge(30*time.Second, view.State{ServersVersion: uint64(time.Second), Servers: view.Rows{ReadAt: 30 * time.Second}})
+	read(31*time.Second, "a=primary", "b=replica")
+	check := func(server string, want time.Duration) {
+		t.Helper()
+		if got := b.MissingFor(server); got != want {
+			t.Errorf("%s is missing for %v, want %v", server, got, want)
+		}
 	}
+	check("c", 0)
+	read(33*time.Second, "a=primary", "b=replica")
+	check("a", 0)
+	check("c", 2*time.Second)
+	check("unknown", 32*time.Second)
+	read(34*time.Second, "a=primary", "c=replica")
+	check("b", 0)
+	check("c", 0)
+	read(39*time.Second, "a=primary", "c=replica")
+	check("b", 5*time.Second)
 }
 
 // Guards against instances that start together and each use every server until their first gossip.
--- a/internal/instance/entry/entry.go
+++ b/internal/instance/entry/entry.go
@@ -15,7 +15,7 @@
 // instances, services.go answers their calls, rates.go limits the rates of organisations, lending.go borrows tokens
 // from other places, servers.go executes statements on servers, positions.go keeps positions of leaders, failover.go
 // examines primaries, promote.go promotes replicas, replicas.go sends commands to them, promotion_lease.go claims the
-// lease for that, settle.go ends what changes that were given up have left, observe.go writes logs and metrics,
+// lease for that, replicaset.go keeps which servers may hold acknowledged commits, settle.go ends what changes that were given up have left, observe.go writes logs and metrics,
 // evacuate.go applies evacuations, cold.go limits statements to cold servers, slowstart.go begins slow starts, ports.go
 // declares the interfaces of the platform.
 package entry
@@ -93,6 +93,7 @@
 	pools       *pools
 	readIndexes *readIndexes
 	failover    *failover
+	replicaSets *replicaSets
 	gossip      *gossip
 	environment callersession.Environment
 
@@ -141,6 +142,7 @@
 	n.pools = newPools(n)
 	n.readIndexes = newReadIndexes(n)
 	n.failover = newFailover(n)
+	n.replicaSets = newReplicaSets(n)
 	n.gossip = newGossip(n)
 	n.dispatcher = dispatch.New(n.table, n.pools, dispatch.Options{
 		Boot: n.boot, Observer: n.observer, PriorityScheduling: o.Settings.PriorityScheduling,
--- a/internal/instance/entry/failover.go
+++ b/internal/instance/entry/failover.go
@@ -214,6 +214,9 @@
 			coordinator := g.isCoordinator(now, group)
 			if coordinator {
 				g.checkGroup(now, group)
+				if syncReplicas := g.syncReplicas(group); syncReplicas > 0 {
+					g.n.replicaSets.check(now, group, syncReplicas)
+				}
 			}
 			g.inspectGroup(now, group, coordinator)
 			g.settleGroup(group)
@@ -221,6 +224,12 @@
 	}
 }
 
+// syncReplicas returns how many replicas of a group must hold a commit before it is acknowledged.
+func (g *failover) syncReplicas(group string) int {
+	c, _ := g.n.table.Configuration().Group(group)
+	return c.SyncReplicas
+}
+
 // checkGroup starts a change of primary if the group has had no primary for failoverInterval, or if its primary has been
 // leaving for demoteDelay.
 func (g *failover) checkGroup(now time.Duration, group string) {
--- a/internal/instance/entry/ports.go
+++ b/internal/instance/entry/ports.go
@@ -41,6 +41,10 @@
 	Announce(ctx context.Context, m roster.Member) error
 	// Forget removes the row of an instance unless its version has changed.
 	Forget(ctx context.Context, name string, version uint64) error
+	// ReplicaSet reads the record of a group's replica set.
+	ReplicaSet(ctx context.Context, group string) (ReplicaSetRecord, error)
+	// PutReplicaSet writes the record of a group's replica set, unless the version of its row has changed.
+	PutReplicaSet(ctx context.Context, group string, r ReplicaSetRecord) error
 	// Claim acquires or renews a lease for an instance, with a token above the given one. If another instance holds it,
 	// the returned claim names that one.
 	Claim(ctx context.Context, leaseName, holder string, above uint64, lease time.Duration) (Claim, error)
--- a/internal/instance/entry/promote.go
+++ b/internal/instance/entry/promote.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"strings"
 
 	"github.com/rotisserie/eris"
 
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/promotion"
+	"tanagercross/internal/database/replicaset"
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/fleet/catalog"
 	"tanagercross/internal/fleet/relay"
@@ -19,8 +22,8 @@
 // demoted first, so that it acknowledges no commit that the new primary lacks. If it does not confirm the demotion, the
 // pause of synchronous replicas has the same effect. The promotion lease is acquired before anything else, so that no
 // other instance promotes a server meanwhile; if another instance holds it, the change is forwarded to that one. With
-// synchronous replicas, the change fails unless so many replicas report that one of them must have every acknowledged
-// commit. An old primary that runs and does not lead is asked too: it leads again if the others lack commits that it has.
+// synchronous replicas, the change fails unless so many members of the group's replica set report that one of them must have
+// every acknowledged commit. An old primary that runs and does not lead is asked too: it leads again if the others lack commits that it has.
 func (g *failover) changePrimary(ctx context.Context, group string, old catalog.Server, e promotion.Evidence) error {
 	reached := e.ReachedLocally || e.ReachedByPeer
 	planned, returning := reached && e.IsLeader, reached && !e.IsLeader
@@ -34,15 +37,17 @@
 	if l, ok := g.n.table.Leader(group); ok && old.ID != "" && l.Server != old.ID {
 		return nil
 	}
-	syncReplicas := 0
-	if c, ok := g.n.table.Configuration().Group(group); ok {
-		syncReplicas = c.SyncReplicas
-	}
+	syncReplicas := g.syncReplicas(group)
+	var members replicaset.Set
 	if syncReplicas > 0 {
 		// A replica that returned after the last read of the servers may be the only one with the last commits.
-		if err := g.n.readServersOnce(ctx); err != nil {
+		var reliable bool
+		if members, reliable, err = g.n.replicaSets.refresh(ctx, group); err != nil {
 			return err
 		}
+		if !reliable {
+			return eris.Errorf("servers of %s may still report to the store that this instance does not know", group)
+		}
 	}
 	candidates := g.candidates(group, old.ID, syncReplicas > 0)
 	if !g.hasSuccessor(group, old.ID) && (!returning || g.evacuated(old)) {
@@ -61,6 +66,11 @@
 	if returning && g.isReplica(ctx, old) {
 		candidates = append(candidates, old)
 	}
+	unlisted, err := g.reachUnlisted(ctx, group, old.ID, members, syncReplicas)
+	if err != nil {
+		return err
+	}
+	candidates = append(candidates, unlisted...)
 	reports := g.collectReports(ctx, group, candidates, demotion)
 	if planned && demotion.Confirmed {
 		reports = append(reports, g.queryServers(ctx, []catalog.Server{old}, statement.Status{})...)
@@ -78,15 +88,43 @@
 		g.announceLeader(group, leader)
 		return nil
 	}
-	missing := g.n.table.MissingReplicas(group)
-	if !promotion.EnoughReports(reports, len(candidates)+missing, syncReplicas, demotion) {
+	counted := promotion.Counted(reports, syncReplicas, demotion)
+	absent := members.Absent(replicaset.Evidence{Reports: counted, MissingFor: g.n.table.MissingFor})
+	g.logReports(c, absent, demotion)
+	if !promotion.EnoughReports(reports, absent, syncReplicas, demotion) {
 		g.abandon(ctx, c)
-		return eris.Errorf("%d of %d replicas report, %d are missing, demoted %t: an acknowledged commit may be lost", len(reports),
-			len(candidates), missing, demotion.Confirmed)
+		return eris.Errorf("an acknowledged commit may be lost: %d of %d servers report, waiting for %s", len(counted), len(candidates),
+			strings.Join(absenceTexts(absent), ", "))
 	}
 	return g.promote(ctx, c, claim)
 }
 
+// logReports logs what a change of primary is decided from: the servers that were asked, the report of each, and the members of
+// the group without a report that counts.
+func (g *failover) logReports(c change, absent []replicaset.Absence, d promotion.Demotion) {
+	asked := make([]string, 0, len(c.candidates))
+	for _, s := range c.candidates {
+		asked = append(asked, s.ID)
+	}
+	reports := make([]string, 0, len(c.reports))
+	for _, r := range c.reports {
+		reports = append(reports, fmt.Sprintf("%s: %s, received %s, paused %t", r.Server, r.Role, r.Received, r.Paused))
+	}
+	_, read, _ := g.n.table.ReadTimes()
+	g.n.log.Info("reports for a change of primary", "group", c.group, "old", c.old.ID, "asked", asked, "reports", reports,
+		"absent", absenceTexts(absent), "sync_replicas", c.syncReplicas, "verdict", string(replicaset.Decide(absent, c.syncReplicas)),
+		"demoted", d.Confirmed, "list_age_ms", (g.n.boot() - read).Milliseconds())
+}
+
+// absenceTexts returns the members without a report in the form of the log.
+func absenceTexts(absent []replicaset.Absence) []string {
+	texts := make([]string, 0, len(absent))
+	for _, a := range absent {
+		texts = append(texts, fmt.Sprintf("%s: %s, unlisted for %d ms, held %s", a.ID, a.State, a.Missing.Milliseconds(), a.Confirmed))
+	}
+	return texts
+}
+
 // change is one change of primary: its group, the old primary, the servers that may follow it, and their reports.
 type change struct {
 	group        string
@@ -101,11 +139,13 @@
 func (g *failover) promote(ctx context.Context, c change, claim lease) error {
 	best, ok := promotion.ChoosePrimary(g.promotable(c.reports, c.old.ID), c.old.Place)
 	if !ok {
+		g.abandon(ctx, c)
 		return eris.Errorf("no replica of %s reports", c.group)
 	}
 	if newest, _ := promotion.ChoosePrimary(c.reports, ""); newest.Received.Compare(best.Received) > 0 {
 		g.abandon(ctx, c)
-		return eris.Errorf("%s in an evacuated data centre has commits that %s lacks", newest.Server, best.Server)
+		return eris.Errorf("waiting for %s, which has commits that %s lacks, and has no entry in the store or is in an evacuated data centre",
+			newest.Server, best.Server)
 	}
 	claim, err := g.supersede(ctx, c.group, best.Server, claim)
 	if err != nil {
@@ -133,6 +173,7 @@
 		r, err := g.sendCommand(ctx, s, probeTimeout, statement.Status{})
 		if err == nil && r.Role == driver.Primary {
 			g.forgetDemotion(c.group)
+			g.n.replicaSets.checkSoon(c.group)
 			g.announceLeader(c.group, promotion.Report{Server: best.Server, Report: r})
 			g.resumeReplicas(ctx, c.group, reported(c.candidates, c.reports, best.Server))
 			return nil
--- a/internal/instance/entry/replicas.go
+++ b/internal/instance/entry/replicas.go
@@ -5,10 +5,14 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/promotion"
+	"tanagercross/internal/database/replicaset"
 	"tanagercross/internal/database/statement"
 	"tanagercross/internal/fleet/catalog"
+	"tanagercross/internal/fleet/view"
 	"tanagercross/internal/instance/clock"
 )
 
@@ -37,6 +41,35 @@
 	return staying
 }
 
+// reachUnlisted returns the members of a group that have no entry in the store but answer at their addresses: they may be cut off
+// the store only, or reach it again within a moment, and hold commits that no listed server has. The old primary, which is
+// being replaced because it has no entry, is among them only if the listed servers cannot suffice. It fails if one of them leads
+// and its entry may still come back, for example after an outage of the store.
+func (g *failover) reachUnlisted(ctx context.Context, group, old string, members replicaset.Set, syncReplicas int) ([]catalog.Server, error) {
+	var unlisted, reached []catalog.Server
+	others := 0 // listed members but the old primary
+	for _, m := range members.Members() {
+		if _, listed := g.n.table.Servers().Server(m.ID); !listed {
+			unlisted = append(unlisted, memberServer(group, m))
+		} else if m.ID != old {
+			others++
+		}
+	}
+	if len(members.Members())-others <= syncReplicas {
+		unlisted = slices.DeleteFunc(unlisted, func(s catalog.Server) bool { return s.ID == old })
+	}
+	for _, r := range g.queryServers(ctx, unlisted, statement.Status{}) {
+		if missing := g.n.table.MissingFor(r.Server); r.Role == driver.Primary && missing < view.MissingServerGrace {
+			return nil, eris.Errorf("waiting for the entry of %s, which leads and has been unlisted for %d ms", r.Server, missing.Milliseconds())
+		}
+		n := slices.IndexFunc(unlisted, func(s catalog.Server) bool { return s.ID == r.Server })
+		if r.Role == driver.Replica {
+			reached = append(reached, unlisted[n])
+		}
+	}
+	return reached, nil
+}
+
 // demote makes a leaving primary a replica. It needs no report of the primary before: the status of a busy one is refused,
 // while it goes on acknowledging commits. A primary that knows a newer term than the view tells it in its answer.
 func (g *failover) demote(ctx context.Context, group string, old catalog.Server) promotion.Demotion {
@@ -142,12 +175,13 @@
 	}
 }
 
-// promotable returns the reports of servers outside of the evacuated places, and that of the old primary, which may lead
-// again.
+// promotable returns the reports of listed servers outside of the evacuated places, and that of the old primary, which may lead
+// again. Instances send no statement to a server that is not listed.
 func (g *failover) promotable(reports []promotion.Report, old string) []promotion.Report {
 	return slices.DeleteFunc(slices.Clone(reports), func(r promotion.Report) bool {
 		_, evacuated := g.n.table.Evacuated(r.Place)
-		return evacuated && r.Server != old
+		_, listed := g.n.table.Servers().Server(r.Server)
+		return !listed || evacuated && r.Server != old
 	})
 }
 
--- a/internal/instance/entry/settle.go
+++ b/internal/instance/entry/settle.go
@@ -131,6 +131,16 @@
 		return
 	}
 	reports := g.queryServers(context.Background(), replicas, statement.Status{})
+	g.notePaused(group, reports)
+	if len(reports) == len(replicas) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.inspectionDue, group)
+	}
+}
+
+// notePaused marks a group as unsettled if one of its replicas reports that it is paused, while no change is in progress.
+func (g *failover) notePaused(group string, reports []promotion.Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, r := range reports {
@@ -139,7 +149,4 @@
 			g.unsettled[group] = true
 		}
 	}
-	if len(reports) == len(replicas) {
-		delete(g.inspectionDue, group)
-	}
 }
--- a/internal/instance/entry/synchronous_test.go
+++ b/internal/instance/entry/synchronous_test.go
@@ -14,15 +14,15 @@
 	f.cluster.Configure(next.WithGroup(catalog.Group{Name: "meals", ConnectionLimit: 40, SyncReplicas: 1}))
 }
 
-// replicateOnlyToLitoral makes commits in the group wait for a replica, and pauses the replica of sertao, so that only the one of
-// litoral receives them.
+// replicateOnlyToLitoral makes commits in the group wait for a replica, and lets the replica of sertao receive nothing, so that only
+// the one of litoral receives them.
 func (f *fleet) replicateOnlyToLitoral() {
 	f.t.Helper()
 	f.requireSyncReplica()
 	for _, n := range f.nodes {
 		f.eventually("the configuration", func() bool { return n.Table().Configuration().Version == 2 })
 	}
-	f.pause("meals-sertao")
+	f.cluster.Deafen("meals-sertao", true)
 }
 
 // awaitUnlisted waits until no instance lists a server.
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -23,6 +23,7 @@
 
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/fleet/catalog"
+	"tanagercross/internal/instance/entry"
 )
 
 // promoteDelay is the time between an order and the lead of the named server.
@@ -46,6 +47,8 @@
 	heldTerm uint64        // of the pause
 	down     bool          // refuses connections
 	silent   bool          // answers nothing
+	deaf     bool          // receives nothing
+	unlisted bool          // does not reach the store
 	lag      time.Duration // of what a replica applies
 	cut      map[string]bool
 	lose     int // answers to lose
@@ -69,25 +72,28 @@
 	evacuations   evacuations
 	members       map[string]member
 	duties        map[string]dutyRow
+	replicaSets   map[string]entry.ReplicaSetRecord // by group
 	storeDown     bool
 	turnedAway    map[string]bool // instances that the store does not serve
 	calls         int
-	promotions    int
-	lateOrders    int // promotions to carry out late and without an answer
-	lateBy        time.Duration
-	tokens        map[string]uint64 // newest by group
-	holders       map[uint64]string // of the promotion duty, by token
-	runs          map[string]int    // committed writes by statement id
-	rolledBack    map[commit]bool   // commits that a promotion dropped
-	synchronous   map[string]bool   // groups whose commits wait for a replica
-	faults        []string
-	changed       chan struct{}
+	// replicaSetCalls is how many of the calls were for replica sets.
+	replicaSetCalls int
+	promotions      int
+	lateOrders      int // promotions to carry out late and without an answer
+	lateBy          time.Duration
+	tokens          map[string]uint64 // newest by group
+	holders         map[uint64]string // of the promotion duty, by token
+	runs            map[string]int    // committed writes by statement id
+	rolledBack      map[commit]bool   // commits that a promotion dropped
+	synchronous     map[string]bool   // groups whose commits wait for a replica
+	faults          []string
+	changed         chan struct{}
 }
 
 // New returns an empty cluster.
 func New(boot func() time.Duration) *Cluster {
 	return &Cluster{
-		boot: boot, servers: map[string]*Server{}, members: map[string]member{}, duties: map[string]dutyRow{},
+		boot: boot, servers: map[string]*Server{}, members: map[string]member{}, duties: map[string]dutyRow{}, replicaSets: map[string]entry.ReplicaSetRecord{},
 		turnedAway: map[string]bool{}, tokens: map[string]uint64{}, holders: map[uint64]string{},
 		runs: map[string]int{}, rolledBack: map[commit]bool{}, synchronous: map[string]bool{}, changed: make(chan struct{}), version: 1,
 		evacuations: evacuations{written: map[string]uint64{}, removed: map[string]uint64{}},
@@ -136,9 +142,23 @@
 // Crash stops a server with its connections; Restart brings it back with its log.
 func (c *Cluster) Crash(id string) { c.change(id, func(s *Server) { s.down = true; s.drop() }) }
 
-// Restart brings a server back, as a replica if another one leads.
+// Restart brings a server back, as a replica if another one leads, and lets it receive the log.
 func (c *Cluster) Restart(id string) {
-	c.change(id, func(s *Server) { s.down, s.silent, s.paused, s.heldTerm = false, false, false, 0 })
+	c.change(id, func(s *Server) { s.down, s.silent, s.paused, s.deaf, s.heldTerm = false, false, false, false, 0 })
+}
+
+// RestartEmpty starts a server again under its id, with nothing of what it held.
+func (c *Cluster) RestartEmpty(id string) {
+	c.Restart(id)
+	c.change(id, func(s *Server) { s.log, s.received, s.applied, s.term, s.StartedMS = nil, 0, 0, 0, s.StartedMS+1 })
+}
+
+// Deafen stops or lets a replica receive the log.
+func (c *Cluster) Deafen(id string, deaf bool) { c.change(id, func(s *Server) { s.deaf = deaf }) }
+
+// Unlist takes away or gives back the entry of a server, as if it were cut off the store.
+func (c *Cluster) Unlist(id string, unlisted bool) {
+	c.change(id, func(s *Server) { s.unlisted = unlisted })
 }
 
 // RefuseStatus makes a server answer Busy to requests of its status.
@@ -219,6 +239,13 @@
 	return c.calls
 }
 
+// ReplicaSetCalls returns how many of the calls to the store were for replica sets.
+func (c *Cluster) ReplicaSetCalls() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.replicaSetCalls
+}
+
 // Runs returns how often a statement's write was committed.
 func (c *Cluster) Runs(id string) int {
 	c.mu.Lock()
@@ -278,7 +305,7 @@
 		return
 	}
 	p := c.primary(s.Group)
-	if p == nil || p.down || p.silent || s.paused || p.term < s.term {
+	if p == nil || p.down || p.silent || s.paused || s.deaf || p.term < s.term {
 		return
 	}
 	s.term = p.term
@@ -358,7 +385,7 @@
 func (c *Cluster) listed() []string {
 	var ids []string
 	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
-		if s := c.servers[id]; !s.down && !s.silent {
+		if s := c.servers[id]; !s.down && !s.silent && !s.unlisted {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/standin/cluster/store.go
+++ b/internal/standin/cluster/store.go
@@ -136,6 +136,29 @@
 	})
 }
 
+// ReplicaSet implements entry.Store.
+func (s Store) ReplicaSet(_ context.Context, group string) (r entry.ReplicaSetRecord, err error) {
+	err = s.call(func(c *Cluster) error {
+		c.replicaSetCalls++
+		r = c.replicaSets[group]
+		return nil
+	})
+	return r, err
+}
+
+// PutReplicaSet implements entry.Store.
+func (s Store) PutReplicaSet(_ context.Context, group string, r entry.ReplicaSetRecord) error {
+	return s.call(func(c *Cluster) error {
+		c.replicaSetCalls++
+		if c.replicaSets[group].Version != r.Version {
+			return entry.ErrConflict
+		}
+		c.bump()
+		c.replicaSets[group] = entry.ReplicaSetRecord{Set: r.Set, Version: c.version}
+		return nil
+	})
+}
+
 // Claim implements entry.Store.
 func (s Store) Claim(_ context.Context, duty, holder string, above uint64, lease time.Duration) (claim entry.Claim, err error) {
 	err = s.call(func(c *Cluster) error {
--- a/layout_test.go
+++ b/layout_test.go
@@ -31,6 +31,7 @@
 	"internal/instance/clock", "internal/instance/event", "internal/instance/intake",
 	"internal/database/statement", "internal/database/readindex", "internal/database/promotion",
 	"internal/database/correlation", "internal/database/serverqueue", "internal/database/connplan", "internal/database/slowstart",
+	"internal/database/replicaset",
 	"internal/fleet/catalog", "internal/fleet/view", "internal/fleet/evacuation", "internal/fleet/residence",
 }
 
