Do not count the report of a server that lost its log for what it held before

Cause: a server that started again with nothing gave a report like any other, and that stood for the commits that its earlier start had acknowledged.

Change: a member of a replica set is one start of a server. The report of a later start, and one below the position that the member was confirmed to hold, does not count for it; it is absent with state lost. The earlier start is dropped when the primary's log is confirmed on enough members. The coordinator confirms positions every 5 s, and records the first one of each term.

Related paths: a replica that was rolled back reports less than it held only if that was not acknowledged, and such a position is not confirmed; an entry of an earlier start in a store that came back from a copy is left out; a start that is not known is taken for the same. Left: a replica that starts again behind a cut from the store and has received its log again up to a position that was confirmed counts until its entry shows the new start, although it may lack commits: those of the last 5 s if the coordinator itself changes the primary, otherwise those since the first confirmation of the term.

--- a/internal/database/replicaset/replicaset.go
+++ b/internal/database/replicaset/replicaset.go
@@ -15,6 +15,10 @@
 // A commit is acknowledged when the primary and s other members hold it, where s is the number of synchronous replicas. So
 // every acknowledged commit is in some report as long as at most s members are absent. The former primary is a member like
 // the others: it may come back as a replica.
+//
+// A member is one start of a server. A server that started again under its id may have lost its log, so that its report does
+// not stand for its earlier start. That start stays a member until the log of a primary is confirmed to be on enough of the
+// others (WithConfirmed).
 package replicaset
 
 import (
@@ -25,7 +29,7 @@
 	"tanagercross/internal/database/driver"
 )
 
-// Member is a server that may hold acknowledged commits.
+// Member is one start of a server that may hold acknowledged commits.
 type Member struct {
 	ID        string
 	Address   string
@@ -34,8 +38,10 @@
 	Confirmed driver.Position // log position that the server was seen to hold and that is acknowledged; zero if none was
 }
 
-// sameServer reports whether both are the same server.
-func (m Member) sameServer(o Member) bool { return m.ID == o.ID }
+// sameStart reports whether both are the same start of a server. A start that is not known is taken for the same.
+func (m Member) sameStart(o Member) bool {
+	return m.ID == o.ID && (m.StartedMS == o.StartedMS || m.StartedMS == 0 || o.StartedMS == 0)
+}
 
 // Set is the members of a group. The zero value is empty.
 type Set struct {
@@ -57,13 +63,16 @@
 // Members returns the members, ordered by id and start. The slice must not be changed.
 func (s Set) Members() []Member { return s.members }
 
-// WithServers returns a set that also has the given servers. Those that it has stay as they are, but for their address.
+// WithServers returns a set that also has the given servers. Those that it has stay as they are, but for their address. A
+// start of a server before one that the set has is left out.
 func (s Set) WithServers(servers []Member) Set {
 	members := slices.Clone(s.members)
 	for _, server := range servers {
-		n := slices.IndexFunc(members, server.sameServer)
+		n := slices.IndexFunc(members, server.sameStart)
 		if n < 0 {
-			members = append(members, server)
+			if !s.StartedAgain(server) {
+				members = append(members, server)
+			}
 			continue
 		}
 		members[n].Address, members[n].Place = server.Address, server.Place
@@ -72,6 +81,23 @@
 	return New(members)
 }
 
+// WithPositions returns a set whose members hold at least what the same members of another set were confirmed to hold. Confirmed
+// positions are acknowledged, so that no change of primary rolls them back.
+func (s Set) WithPositions(o Set) Set {
+	members := slices.Clone(s.members)
+	for n, m := range members {
+		if i := slices.IndexFunc(o.members, m.sameStart); i >= 0 && o.members[i].Confirmed.Compare(m.Confirmed) > 0 {
+			members[n].Confirmed = o.members[i].Confirmed
+		}
+	}
+	return Set{members: members}
+}
+
+// StartedAgain reports whether the set has a later start of a member's server.
+func (s Set) StartedAgain(m Member) bool {
+	return slices.ContainsFunc(s.members, func(o Member) bool { return o.ID == m.ID && !o.sameStart(m) && o.StartedMS > m.StartedMS })
+}
+
 // Holding is what a server was seen to hold while its group's primary led.
 type Holding struct {
 	Server   string
@@ -132,6 +158,7 @@
 // States of absent members.
 const (
 	Silent State = "silent" // it may come back
+	Lost   State = "lost"   // it started again or reports less than it held, so that its log is lost
 	Gone   State = "gone"   // it has been missing for GoneAfter
 )
 
@@ -149,6 +176,8 @@
 		a := Absence{Member: m, Missing: e.MissingFor(m.ID)}
 		r := slices.IndexFunc(e.Reports, func(r Report) bool { return r.Server == m.ID })
 		switch {
+		case s.StartedAgain(m), r >= 0 && e.Reports[r].Received.Compare(m.Confirmed) < 0:
+			a.State = Lost
 		case r >= 0:
 			continue
 		case a.Missing >= GoneAfter:
--- a/internal/database/replicaset/replicaset_test.go
+++ b/internal/database/replicaset/replicaset_test.go
@@ -66,6 +66,25 @@
 	}
 }
 
+// Guards against the report of a server that started again with nothing being taken for what its earlier start held, whether
+// its entry shows the new start or is not up to date.
+func TestReportOfAnEmptyLogDoesNotCount(t *testing.T) {
+	reports := []replicaset.Report{{Server: "deaf", Received: at(7)}, {Server: "reborn"}}
+	for name, set := range map[string]replicaset.Set{
+		"entry of the earlier start": members("primary", "deaf", "reborn"),
+		"entry of the new start":     members("primary", "deaf", "reborn").WithServers([]replicaset.Member{{ID: "reborn", StartedMS: 2}}),
+	} {
+		absent := set.Absent(replicaset.Evidence{Reports: reports, MissingFor: listed})
+		want := map[string]replicaset.State{"primary/1": replicaset.Silent, "reborn/1": replicaset.Lost}
+		if diff := cmp.Diff(want, states(absent)); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+		if d := replicaset.Decide(absent, 1); d != replicaset.Wait {
+			t.Errorf("%s: %s, want to wait for the primary", name, d)
+		}
+	}
+}
+
 // Guards against a group that waits for ever for servers that do not come back, and against one that stops waiting while a
 // server may still come back with commits that only it and a lost server held.
 func TestWaitEnds(t *testing.T) {
@@ -85,8 +104,8 @@
 // Guards against a member that is dropped before the commits that it acknowledged are on enough others, and against one that
 // counts for ever although they are.
 func TestMembersAreDroppedOnceOthersHoldTheLog(t *testing.T) {
-	set := members("primary", "replica", "reborn", "left")
-	drop := func(m replicaset.Member) bool { return m.ID == "left" }
+	set := members("primary", "replica", "reborn", "left").WithServers([]replicaset.Member{{ID: "reborn", StartedMS: 2}})
+	drop := func(m replicaset.Member) bool { return m.ID == "left" || set.StartedAgain(m) }
 	primary := replicaset.Holding{Server: "primary", Received: at(9)}
 	behind := []replicaset.Holding{{Server: "replica", Received: at(8)}, {Server: "reborn", Received: at(2)}}
 	if got := set.WithConfirmed(primary, behind, 1, drop); !got.Equal(set) {
@@ -98,10 +117,31 @@
 	}
 	want := []replicaset.Member{
 		{ID: "primary", Address: "primary", StartedMS: 1, Confirmed: at(9)},
-		{ID: "reborn", Address: "reborn", StartedMS: 1, Confirmed: at(5)},
+		{ID: "reborn", StartedMS: 2},
 		{ID: "replica", Address: "replica", StartedMS: 1, Confirmed: at(9)},
 	}
 	if diff := cmp.Diff(want, set.WithConfirmed(primary, level, 1, drop).Members()); diff != "" {
 		t.Errorf("members after one replica has the log (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a copy of a server's entry from before its last start that brings the earlier start back, and against a server
+// that is a member twice because its start was not known at first.
+func TestEntriesOfEarlierStarts(t *testing.T) {
+	set := replicaset.New([]replicaset.Member{{ID: "a", StartedMS: 7}, {ID: "b"}})
+	set = set.WithServers([]replicaset.Member{{ID: "a", StartedMS: 3}, {ID: "b", StartedMS: 4}})
+	if diff := cmp.Diff([]replicaset.Member{{ID: "a", StartedMS: 7}, {ID: "b", StartedMS: 4}}, set.Members()); diff != "" {
+		t.Errorf("members (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a position that is forgotten because the record has an earlier one, so that a server which lost its log since
+// seems to hold all that it held.
+func TestNewestConfirmedPositionIsKept(t *testing.T) {
+	record := replicaset.New([]replicaset.Member{{ID: "a", StartedMS: 1, Confirmed: at(5)}, {ID: "b", StartedMS: 2, Confirmed: at(5)}})
+	known := replicaset.New([]replicaset.Member{{ID: "a", StartedMS: 1, Confirmed: at(9)}, {ID: "b", StartedMS: 1, Confirmed: at(9)}})
+	want := []replicaset.Member{{ID: "a", StartedMS: 1, Confirmed: at(9)}, {ID: "b", StartedMS: 2, Confirmed: at(5)}}
+	if diff := cmp.Diff(want, record.WithPositions(known).Members()); diff != "" {
+		t.Errorf("members (-want +got):\n%s", diff)
+	}
+}
--- a/internal/instance/entry/replicaset.go
+++ b/internal/instance/entry/replicaset.go
@@ -101,7 +101,7 @@
 		record.Set = record.Set.WithServers(k.set.Members())
 		k.complete = k.complete || r.n.settings.FirstStart
 	}
-	record.Set = record.Set.WithServers(r.listedMembers(group))
+	record.Set = record.Set.WithServers(r.listedMembers(group)).WithPositions(k.set)
 	k.set = record.Set
 	return record, nil
 }
@@ -256,7 +256,7 @@
 	expired := r.expiredMembers(ctx, group)
 	return func(s replicaset.Set) replicaset.Set {
 		return s.WithConfirmed(replicaset.Holding{Server: primary.ID, Received: lead.Received}, holdings, syncReplicas,
-			func(m replicaset.Member) bool { return slices.Contains(expired, m.ID) })
+			func(m replicaset.Member) bool { return s.StartedAgain(m) || slices.Contains(expired, m.ID) })
 	}
 }
 
--- a/internal/instance/entry/replicaset_test.go
+++ b/internal/instance/entry/replicaset_test.go
@@ -183,3 +183,37 @@
 		t.Errorf("%d calls for replica sets, want none", n)
 	}
 }
+
+// Guards against the loss of acknowledged writes by the report of a replica that held them and started again with nothing: the
+// other replica lacks them, and the primary, which has them, is back a moment later.
+func TestReportOfAReplicaThatLostItsLog(t *testing.T) {
+	t.Parallel()
+	for name, unlisted := range map[string]bool{"listed": false, "cut off the store": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, s := newRecordedFleet(t)
+			f.cluster.Deafen("meals-sertao", true)
+			s.mustWriteOne()
+			f.cluster.Crash("meals-litoral")
+			f.cluster.Crash("meals-agreste")
+			f.cluster.Unlist("meals-litoral", unlisted)
+			f.cluster.RestartEmpty("meals-litoral")
+			s.mustNotChange(0)
+			f.cluster.Unlist("meals-litoral", false)
+			f.cluster.Restart("meals-agreste")
+			s.awaitReadOne()
+		})
+	}
+}
+
+// Guards against a replica that started again with nothing and never counts again, although it has received the whole log.
+func TestReplicaThatReceivedItsLogAgainCounts(t *testing.T) {
+	t.Parallel()
+	f, s := newRecordedFleet(t)
+	f.cluster.Crash("meals-litoral")
+	f.cluster.RestartEmpty("meals-litoral")
+	s.mustWriteOne()
+	f.awaitRecord(3, 2)
+	f.cluster.Crash("meals-agreste")
+	s.awaitReadOne()
+}
