Clear the count of urgent waiters when a pool is closed

Cause: Close emptied the list of waiters and left the number of urgent ones, behind which the next one is inserted. Evacuate, which wakes all waiters too, cleared both.

Change: both use wakeAllWaiters.

Related paths: PlanConnections clears the count and keeps the waiters, which is right: they become less urgent ones. The other locks over code that may panic were not looked at.

--- a/internal/database/serverpool/evacuation.go
+++ b/internal/database/serverpool/evacuation.go
@@ -14,10 +14,7 @@
 	p.mu.Lock()
 	p.evacuatedUntil = max(1, end)
 	p.closeIdle()
-	for _, w := range p.waiters {
-		close(w)
-	}
-	p.waiters, p.planning.urgentWaiters = nil, 0
+	p.wakeAllWaiters()
 	open := map[uint64]*transaction{}
 	if over {
 		for id, t := range p.transactions {
--- a/internal/database/serverpool/planned.go
+++ b/internal/database/serverpool/planned.go
@@ -175,6 +175,14 @@
 	return wait
 }
 
+// wakeAllWaiters wakes all callers that wait for their turn, so that each finds out why there is none. The caller holds p.mu.
+func (p *Pool) wakeAllWaiters() {
+	for _, w := range p.waiters {
+		close(w)
+	}
+	p.waiters, p.planning.urgentWaiters = nil, 0
+}
+
 // nextWaiter returns the place of the waiter to wake. An opening that is promised to a less urgent one and not used wakes
 // another one after its time. The caller holds p.mu.
 func (p *Pool) nextWaiter() int {
--- a/internal/database/serverpool/serverpool.go
+++ b/internal/database/serverpool/serverpool.go
@@ -348,8 +348,5 @@
 	for pc := range p.inFlight {
 		pc.conn.Close()
 	}
-	for _, w := range p.waiters {
-		close(w)
-	}
-	p.waiters = nil
+	p.wakeAllWaiters()
 }
