Count servers that went missing before they were recorded

Cause: a server that has just registered is recorded within 2 to 4 s. One that was gone again before that was in no record, and what a process had seen of it was dropped with the next read of the record. Change: servers that an instance saw listed, and that have been missing for less than the 8 s before which none is dropped, are members in its view. changePrimary passes its decision from reports to requireReports, which also logs a change that gives up commits of servers that are gone. Result: TestMissingFor covers the list of those servers; the tests of synchronous replicas of internal/instance/entry pass.

--- a/internal/fleet/view/missing.go
+++ b/internal/fleet/view/missing.go
@@ -9,6 +9,12 @@
 // missingExpiry is how long it is kept since when a server is missing.
 const missingExpiry = 10 * time.Minute
 
+// missingServer is a server without a row, as it was last listed.
+type missingServer struct {
+	server catalog.Server
+	since  time.Duration // first read without its row
+}
+
 // updateMissing records since when servers have no row. The caller holds the lock.
 func (t *Table) updateMissing(before catalog.Servers) {
 	at := t.serverRows.ReadAt
@@ -17,12 +23,12 @@
 	}
 	for _, s := range before.All() {
 		if _, listed := t.servers.Server(s.ID); !listed {
-			t.missingSince[s.ID] = at
+			t.missing[s.ID] = missingServer{server: s, since: at}
 		}
 	}
-	for id, since := range t.missingSince {
-		if _, back := t.servers.Server(id); back || at-since > missingExpiry {
-			delete(t.missingSince, id)
+	for id, m := range t.missing {
+		if _, back := t.servers.Server(id); back || at-m.since > missingExpiry {
+			delete(t.missing, id)
 		}
 	}
 }
@@ -35,13 +41,26 @@
 	if _, listed := t.servers.Server(server); listed {
 		return 0
 	}
-	since, known := t.missingSince[server]
-	if !known {
-		since = t.serversFirstRead
+	since := t.serversFirstRead
+	if m, known := t.missing[server]; known {
+		since = m.since
 	}
 	return t.serverRows.ReadAt - since
 }
 
+// MissingServers returns the servers of a group that this instance saw listed and that have had no row for less than a time.
+func (t *Table) MissingServers(group string, within time.Duration) []catalog.Server {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var servers []catalog.Server
+	for _, m := range t.missing {
+		if m.server.Group == group && t.serverRows.ReadAt-m.since < within {
+			servers = append(servers, m.server)
+		}
+	}
+	return servers
+}
+
 // FirstServersRead returns the moment of the first read of the servers; 0 before it.
 func (t *Table) FirstServersRead() time.Duration {
 	t.mu.RLock()
--- a/internal/fleet/view/view.go
+++ b/internal/fleet/view/view.go
@@ -136,7 +136,7 @@
 	serverRows        Rows
 	outageUntil       time.Duration
 	serversFirstRead  time.Duration
-	missingSince      map[string]time.Duration // first read without a row of a server, by id
+	missing           map[string]missingServer // by id
 	members           roster.Roster
 	memberRows        Rows
 	membersFirstRead  time.Duration        // moment of the first member list
@@ -155,7 +155,7 @@
 func NewTable(self Presence, r roster.Regions, d Decoder, o Observer) *Table {
 	t := &Table{
 		self: self, regions: r, decoder: d, observer: o, leaders: map[string]Leader{},
-		missingSince: map[string]time.Duration{}, rejected: map[string]rejection{}, presences: map[string]Presence{}, demands: map[string]Demand{},
+		missing: map[string]missingServer{}, rejected: map[string]rejection{}, presences: map[string]Presence{}, demands: map[string]Demand{},
 		suspectedUntil: map[string]time.Duration{}, changed: make(chan struct{}), coldUntil: map[string]coldServer{},
 	}
 	t.members = roster.New(0, []roster.Member{{Name: self.Name, Address: self.Address, Place: self.Place, Power: self.Power}})
--- a/internal/fleet/view/view_test.go
+++ b/internal/fleet/view/view_test.go
@@ -298,6 +298,9 @@
 	check("a", 0)
 	check("c", 2*time.Second)
 	check("unknown", 32*time.Second)
+	if lately, before := b.MissingServers("meals", 3*time.Second), b.MissingServers("meals", time.Second); len(lately) != 1 || lately[0].ID != "c" || len(before) != 0 {
+		t.Errorf("missing for less than 3 s: %v, for less than 1 s: %v; want c, and none", lately, before)
+	}
 	read(34*time.Second, "a=primary", "c=replica")
 	check("b", 0)
 	check("c", 0)
--- a/internal/instance/entry/promote.go
+++ b/internal/instance/entry/promote.go
@@ -41,13 +41,9 @@
 	var members replicaset.Set
 	if syncReplicas > 0 {
 		// A replica that returned after the last read of the servers may be the only one with the last commits.
-		var reliable bool
-		if members, reliable, err = g.n.replicaSets.refresh(ctx, group); err != nil {
+		if members, err = g.n.replicaSets.refresh(ctx, group); err != nil {
 			return err
 		}
-		if !reliable {
-			return eris.Errorf("servers of %s may still report to the store that this instance does not know", group)
-		}
 	}
 	candidates := g.candidates(group, old.ID, syncReplicas > 0)
 	if !g.hasSuccessor(group, old.ID) && (!returning || g.evacuated(old)) {
@@ -88,17 +84,29 @@
 		g.announceLeader(group, leader)
 		return nil
 	}
-	counted := promotion.Counted(reports, syncReplicas, demotion)
-	absent := members.Absent(replicaset.Evidence{Reports: counted, MissingFor: g.n.table.MissingFor})
-	g.logReports(c, absent, demotion)
-	if !promotion.EnoughReports(reports, absent, syncReplicas, demotion) {
+	if err := g.requireReports(c, members, demotion); err != nil {
 		g.abandon(ctx, c)
-		return eris.Errorf("an acknowledged commit may be lost: %d of %d servers report, waiting for %s", len(counted), len(candidates),
-			strings.Join(absenceTexts(absent), ", "))
+		return err
 	}
 	return g.promote(ctx, c, claim)
 }
 
+// requireReports fails if an acknowledged commit may be in none of the reports of a change, and names the servers that may still
+// come back with it.
+func (g *failover) requireReports(c change, members replicaset.Set, d promotion.Demotion) error {
+	counted := promotion.Counted(c.reports, c.syncReplicas, d)
+	absent := members.Absent(replicaset.Evidence{Reports: counted, MissingFor: g.n.table.MissingFor})
+	g.logReports(c, absent, d)
+	if !promotion.EnoughReports(c.reports, absent, c.syncReplicas, d) {
+		return eris.Errorf("an acknowledged commit may be lost: %d of %d servers report, waiting for %s", len(counted), len(c.candidates),
+			strings.Join(absenceTexts(absent), ", "))
+	}
+	if !d.Confirmed && replicaset.Decide(absent, c.syncReplicas) == replicaset.Abandon {
+		g.n.log.Warn("acknowledged commits may be lost", "group", c.group, "absent", absenceTexts(absent))
+	}
+	return nil
+}
+
 // logReports logs what a change of primary is decided from: the servers that were asked, the report of each, and the members of
 // the group without a report that counts.
 func (g *failover) logReports(c change, absent []replicaset.Absence, d promotion.Demotion) {
--- a/internal/instance/entry/replicaset.go
+++ b/internal/instance/entry/replicaset.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"tanagercross/internal/database/driver"
 	"tanagercross/internal/database/promotion"
 	"tanagercross/internal/database/replicaset"
@@ -69,10 +71,12 @@
 	return k
 }
 
-// listedMembers returns the listed servers of a group as members.
-func (r *replicaSets) listedMembers(group string) []replicaset.Member {
+// seenMembers returns the listed servers of a group as members, and those that were listed so lately that they cannot have been
+// dropped from the record; they may not have been recorded yet.
+func (r *replicaSets) seenMembers(group string) []replicaset.Member {
+	missing := r.n.table.MissingServers(group, missingMemberExpiry)
 	var members []replicaset.Member
-	for _, s := range r.n.table.Servers().InGroup(group) {
+	for _, s := range slices.Concat(missing, r.n.table.Servers().InGroup(group)) {
 		members = append(members, replicaset.Member{ID: s.ID, Address: s.Address, Place: s.Place, StartedMS: s.StartedMS})
 	}
 	return members
@@ -101,14 +105,14 @@
 		record.Set = record.Set.WithServers(k.set.Members())
 		k.complete = k.complete || r.n.settings.FirstStart
 	}
-	record.Set = record.Set.WithServers(r.listedMembers(group)).WithPositions(k.set)
+	record.Set = record.Set.WithServers(r.seenMembers(group)).WithPositions(k.set)
 	k.set = record.Set
 	return record, nil
 }
 
-// refresh reads the servers and the record of a group, and returns its replica set. It is false if the instance has just started
-// and the store has no record that can be relied on: servers may be missing from the list that this instance does not know.
-func (r *replicaSets) refresh(ctx context.Context, group string) (replicaset.Set, bool, error) {
+// refresh reads the servers and the record of a group, and returns its replica set. It fails if the instance has just started and
+// the store has no record that can be relied on: servers may be missing from the list that this instance does not know.
+func (r *replicaSets) refresh(ctx context.Context, group string) (replicaset.Set, error) {
 	servers := make(chan error, 1)
 	go func() {
 		err := context.Canceled
@@ -118,16 +122,19 @@
 	}()
 	_, err := r.read(ctx, group)
 	if serversErr := <-servers; serversErr != nil {
-		return replicaset.Set{}, false, serversErr
+		return replicaset.Set{}, serversErr
 	}
 	if err != nil {
-		return replicaset.Set{}, false, err
+		return replicaset.Set{}, err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := r.known(group)
-	k.set = k.set.WithServers(r.listedMembers(group))
-	return k.set, r.reliable(k), nil
+	k.set = k.set.WithServers(r.seenMembers(group))
+	if !r.reliable(k) {
+		return replicaset.Set{}, eris.Errorf("waiting for servers of %s that this instance does not know and that may report to the store", group)
+	}
+	return k.set, nil
 }
 
 // reliable reports whether a set has all servers that may hold commits. While an instance that has just started has no record,
@@ -145,12 +152,12 @@
 
 // check starts a check of a group's replica set in the background if one is due.
 func (r *replicaSets) check(now time.Duration, group string, syncReplicas int) {
-	listed := r.listedMembers(group)
+	seen, listed := r.seenMembers(group), len(r.n.table.Servers().InGroup(group))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := r.known(group)
 	interval := replicaSetInterval
-	if !k.set.WithServers(listed).Equal(k.recorded) || len(k.set.Members()) != len(listed) {
+	if !k.set.WithServers(seen).Equal(k.recorded) || len(k.set.Members()) != listed {
 		interval = replicaSetChangeInterval
 	}
 	if k.checking || k.checkedAt > 0 && now-k.checkedAt < interval {
@@ -206,13 +213,13 @@
 	return r.reliable(r.known(group))
 }
 
-// apply applies a confirmation to the known set of a group, together with the listed servers, and returns the result.
+// apply applies a confirmation to the known set of a group, together with the servers that were seen, and returns the result.
 func (r *replicaSets) apply(group string, confirm func(replicaset.Set) replicaset.Set) replicaset.Set {
-	listed := r.listedMembers(group)
+	seen := r.seenMembers(group)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := r.known(group)
-	k.set = confirm(k.set.WithServers(listed))
+	k.set = confirm(k.set.WithServers(seen))
 	return k.set
 }
 
