--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -81,11 +81,12 @@
 	promotions      int
 	lateOrders      int // promotions to carry out late and without an answer
 	lateBy          time.Duration
-	tokens          map[string]uint64 // newest by group
-	holders         map[uint64]string // of the promotion duty, by token
-	runs            map[string]int    // committed writes by statement id
-	rolledBack      map[commit]bool   // commits that a promotion dropped
-	synchronous     map[string]bool   // groups whose commits wait for a replica
+	tokens          map[string]uint64   // newest by group
+	holders         map[uint64]string   // of the promotion duty, by token
+	runs            map[string]int      // committed writes by statement id
+	rolledBack      map[commit]bool     // commits that a promotion dropped
+	synchronous     map[string]bool     // groups whose commits wait for a replica
+	acknowledged    map[string][]commit // of synchronous groups, by group
 	faults          []string
 	changed         chan struct{}
 }
@@ -95,7 +96,7 @@
 	return &Cluster{
 		boot: boot, servers: map[string]*Server{}, members: map[string]member{}, duties: map[string]dutyRow{}, replicaSets: map[string]entry.ReplicaSetRecord{},
 		turnedAway: map[string]bool{}, tokens: map[string]uint64{}, holders: map[uint64]string{},
-		runs: map[string]int{}, rolledBack: map[commit]bool{}, synchronous: map[string]bool{}, changed: make(chan struct{}), version: 1,
+		runs: map[string]int{}, rolledBack: map[commit]bool{}, synchronous: map[string]bool{}, acknowledged: map[string][]commit{}, changed: make(chan struct{}), version: 1,
 		evacuations: evacuations{written: map[string]uint64{}, removed: map[string]uint64{}},
 	}
 }
@@ -348,6 +349,7 @@
 		return
 	}
 	c.checkFence(s, old)
+	c.checkAcknowledged(s)
 	term := s.term
 	if old != nil {
 		term = max(term, old.term)
--- a/internal/standin/cluster/conn.go
+++ b/internal/standin/cluster/conn.go
@@ -204,6 +204,9 @@
 			lost = true
 		}
 		lost = lost || len(s.log) > before && c.synchronous[s.Group] && !c.received(s)
+		if !lost {
+			c.noteAcknowledged(s, before)
+		}
 	}
 	k.finish(&a)
 	return a, lost
--- a/internal/standin/cluster/replication.go
+++ b/internal/standin/cluster/replication.go
@@ -1,6 +1,10 @@
 package cluster
 
-import "tanagercross/internal/database/driver"
+import (
+	"slices"
+
+	"tanagercross/internal/database/driver"
+)
 
 // Replicate lets all replicas receive what their primaries have.
 func (c *Cluster) Replicate() {
@@ -65,3 +69,25 @@
 	s := c.servers[id]
 	return s != nil && s.Role == driver.Primary
 }
+
+// noteAcknowledged records the commits of a primary after the first n of its log, if its group is synchronous: their callers are
+// told that they succeeded.
+func (c *Cluster) noteAcknowledged(s *Server, n int) {
+	if c.synchronous[s.Group] && len(s.log) > n {
+		c.acknowledged[s.Group] = append(c.acknowledged[s.Group], s.log[n:]...)
+	}
+}
+
+// checkAcknowledged records a fault if the log of a server that is to lead lacks acknowledged commits.
+func (c *Cluster) checkAcknowledged(s *Server) {
+	has := map[commit]bool{}
+	for _, e := range s.log {
+		has[e] = true
+	}
+	all := c.acknowledged[s.Group]
+	kept := slices.DeleteFunc(slices.Clone(all), func(e commit) bool { return !has[e] })
+	if lost := len(all) - len(kept); lost > 0 {
+		c.fault("%s is promoted without %d acknowledged commits", s.ID, lost)
+	}
+	c.acknowledged[s.Group] = kept
+}
