Confirm positions only for the start of a server that was asked

Cause: by reading. A replica that started again between its report and the next list was confirmed under its new start with what the earlier one had reported, so that other members could be dropped too soon; and a primary that had lost its log could lower the confirmed position. Change: a holding names the start of the server, reports of earlier starts do not count, and a primary without a position that was confirmed before confirms nothing. Result: TestMembersAreDroppedOnceOthersHoldTheLog has both cases; the tests of synchronous replicas of internal/instance/entry pass. The code runs only for groups with syncReplicas above 0.

--- a/internal/database/replicaset/replicaset.go
+++ b/internal/database/replicaset/replicaset.go
@@ -98,29 +98,34 @@
 	return slices.ContainsFunc(s.members, func(o Member) bool { return o.ID == m.ID && !o.sameStart(m) && o.StartedMS > m.StartedMS })
 }
 
-// Holding is what a server was seen to hold while its group's primary led.
+// Holding is what a server was seen to hold while its group's primary led. Of the member, the start is the one that its entry had
+// before it was asked.
 type Holding struct {
-	Server   string
+	Member
 	Received driver.Position
 }
 
 // WithConfirmed returns a set after the primary was seen to hold its log up to a position, and then its replicas to hold what
 // their reports say. It changes nothing unless enough replicas hold that position, because it may not be acknowledged
 // otherwise. If they do, every commit up to it is on the primary and on as many replicas as are synchronous, so that the
-// members that gone reports true for are no longer needed.
+// members that gone reports true for are no longer needed. A primary without a position that was confirmed before has lost its
+// log, and confirms nothing.
 func (s Set) WithConfirmed(primary Holding, replicas []Holding, syncReplicas int, gone func(Member) bool) Set {
-	holders := []string{primary.Server}
+	if slices.ContainsFunc(s.members, func(m Member) bool { return primary.Received.Compare(m.Confirmed) < 0 }) {
+		return s
+	}
+	holders := []Member{primary.Member}
 	for _, r := range replicas {
-		if r.Server != primary.Server && r.Received.Compare(primary.Received) >= 0 {
-			holders = append(holders, r.Server)
+		if r.ID != primary.ID && !s.StartedAgain(r.Member) && r.Received.Compare(primary.Received) >= 0 {
+			holders = append(holders, r.Member)
 		}
 	}
-	if len(holders)-1 < syncReplicas {
+	if len(holders)-1 < syncReplicas || s.StartedAgain(primary.Member) {
 		return s
 	}
 	members := slices.DeleteFunc(slices.Clone(s.members), gone)
 	for n, m := range members {
-		if slices.Contains(holders, m.ID) {
+		if slices.ContainsFunc(holders, m.sameStart) {
 			members[n].Confirmed = primary.Received
 		}
 	}
--- a/internal/database/replicaset/replicaset_test.go
+++ b/internal/database/replicaset/replicaset_test.go
@@ -106,12 +106,22 @@
 func TestMembersAreDroppedOnceOthersHoldTheLog(t *testing.T) {
 	set := members("primary", "replica", "reborn", "left").WithServers([]replicaset.Member{{ID: "reborn", StartedMS: 2}})
 	drop := func(m replicaset.Member) bool { return m.ID == "left" || set.StartedAgain(m) }
-	primary := replicaset.Holding{Server: "primary", Received: at(9)}
-	behind := []replicaset.Holding{{Server: "replica", Received: at(8)}, {Server: "reborn", Received: at(2)}}
+	holds := func(id string, startedMS int64, index uint64) replicaset.Holding {
+		return replicaset.Holding{Member: replicaset.Member{ID: id, StartedMS: startedMS}, Received: at(index)}
+	}
+	primary := holds("primary", 1, 9)
+	behind := []replicaset.Holding{holds("replica", 1, 8), holds("reborn", 2, 2)}
 	if got := set.WithConfirmed(primary, behind, 1, drop); !got.Equal(set) {
 		t.Errorf("%+v after no replica has the whole log, want no change", got.Members())
 	}
-	level := []replicaset.Holding{{Server: "replica", Received: at(9)}, {Server: "reborn", Received: at(2)}}
+	earlier := []replicaset.Holding{holds("replica", 1, 8), holds("reborn", 1, 9)}
+	if got := set.WithConfirmed(primary, earlier, 1, drop); !got.Equal(set) {
+		t.Errorf("%+v after a report from before a start that is known now, want no change", got.Members())
+	}
+	level := []replicaset.Holding{holds("replica", 1, 9), holds("reborn", 2, 2)}
+	if got := set.WithConfirmed(holds("primary", 1, 4), level, 1, drop); !got.Equal(set) {
+		t.Errorf("%+v after the primary has less than was confirmed, want no change", got.Members())
+	}
 	if got := set.WithConfirmed(primary, level, 2, drop); !got.Equal(set) {
 		t.Errorf("%+v after one of two synchronous replicas has the log, want no change", got.Members())
 	}
--- a/internal/instance/entry/replicaset.go
+++ b/internal/instance/entry/replicaset.go
@@ -77,11 +77,16 @@
 	missing := r.n.table.MissingServers(group, missingMemberExpiry)
 	var members []replicaset.Member
 	for _, s := range slices.Concat(missing, r.n.table.Servers().InGroup(group)) {
-		members = append(members, replicaset.Member{ID: s.ID, Address: s.Address, Place: s.Place, StartedMS: s.StartedMS})
+		members = append(members, memberOf(s))
 	}
 	return members
 }
 
+// memberOf returns a server as a member of its group's replica set.
+func memberOf(s catalog.Server) replicaset.Member {
+	return replicaset.Member{ID: s.ID, Address: s.Address, Place: s.Place, StartedMS: s.StartedMS}
+}
+
 // read reads the record of a group and merges it with what this instance knows. What the instance knows counts only if the
 // store has no record, or one that may lack later changes; otherwise members that another instance removed would come back.
 func (r *replicaSets) read(ctx context.Context, group string) (ReplicaSetRecord, error) {
@@ -257,12 +262,14 @@
 	reports := g.queryServers(ctx, replicas, statement.Status{})
 	g.notePaused(group, reports)
 	var holdings []replicaset.Holding
-	for _, x := range reports {
-		holdings = append(holdings, replicaset.Holding{Server: x.Server, Received: x.Received})
+	for _, s := range replicas {
+		if n := slices.IndexFunc(reports, func(x promotion.Report) bool { return x.Server == s.ID }); n >= 0 {
+			holdings = append(holdings, replicaset.Holding{Member: memberOf(s), Received: reports[n].Received})
+		}
 	}
 	expired := r.expiredMembers(ctx, group)
 	return func(s replicaset.Set) replicaset.Set {
-		return s.WithConfirmed(replicaset.Holding{Server: primary.ID, Received: lead.Received}, holdings, syncReplicas,
+		return s.WithConfirmed(replicaset.Holding{Member: memberOf(primary), Received: lead.Received}, holdings, syncReplicas,
 			func(m replicaset.Member) bool { return s.StartedAgain(m) || slices.Contains(expired, m.ID) })
 	}
 }
