--- a/internal/standin/wire/answer.go
+++ b/internal/standin/wire/answer.go
@@ -56,8 +56,7 @@
 // send writes an answer and schedules its copies. It reports whether the whole answer was written.
 func (a *answerer) send(answer string) bool {
 	if a.chance(a.fault.Cut) {
-		a.write(answer[:len(answer)/2])
-		_ = a.conn.Close()
+		a.cut(answer)
 		return false
 	}
 	if !a.write(answer) {
@@ -81,6 +80,14 @@
 	return true
 }
 
+// cut writes half of an answer and closes the connection. Both are one step, so that no copy comes behind the half.
+func (a *answerer) cut(answer string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	_, _ = io.WriteString(a.conn, answer[:len(answer)/2])
+	_ = a.conn.Close()
+}
+
 func (a *answerer) write(text string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
