Resume replicas only under the claim of the change that paused them

Cause: a resume carries no term and no fence. Change: a change carries its claim of the promotion lease, and resumeReplicas renews it, or leaves the group unsettled if it has passed to another holder.

--- a/internal/instance/entry/entry_test.go
+++ b/internal/instance/entry/entry_test.go
@@ -34,8 +34,9 @@
 	nodes      []*entry.Node
 	byPriority bool // instances decide by priority under load
 	regions    roster.Regions
-	decoder    view.Decoder // that of the cluster if nil
-	log        io.Writer    // logWriter() if nil
+	decoder    view.Decoder         // that of the cluster if nil
+	log        io.Writer            // logWriter() if nil
+	boot       func() time.Duration // clock of the instances; that of the machine if nil
 	ids        atomic.Int64
 }
 
@@ -120,7 +121,7 @@
 	n, err := entry.Start(entry.Options{
 		Settings: entry.Settings{Name: name, Place: place, Regions: f.regions, PeersAddress: address, PromotionLease: time.Second, PriorityScheduling: f.byPriority},
 		Store:    store, Promoter: f.cluster, Decoder: decoder, Dialer: f.cluster.Dialer(name),
-		Metrics: metric.New(), Log: slog.New(slog.NewJSONHandler(log, nil)).With("node", name),
+		Metrics: metric.New(), Log: slog.New(slog.NewJSONHandler(log, nil)).With("node", name), Boot: f.boot,
 	})
 	if err != nil {
 		f.t.Fatal(err)
--- a/internal/instance/entry/promote.go
+++ b/internal/instance/entry/promote.go
@@ -71,7 +71,7 @@
 	if planned && demotion.Confirmed {
 		reports = append(reports, g.queryServers(ctx, []catalog.Server{old}, statement.Status{})...)
 	}
-	c := change{group: group, old: old, candidates: candidates, reports: reports, syncReplicas: syncReplicas}
+	c := change{group: group, old: old, candidates: candidates, reports: reports, syncReplicas: syncReplicas, claim: claim}
 	for i := range reports {
 		reports[i].Former = reports[i].Server == old.ID
 		if reports[i].Former && reports[i].Role == driver.Primary {
@@ -88,7 +88,7 @@
 		g.abandon(ctx, c)
 		return err
 	}
-	return g.promote(ctx, c, claim)
+	return g.promote(ctx, c)
 }
 
 // requireReports fails if an acknowledged commit may be in none of the reports of a change, and names the servers that may still
@@ -133,18 +133,20 @@
 	return texts
 }
 
-// change is one change of primary: its group, the old primary, the servers that may follow it, and their reports.
+// change is one change of primary: its group, the old primary, the servers that may follow it, their reports, and the claim of the
+// promotion lease under which it is made.
 type change struct {
 	group        string
 	old          catalog.Server
 	candidates   []catalog.Server
 	reports      []promotion.Report
 	syncReplicas int
+	claim        lease
 }
 
 // promote orders the promotion of the most advanced replica and waits until it is the primary. An order without an answer
 // is repeated while the promotion lease is held.
-func (g *failover) promote(ctx context.Context, c change, claim lease) error {
+func (g *failover) promote(ctx context.Context, c change) error {
 	best, ok := promotion.ChoosePrimary(g.promotable(c.reports, c.old.ID), c.old.Place)
 	if !ok {
 		g.abandon(ctx, c)
@@ -155,21 +157,21 @@
 		return eris.Errorf("waiting for %s, which has commits that %s lacks, and has no entry in the store or is in an evacuated data centre",
 			newest.Server, best.Server)
 	}
-	claim, err := g.supersede(ctx, c.group, best.Server, claim)
-	if err != nil {
+	var err error
+	if c.claim, err = g.supersede(ctx, c.group, best.Server, c.claim); err != nil {
 		g.abandon(ctx, c)
 		return err
 	}
 	orderErr := ErrUncertain
 	for end := g.n.boot() + leadershipTimeout; g.n.boot() < end; clock.Sleep(ctx, leadershipPollInterval) {
 		if errors.Is(orderErr, ErrUncertain) {
-			if claim, err = g.renew(ctx, claim); err != nil {
+			if c.claim, err = g.renew(ctx, c.claim); err != nil {
 				g.abandon(ctx, c)
 				return err
 			}
-			orderErr = g.order(ctx, c.group, best.Server, claim)
+			orderErr = g.order(ctx, c.group, best.Server, c.claim)
 			g.n.log.Info("promotion ordered", "group", c.group, "old", c.old.ID, "new", best.Server, "received", best.Received.String(),
-				"reports", len(c.reports), "token", claim.Token, "error", errorText(orderErr))
+				"reports", len(c.reports), "token", c.claim.Token, "error", errorText(orderErr))
 		}
 		if errors.Is(orderErr, ErrConflict) {
 			// Another holder of the lease may be changing the primary and rely on the paused replicas.
@@ -183,7 +185,7 @@
 			g.forgetDemotion(c.group)
 			g.n.replicaSets.checkSoon(c.group)
 			g.announceLeader(c.group, promotion.Report{Server: best.Server, Report: r})
-			g.resumeReplicas(ctx, c.group, reported(c.candidates, c.reports, best.Server))
+			g.resumeReplicas(ctx, c.claim, c.group, reported(c.candidates, c.reports, best.Server))
 			return nil
 		}
 	}
@@ -199,7 +201,7 @@
 		g.n.log.Warn("replicas stay paused", "group", c.group, "primary", c.old.ID)
 		return
 	}
-	g.resumeReplicas(ctx, c.group, reported(c.candidates, c.reports, ""))
+	g.resumeReplicas(ctx, c.claim, c.group, reported(c.candidates, c.reports, ""))
 }
 
 // supersede renews the lease with a higher token if an earlier order for another server was not answered. That order may
--- a/internal/instance/entry/replicas.go
+++ b/internal/instance/entry/replicas.go
@@ -166,11 +166,21 @@
 }
 
 // resumeReplicas lets replicas receive the log again, and waits until they have confirmed it, so that a late command does
-// not end the pause of a later change. The group stays unsettled if one does not confirm.
-func (g *failover) resumeReplicas(ctx context.Context, group string, servers []catalog.Server) {
+// not end the pause of a later change. Nothing in the command tells it from one of another change, so that it is sent only
+// under the claim of the change in which the replicas were paused: an instance that was frozen meanwhile may wake in a change of
+// another one that relies on their pause. The group stays unsettled if a replica does not confirm.
+func (g *failover) resumeReplicas(ctx context.Context, claim lease, group string, servers []catalog.Server) {
+	if len(servers) == 0 {
+		return
+	}
+	if _, err := g.renew(ctx, claim); err != nil {
+		g.n.log.Warn("replicas not resumed", "group", group, "paused", len(servers), "resumed", 0, "error", err.Error())
+		g.setUnsettled(group, true)
+		return
+	}
 	resumed := g.queryServers(ctx, servers, statement.ResumeReplication{})
 	if len(resumed) < len(servers) {
-		g.n.log.Warn("replicas not resumed", "group", group, "paused", len(servers), "resumed", len(resumed))
+		g.n.log.Warn("replicas not resumed", "group", group, "paused", len(servers), "resumed", len(resumed), "error", "no report")
 		g.setUnsettled(group, true)
 	}
 }
--- a/internal/instance/entry/settle.go
+++ b/internal/instance/entry/settle.go
@@ -85,7 +85,7 @@
 		return eris.Errorf("%s no longer leads %s", primary.ID, group)
 	}
 	g.setUnsettled(group, false)
-	g.resumeReplicas(ctx, group, g.replicas(group, primary.ID))
+	g.resumeReplicas(ctx, claim, group, g.replicas(group, primary.ID))
 	return nil
 }
 
--- a/internal/instance/entry/settle_test.go
+++ b/internal/instance/entry/settle_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"tanagercross/internal/database/statement"
+	"tanagercross/internal/instance/clock"
 )
 
 // pause makes a replica stop receiving the log, as a coordinator does that dies during a change of primary.
@@ -75,3 +78,45 @@
 		t.Errorf("token %d after the restart, want more than %d", token, used)
 	}
 }
+
+// frozenOnce returns a clock that stops all its readers, once, as soon as a condition holds: for a time, and then until thaw
+// returns.
+func frozenOnce(condition func() bool, length time.Duration, thaw func()) func() time.Duration {
+	var mu sync.Mutex
+	done := false
+	return func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		if !done && condition() {
+			done = true
+			time.Sleep(length)
+			thaw()
+		}
+		return clock.Boot()
+	}
+}
+
+// Guards against the end of a pause on which another holder of the promotion lease relies, by an instance that was frozen in a change
+// of its own after its replicas had reported, and gives that change up when it wakes.
+func TestWokenInstanceDoesNotEndAnothersPause(t *testing.T) {
+	f := newFleet(t)
+	var taken atomic.Bool
+	f.boot = frozenOnce(func() bool { return f.cluster.Paused("meals-sertao") }, 1200*time.Millisecond, func() {
+		claim, err := f.cluster.Store("other").Claim(context.Background(), "promotion", "other", 0, 10*time.Second)
+		taken.Store(err == nil && claim.Holder == "other")
+		f.command("meals-sertao", statement.PauseReplication{Term: 50})
+	})
+	f.start("i1", "agreste")
+	f.awaitReady()
+	f.requireSyncReplica()
+	f.eventually("the configuration", func() bool { return f.nodes[0].Table().Configuration().Version == 2 })
+	time.Sleep(3 * time.Second) // the members are recorded
+	f.cluster.Crash("meals-litoral")
+	f.cluster.Crash("meals-agreste")
+	f.eventually("the lease of another instance", taken.Load)
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if !f.cluster.Paused("meals-sertao") {
+			t.Fatal("the pause of another holder's change was ended")
+		}
+	}
+}
