--- a/internal/instance/entry/entry_test.go
+++ b/internal/instance/entry/entry_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -27,6 +26,10 @@
 
 const keyText = "tc_key_of_coop"
 
+// fleets counts the fleets of the process. Each has a loopback address of its own, so that tests which run at the same time take no port
+// from each other, and call no instance of each other after a restart.
+var fleets atomic.Int64
+
 // fleet is a deployment in one process: a simulated platform with its servers, and instances in its places.
 type fleet struct {
 	t          *testing.T
@@ -37,6 +40,7 @@
 	decoder    view.Decoder         // that of the cluster if nil
 	log        io.Writer            // logWriter() if nil
 	boot       func() time.Duration // clock of the instances; that of the machine if nil
+	host       string               // of the instances; set at the first start
 	ids        atomic.Int64
 }
 
@@ -99,7 +103,11 @@
 // startAt starts an instance that uses the given store.
 func (f *fleet) startAt(name, place string, store entry.Store) *entry.Node {
 	f.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if f.host == "" {
+		n := fleets.Add(1)
+		f.host = fmt.Sprintf("127.78.%d.%d", n/250, n%250+1)
+	}
+	listener, err := net.Listen("tcp", f.host+":0")
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -378,16 +386,3 @@
 		t.Error("an instance that started during the outage is ready without a configuration")
 	}
 }
-
-// logWriter returns the destination of the instances' logs: the file that TANAGERCROSS_TEST_LOG names, or none.
-func logWriter() io.Writer {
-	path := os.Getenv("TANAGERCROSS_TEST_LOG")
-	if path == "" {
-		return io.Discard
-	}
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return io.Discard
-	}
-	return file
-}
