--- a/internal/database/replicaset/replicaset.go
+++ b/internal/database/replicaset/replicaset.go
@@ -163,7 +163,7 @@
 // States of absent members.
 const (
 	Silent State = "silent" // it may come back
-	Lost   State = "lost"   // it started again, or reports less than it held or an empty log
+	Lost   State = "lost"   // it started again or reports less than it held, so that its log is lost
 	Gone   State = "gone"   // it has been missing for GoneAfter
 )
 
@@ -181,7 +181,7 @@
 		a := Absence{Member: m, Missing: e.MissingFor(m.ID)}
 		r := slices.IndexFunc(e.Reports, func(r Report) bool { return r.Server == m.ID })
 		switch {
-		case s.StartedAgain(m), r >= 0 && s.lacksLog(m, e.Reports[r], e.Reports):
+		case s.StartedAgain(m), r >= 0 && e.Reports[r].Received.Compare(m.Confirmed) < 0:
 			a.State = Lost
 		case r >= 0:
 			continue
@@ -195,17 +195,6 @@
 	return absent
 }
 
-// lacksLog reports whether a member's report shows that it has lost its log: it lacks a position that the member was confirmed to
-// hold, or it is empty while another one is not. A member may have acknowledged commits before it was first confirmed. An empty log is
-// what a later start holds at first; its earlier start, while it is a member, stands for what was lost.
-func (s Set) lacksLog(m Member, r Report, all []Report) bool {
-	if r.Received.Compare(m.Confirmed) < 0 {
-		return true
-	}
-	earlier := slices.ContainsFunc(s.members, func(o Member) bool { return o.ID == m.ID && !o.sameStart(m) })
-	return r.Received.Index == 0 && !earlier && slices.ContainsFunc(all, func(o Report) bool { return o.Received.Index > 0 })
-}
-
 // Decision says what the reports of a group permit.
 type Decision string
 
