Add review case 13: answers in delivery are cut for lack of memory

Cause: the memory budget of callers is charged with an answer after the server has sent it, and evicts another connection whose answer is being delivered. Change: a script on the stand-ins of case 11.

--- a/review/_cases3/main.go
+++ b/review/_cases3/main.go
@@ -12,7 +12,7 @@
 		fmt.Fprintln(os.Stderr, "want NAME DIRECTORY")
 		os.Exit(2)
 	}
-	run, ok := map[string]func(dir string, trouble bool) (bool, error){"young": young, "refill": refill}[os.Args[1]]
+	run, ok := map[string]func(dir string, trouble bool) (bool, error){"cut": cut, "young": young, "refill": refill}[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
 		os.Exit(2)
